--- /dev/null
+++ b/document/document.go
@@ -0,0 +1,70 @@
+// Package document reads and checks the document by which operators govern the
+// proxy: one YAML section per team.
+package document
+
+import "time"
+
+// Access says what a role may do.
+type Access string
+
+// The kinds of access of a role.
+const (
+	AccessReadWrite Access = "read-write"
+	// AccessReadOnly roles never write, so their reads need no mark from the primary.
+	AccessReadOnly Access = "read-only"
+)
+
+// Missing says what happens to a team's statements while a database has no primary.
+type Missing string
+
+// The behaviours while a primary is missing.
+const (
+	// MissingWait keeps statements until their deadline.
+	MissingWait Missing = "wait"
+	// MissingRefuse refuses writes at once with JT003.
+	MissingRefuse Missing = "refuse"
+	// MissingServeReads serves reads from replicas up to the stale age and keeps writes until their deadline.
+	MissingServeReads Missing = "serve-reads"
+)
+
+// Role is what a guest logs in as. Role names are unique over all sections.
+type Role struct {
+	Name string
+	// Verifier is a SCRAM-SHA-256 verifier: SCRAM-SHA-256$iterations:salt$stored-key:server-key.
+	Verifier string
+	Access   Access
+	// Databases are the databases that the role may reach; a subset of the team's.
+	Databases []string
+}
+
+// ReadClass is a kind of read. Ages are compared with the age of a replica's data.
+type ReadClass struct {
+	Name string
+	// MaxAgeMicroseconds is the greatest age of data that the class accepts; 0 means no limit beyond the mark.
+	MaxAgeMicroseconds int64
+}
+
+// Team is a parsed section.
+type Team struct {
+	Name string
+	// Weight is the team's share of a target relative to other teams, 1 to 100.
+	Weight    int
+	Databases []string
+	Roles     []Role
+	Classes   []ReadClass
+	// DefaultClass names the class of reads that name none; empty means no limit on age.
+	DefaultClass string
+	// QueueDeadlineMicroseconds is how long a statement may wait before it is sent to a target.
+	QueueDeadlineMicroseconds int64
+	// PrimaryMissing says what happens while there is no primary.
+	PrimaryMissing Missing
+	// StaleAgeMicroseconds bounds the age of reads under MissingServeReads.
+	StaleAgeMicroseconds int64
+	// MaxGuests bounds the team's guest connections on one host; 0 means no limit.
+	MaxGuests int
+}
+
+// QueueDeadline returns the time by which a statement that arrived at now must be sent to a target.
+func (t Team) QueueDeadline(now time.Time) time.Time {
+	return now.Add(time.Duration(t.QueueDeadlineMicroseconds) * time.Microsecond)
+}
--- /dev/null
+++ b/event/process.go
@@ -0,0 +1,17 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// The events of a process as a whole, 100 to 999.
+var (
+	ProcessStarted = register(100, "process-started", logrus.InfoLevel,
+		"A process has started and listens on the addresses named.")
+	ProcessStopping = register(101, "process-stopping", logrus.InfoLevel,
+		"A process has been asked to stop and finishes the work in flight.")
+	ProcessStopped = register(102, "process-stopped", logrus.InfoLevel,
+		"A process has finished its work and exits.")
+	WithoutTLS = register(103, "without-tls", logrus.WarnLevel,
+		"A listener runs without TLS; anybody on the network can read its traffic.")
+	TraceFailed = register(104, "trace-failed", logrus.ErrorLevel,
+		"The trace file could not be written; the process goes on without a trace.")
+)
--- /dev/null
+++ b/message.go
@@ -0,0 +1,98 @@
+package jacinthtiller
+
+// RegisterResponse answers the registration of a host.
+type RegisterResponse struct {
+	// Index is the log index at which the host was recorded.
+	Index uint64 `cbor:"index"`
+}
+
+// RenewRequest asks for the host's lease.
+type RenewRequest struct {
+	Host        string `cbor:"host"`
+	Incarnation string `cbor:"incarnation"`
+	// Index is the index of the view that the host has in force.
+	Index uint64 `cbor:"index"`
+}
+
+// RenewResponse grants the host's lease.
+type RenewResponse struct {
+	// LeaseMicroseconds is how long the lease lasts, counted by the host from before it asked.
+	LeaseMicroseconds int64 `cbor:"lease-microseconds"`
+	// Unregistered is true when the incarnation is not the registered one: the host has no lease and must register.
+	Unregistered bool `cbor:"unregistered,omitempty"`
+}
+
+// ReleaseRequest gives up a host's lease and the ownership of its targets, at a graceful stop.
+type ReleaseRequest struct {
+	Host        string `cbor:"host"`
+	Incarnation string `cbor:"incarnation"`
+}
+
+// ObserveRequest reports a target that announced itself to a host which is not its owner,
+// or whose announced facts differ from the view.
+type ObserveRequest struct {
+	Host         string       `cbor:"host"`
+	Announcement Announcement `cbor:"announcement"`
+	// OwnerUnreachable is true when the owner in the view did not take the announcement.
+	OwnerUnreachable bool `cbor:"owner-unreachable,omitempty"`
+}
+
+// LostRequest reports that the owner cannot reach its target. By sending it the
+// owner gives up the ownership at that epoch.
+type LostRequest struct {
+	Host        string `cbor:"host"`
+	Incarnation string `cbor:"incarnation"`
+	Database    string `cbor:"database"`
+	Target      string `cbor:"target"`
+	Epoch       uint64 `cbor:"epoch"`
+}
+
+// FenceRequest asks the owner of a target to fence it.
+type FenceRequest struct {
+	Database string `cbor:"database"`
+	Target   string `cbor:"target"`
+	Term     uint64 `cbor:"term"`
+}
+
+// FenceResponse gives the target's position after it was fenced.
+type FenceResponse struct {
+	Position Position `cbor:"position"`
+}
+
+// WaitPositionRequest asks the owner of a replica to answer when the replica
+// reaches the position in the same term, or after the time given.
+type WaitPositionRequest struct {
+	Database string   `cbor:"database"`
+	Target   string   `cbor:"target"`
+	Position Position `cbor:"position"`
+	// WaitMicroseconds bounds the wait.
+	WaitMicroseconds int64 `cbor:"wait-microseconds"`
+}
+
+// WaitPositionResponse gives the replica's position when the wait ended.
+type WaitPositionResponse struct {
+	Position Position `cbor:"position"`
+}
+
+// MarkRequest asks the owner of a primary for the marks of guests.
+type MarkRequest struct {
+	Database string `cbor:"database"`
+	// Guests are the names to answer for.
+	Guests []string `cbor:"guests"`
+}
+
+// MarkResponse gives the smallest mark that includes all writes acknowledged to each guest.
+type MarkResponse struct {
+	// Term is the term in which the answer holds.
+	Term uint64 `cbor:"term"`
+	// Marks maps each guest that was asked for to its mark.
+	Marks map[string]Position `cbor:"marks"`
+	// Position is the primary's newest settled position, for the age of replicas.
+	Position Position `cbor:"position"`
+}
+
+// AnnounceResponse answers an announcement.
+type AnnounceResponse struct {
+	// Owner is the URL of the owner host's service, which should get the next announcements; empty when unknown.
+	Owner string `cbor:"owner" json:"owner"`
+}
--- /dev/null
+++ b/view.go
@@ -0,0 +1,218 @@
+package jacinthtiller
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Role is a target's part in its group.
+type Role string
+
+// The roles of a target.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+)
+
+// TargetState says whether a target takes new work.
+type TargetState string
+
+// The states of a target.
+const (
+	StateServing TargetState = "serving"
+	StateLeaving TargetState = "leaving"
+)
+
+// Announcement is what a target says of itself every 500 ms.
+type Announcement struct {
+	Database string `json:"database" cbor:"database"`
+	Target   string `json:"target" cbor:"target"`
+	// Address is the target's PostgreSQL address, host:port.
+	Address string `json:"address" cbor:"address"`
+	Domain  string `json:"failure-domain" cbor:"failure-domain"`
+	// GroupSize is the number of targets in the database's group; a quorum is a majority of it.
+	GroupSize int `json:"group-size" cbor:"group-size"`
+	// Position is term/index of the last applied entry.
+	Position string `json:"position" cbor:"position"`
+	// Term is the term that the target follows or leads; at least the position's term.
+	Term  uint64      `json:"term" cbor:"term"`
+	Role  Role        `json:"role" cbor:"role"`
+	State TargetState `json:"state" cbor:"state"`
+}
+
+// Target is a target as the control group knows it.
+type Target struct {
+	Name     string `cbor:"name" json:"name"`
+	Database string `cbor:"database" json:"database"`
+	Address  string `cbor:"address" json:"address"`
+	Domain   string `cbor:"domain" json:"domain"`
+	// Owner is the host that holds the target's connections; empty when none could be assigned.
+	Owner string `cbor:"owner" json:"owner"`
+	// Epoch grows with every change of Owner.
+	Epoch uint64      `cbor:"epoch" json:"epoch"`
+	State TargetState `cbor:"state" json:"state"`
+	// Lost is true from the owner's report that the target cannot be reached until it announces itself again.
+	Lost bool `cbor:"lost,omitempty" json:"lost,omitempty"`
+}
+
+// Database is one replicated group of targets.
+type Database struct {
+	Name string `cbor:"name" json:"name"`
+	// Term is the newest term that the control group has opened; it never decreases.
+	Term uint64 `cbor:"term" json:"term"`
+	// Primary is the target that leads Term; empty while a promotion is open or before the first one.
+	Primary string `cbor:"primary" json:"primary"`
+	// GroupSize is the greatest number of targets announced for the group.
+	GroupSize int `cbor:"group-size" json:"group-size"`
+	// Targets maps names to targets.
+	Targets map[string]Target `cbor:"targets" json:"targets"`
+}
+
+// Quorum returns how many targets make a majority of the group.
+func (d Database) Quorum() int { return max(d.GroupSize, len(d.Targets))/2 + 1 }
+
+// WithTarget returns a copy of d in which t is set under its name.
+func (d Database) WithTarget(t Target) Database {
+	d.Targets = maps.Clone(d.Targets)
+	if d.Targets == nil {
+		d.Targets = map[string]Target{}
+	}
+	d.Targets[t.Name] = t
+	return d
+}
+
+// WithPrimary returns a copy of d with the term and primary.
+func (d Database) WithPrimary(term uint64, primary string) Database {
+	d.Term, d.Primary = term, primary
+	return d
+}
+
+// TargetNames returns the names of the targets in order.
+func (d Database) TargetNames() []string { return slices.Sorted(maps.Keys(d.Targets)) }
+
+// Host is an entry host as the control group knows it.
+type Host struct {
+	Name   string `cbor:"name" json:"name"`
+	Domain string `cbor:"domain" json:"domain"`
+	Region string `cbor:"region" json:"region"`
+	// RPC is the URL of the host's service, http://ip:port.
+	RPC string `cbor:"rpc" json:"rpc"`
+	// Link is the address, ip:port, that takes units from other hosts.
+	Link string `cbor:"link" json:"link"`
+	// Guests is the address, ip:port, that takes guests.
+	Guests string `cbor:"guests" json:"guests"`
+	// Incarnation is random and new at every start of the process.
+	Incarnation string `cbor:"incarnation" json:"incarnation"`
+	// Gone is true from the end of the host's lease until it registers again.
+	Gone bool `cbor:"gone,omitempty" json:"gone,omitempty"`
+}
+
+// Section is one team's part of the document.
+type Section struct {
+	Team string `cbor:"team" json:"team"`
+	// Revision counts the accepted edits of the section from 1.
+	Revision uint64 `cbor:"revision" json:"revision"`
+	// Text is the YAML as accepted.
+	Text string `cbor:"text" json:"text"`
+	// Author is the operator who made the last accepted edit.
+	Author string `cbor:"author" json:"author"`
+}
+
+// View is the state of the control group at one index of its log, as the entry
+// hosts use it. Views are replaced whole and never changed.
+type View struct {
+	// Index is the log index of the newest entry included; a host never replaces its view by a lower one.
+	Index uint64 `cbor:"index" json:"index"`
+	// Document is the log index of the newest accepted edit of the document.
+	Document  uint64              `cbor:"document" json:"document"`
+	Hosts     map[string]Host     `cbor:"hosts" json:"hosts"`
+	Databases map[string]Database `cbor:"databases" json:"databases"`
+	Sections  map[string]Section  `cbor:"sections" json:"sections"`
+}
+
+// Target finds a target of a database.
+func (v View) Target(database, target string) (Target, bool) {
+	t, ok := v.Databases[database].Targets[target]
+	return t, ok
+}
+
+// Owner finds the host that owns a target.
+func (v View) Owner(database, target string) (Host, bool) {
+	t, ok := v.Target(database, target)
+	if !ok || t.Owner == "" {
+		return Host{}, false
+	}
+	h, ok := v.Hosts[t.Owner]
+	return h, ok
+}
+
+// Delta is the difference between two views. Applied to the view at From it gives the one at Index.
+type Delta struct {
+	// From is the index of the view that the delta applies to; 0 means any, and the delta is a full view.
+	From  uint64 `cbor:"from"`
+	Index uint64 `cbor:"index"`
+	// Document is the value for the new view.
+	Document uint64 `cbor:"document"`
+	// Hosts, Databases and Sections hold what is new or changed.
+	Hosts     map[string]Host     `cbor:"hosts,omitempty"`
+	Databases map[string]Database `cbor:"databases,omitempty"`
+	Sections  map[string]Section  `cbor:"sections,omitempty"`
+	// RemovedHosts, RemovedDatabases and RemovedSections name what is no longer there.
+	RemovedHosts     []string `cbor:"removed-hosts,omitempty"`
+	RemovedDatabases []string `cbor:"removed-databases,omitempty"`
+	RemovedSections  []string `cbor:"removed-sections,omitempty"`
+}
+
+// With returns the view after d. A delta for another index or an older one
+// returns v unchanged and false.
+func (v View) With(d Delta) (View, bool) {
+	switch {
+	case d.Index < v.Index:
+		return v, false
+	case d.From == 0:
+		return View{
+			Index: d.Index, Document: d.Document,
+			Hosts: d.Hosts, Databases: d.Databases, Sections: d.Sections,
+		}, true
+	case d.From != v.Index:
+		return v, false
+	}
+	out := View{
+		Index: d.Index, Document: d.Document,
+		Hosts: maps.Clone(v.Hosts), Databases: maps.Clone(v.Databases), Sections: maps.Clone(v.Sections),
+	}
+	if out.Hosts == nil {
+		out.Hosts = map[string]Host{}
+	}
+	if out.Databases == nil {
+		out.Databases = map[string]Database{}
+	}
+	if out.Sections == nil {
+		out.Sections = map[string]Section{}
+	}
+	maps.Copy(out.Hosts, d.Hosts)
+	maps.Copy(out.Databases, d.Databases)
+	maps.Copy(out.Sections, d.Sections)
+	for _, n := range d.RemovedHosts {
+		delete(out.Hosts, n)
+	}
+	for _, n := range d.RemovedDatabases {
+		delete(out.Databases, n)
+	}
+	for _, n := range d.RemovedSections {
+		delete(out.Sections, n)
+	}
+	return out, true
+}
+
+// Lease is a host's right to run and acknowledge work on the primaries it owns.
+type Lease struct {
+	Host        string
+	Incarnation string
+	// Deadline is counted from before the host asked for the lease, on the host's own clock.
+	Deadline time.Time
+}
+
+// Valid reports whether the lease holds at now.
+func (l Lease) Valid(now time.Time) bool { return now.Before(l.Deadline) }
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,118 @@
+// Package wire carries calls between the processes: connect with a CBOR codec
+// for our own processes and a JSON codec for targets, and the names of the
+// procedures.
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxMessageBytes bounds one message in either direction.
+const MaxMessageBytes = 64 << 20
+
+// The procedures of entry hosts.
+const (
+	ProcAnnounce     = "/jacinthtiller.host/announce"
+	ProcFence        = "/jacinthtiller.host/fence"
+	ProcWaitPosition = "/jacinthtiller.host/wait-position"
+	ProcMark         = "/jacinthtiller.host/mark"
+	ProcView         = "/jacinthtiller.host/view"
+)
+
+// The procedures of control processes.
+const (
+	ProcRegister       = "/jacinthtiller.control/register"
+	ProcRenew          = "/jacinthtiller.control/renew"
+	ProcRelease        = "/jacinthtiller.control/release"
+	ProcObserve        = "/jacinthtiller.control/observe"
+	ProcLost           = "/jacinthtiller.control/lost"
+	ProcWatch          = "/jacinthtiller.control/watch"
+	ProcStep           = "/jacinthtiller.control/step"
+	ProcSectionGet     = "/jacinthtiller.control/section-get"
+	ProcSectionApply   = "/jacinthtiller.control/section-apply"
+	ProcSectionHistory = "/jacinthtiller.control/section-history"
+	ProcStatus         = "/jacinthtiller.control/status"
+	ProcMembers        = "/jacinthtiller.control/members"
+	ProcMemberChange   = "/jacinthtiller.control/member-change"
+	ProcMovePrimary    = "/jacinthtiller.control/move-primary"
+	ProcTargetLeave    = "/jacinthtiller.control/target-leave"
+)
+
+// CBOR is the codec between our own processes; it is named "cbor".
+type CBOR struct{}
+
+// Name returns the name used in the content type.
+func (CBOR) Name() string { return "cbor" }
+
+// Marshal encodes a struct with cbor tags.
+func (CBOR) Marshal(m any) ([]byte, error) {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T as cbor: %w", m, err)
+	}
+	return b, nil
+}
+
+// Unmarshal decodes into a struct with cbor tags; unknown keys are ignored so that fields can be added.
+func (CBOR) Unmarshal(b []byte, m any) error {
+	if err := cbor.Unmarshal(b, m); err != nil {
+		return fmt.Errorf("decode cbor as %T: %w", m, err)
+	}
+	return nil
+}
+
+// JSON is the codec for targets and people with a plain HTTP client; it is named "json".
+type JSON struct{}
+
+// Name returns the name used in the content type.
+func (JSON) Name() string { return "json" }
+
+// Marshal encodes a struct with json tags.
+func (JSON) Marshal(m any) ([]byte, error) {
+	b, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T as json: %w", m, err)
+	}
+	return b, nil
+}
+
+// Unmarshal decodes into a struct with json tags.
+func (JSON) Unmarshal(b []byte, m any) error {
+	if err := json.Unmarshal(b, m); err != nil {
+		return fmt.Errorf("decode json as %T: %w", m, err)
+	}
+	return nil
+}
+
+// HandlerOptions are the options of every handler.
+func HandlerOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{
+		connect.WithCodec(CBOR{}),
+		connect.WithCodec(JSON{}),
+		connect.WithReadMaxBytes(MaxMessageBytes),
+	}
+}
+
+// ClientOptions are the options of every client between our own processes.
+func ClientOptions() []connect.ClientOption {
+	return []connect.ClientOption{
+		connect.WithCodec(CBOR{}),
+		connect.WithReadMaxBytes(MaxMessageBytes),
+	}
+}
+
+// NewHTTPClient returns a client that keeps connections per host open. Requests are bounded by their context.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns:        256,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}}
+}
