document: parsing, validation, directory and verifiers

Control and entry hosts need one reading of the sections. Parse walks the YAML nodes against one table of fields, which also prints the reference, and reports every fault with line, path, value and rule. The directory uses the valid part of a section that has faults, so that a section written by a newer version does not shut a whole team out.

--- /dev/null
+++ b/document/directory.go
@@ -0,0 +1,119 @@
+package document
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// Directory answers questions about all sections of one view. It never changes.
+type Directory struct {
+	teams map[string]Team
+	// roles maps each role's name to its place; names are unique over all teams.
+	roles  map[string]place
+	faults map[string][]Fault
+}
+
+// place is a role and the team it belongs to.
+type place struct {
+	role Role
+	team string
+}
+
+// NewDirectory reads the sections. Of a section with faults, which control does
+// not accept but another version of the program may have, the valid part is used.
+func NewDirectory(sections map[string]jacinthtiller.Section) *Directory {
+	d := &Directory{teams: map[string]Team{}, roles: map[string]place{}, faults: map[string][]Fault{}}
+	for _, name := range slices.Sorted(maps.Keys(sections)) {
+		t, faults := Parse(name, sections[name].Text)
+		if len(faults) > 0 {
+			d.faults[name] = faults
+		}
+		d.teams[name] = t
+		for _, r := range t.Roles {
+			if _, taken := d.roles[r.Name]; !taken {
+				d.roles[r.Name] = place{role: r, team: name}
+			}
+		}
+	}
+	return d
+}
+
+// Role finds a role by the name that a guest logs in with.
+func (d *Directory) Role(name string) (Role, Team, bool) {
+	p, ok := d.roles[name]
+	if !ok {
+		return Role{}, Team{}, false
+	}
+	return p.role, d.teams[p.team], true
+}
+
+// Team finds a team.
+func (d *Directory) Team(name string) (Team, bool) {
+	t, ok := d.teams[name]
+	return t, ok
+}
+
+// Class finds a read class of a team; the empty name means the team's default.
+// A team without a default class has one without a limit on age.
+func (d *Directory) Class(team, name string) (ReadClass, bool) {
+	t, ok := d.teams[team]
+	if !ok {
+		return ReadClass{}, false
+	}
+	if name == "" {
+		name = t.DefaultClass
+	}
+	if name == "" {
+		return ReadClass{}, true
+	}
+	for _, c := range t.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return ReadClass{}, false
+}
+
+// Weights returns the weight of each team.
+func (d *Directory) Weights() map[string]int {
+	out := make(map[string]int, len(d.teams))
+	for n, t := range d.teams {
+		out[n] = t.Weight
+	}
+	return out
+}
+
+// Faults returns the faults of the sections that have any, by team.
+func (d *Directory) Faults() map[string][]Fault { return maps.Clone(d.faults) }
+
+// CheckUnique reports the candidate's roles whose names another team's section has.
+func CheckUnique(sections map[string]jacinthtiller.Section, candidate Team) []Fault {
+	owners := map[string]string{}
+	for name, s := range sections {
+		if name == candidate.Name {
+			continue
+		}
+		t, _ := Parse(name, s.Text)
+		for _, r := range t.Roles {
+			owners[r.Name] = name
+		}
+	}
+	return RolesTaken(owners, candidate)
+}
+
+// RolesTaken reports the candidate's roles that owners, a map from role to team, gives to another team.
+func RolesTaken(owners map[string]string, candidate Team) []Fault {
+	var out []Fault
+	for _, r := range candidate.Roles {
+		if owner, ok := owners[r.Name]; ok && owner != candidate.Name {
+			out = append(out, Fault{
+				Line: r.Line, Path: "roles", Value: r.Name,
+				Rule: fmt.Sprintf("is a role of team %s already", owner),
+			})
+		}
+	}
+	return out
+}
--- a/document/document.go
+++ b/document/document.go
@@ -2,7 +2,10 @@
 // proxy: one YAML section per team.
 package document
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Access says what a role may do.
 type Access string
@@ -35,8 +38,13 @@
 	Access   Access
 	// Databases are the databases that the role may reach; a subset of the team's.
 	Databases []string
+	// Line is the line of the section on which the role begins.
+	Line int
 }
 
+// Reaches reports whether the role may reach the database.
+func (r Role) Reaches(database string) bool { return slices.Contains(r.Databases, database) }
+
 // ReadClass is a kind of read. Ages are compared with the age of a replica's data.
 type ReadClass struct {
 	Name string
--- /dev/null
+++ b/document/fields.go
@@ -0,0 +1,178 @@
+package document
+
+import (
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// kind is the form of a field's value.
+type kind string
+
+const (
+	kindInteger  kind = "integer"
+	kindDuration kind = "duration"
+	kindWord     kind = "word"
+	kindName     kind = "name"
+	kindVerifier kind = "verifier"
+	kindList     kind = "list"
+)
+
+// field is one entry of the table that Parse and Reference share.
+type field struct {
+	kind kind
+	// def is the value of a field that is absent, in the form that the section would have it.
+	def string
+	// required fields have no default.
+	required bool
+	// least and greatest bound integers, durations in microseconds, and the length of lists.
+	least, greatest int64
+	// words are the allowed values of a word.
+	words []string
+	text  string
+}
+
+const (
+	hour = int64(time.Hour / time.Microsecond)
+	// maxTextBytes bounds a section. A section with 1000 roles of 60 databases each is about 1 MB.
+	maxTextBytes = 2 << 20
+)
+
+// fields maps the path of each field to its rules. A list's elements have "[]" in their path.
+var fields = map[string]field{
+	"weight": {
+		kind: kindInteger, def: "1", least: 1, greatest: 100,
+		text: "Share of a target's slots relative to other teams.",
+	},
+	"databases": {
+		kind: kindList, greatest: 1000,
+		text: "Databases that the team may reach.",
+	},
+	"databases[]": {kind: kindName, text: "Name of a database."},
+	"roles": {
+		kind: kindList, greatest: 1000,
+		text: "Roles that the team's guests log in as. Names are unique over all sections.",
+	},
+	"roles[].name": {kind: kindName, required: true, text: "Name that the guest logs in with."},
+	"roles[].verifier": {
+		kind: kindVerifier, required: true, least: minIterations, greatest: maxIterations,
+		text: "SCRAM-SHA-256 verifier, SCRAM-SHA-256$iterations:salt$stored-key:server-key. The bounds are those of the iterations.",
+	},
+	"roles[].access": {
+		kind: kindWord, def: string(AccessReadWrite), words: []string{string(AccessReadWrite), string(AccessReadOnly)},
+		text: "What the role may do.",
+	},
+	"roles[].databases": {
+		kind: kindList, greatest: 1000,
+		text: "Databases that the role may reach, all of them databases of the team; absent means all of the team's.",
+	},
+	"roles[].databases[]": {kind: kindName, text: "Name of a database of the team."},
+	"read-classes": {
+		kind: kindList, greatest: 100,
+		text: "Kinds of read, each with the greatest age of data that it accepts.",
+	},
+	"read-classes[].name": {kind: kindName, required: true, text: "Name by which a statement chooses the class."},
+	"read-classes[].max-age": {
+		kind: kindDuration, def: "0s", greatest: 24 * hour,
+		text: "Greatest age of a replica's data; 0s means no limit beyond the session's mark.",
+	},
+	"default-class": {
+		kind: kindName,
+		text: "Class of the reads that name none; absent means no limit on age.",
+	},
+	"queue-deadline": {
+		kind: kindDuration, def: "10s", least: 1000, greatest: hour,
+		text: "How long a statement may wait before it is sent to a target.",
+	},
+	"primary-missing": {
+		kind: kindWord, def: string(MissingWait),
+		words: []string{string(MissingWait), string(MissingRefuse), string(MissingServeReads)},
+		text:  "What happens to statements while a database has no primary.",
+	},
+	"stale-age": {
+		kind: kindDuration, def: "30s", least: 1000, greatest: 24 * hour,
+		text: "Greatest age of reads while the primary is missing, under serve-reads.",
+	},
+	"max-guests": {
+		kind: kindInteger, def: "0", greatest: 1_000_000,
+		text: "Greatest number of the team's guest connections on one host; 0 means no limit.",
+	},
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9_][A-Za-z0-9_.@-]{0,62}$`)
+
+// rule says in words which values the field takes.
+func (f field) rule() string {
+	switch f.kind {
+	case kindInteger:
+		return fmt.Sprintf("must be a whole number from %d to %d", f.least, f.greatest)
+	case kindDuration:
+		return fmt.Sprintf("must be a duration such as 1500ms, from %s to %s", span(f.least), span(f.greatest))
+	case kindWord:
+		return "must be one of " + strings.Join(f.words, ", ")
+	case kindName:
+		return "must be a name of 1 to 63 letters, digits and _.@- that starts with a letter, a digit or _"
+	case kindVerifier:
+		return fmt.Sprintf("must be a SCRAM-SHA-256 verifier with %d to %d iterations", f.least, f.greatest)
+	default:
+		return fmt.Sprintf("must be a list of at most %d entries", f.greatest)
+	}
+}
+
+func span(microseconds int64) string {
+	return (time.Duration(microseconds) * time.Microsecond).String()
+}
+
+// number reads an integer, or a duration in microseconds, within the field's bounds.
+func (f field) number(value string) (int64, bool) {
+	var n int64
+	if f.kind == kindDuration {
+		d, err := time.ParseDuration(value)
+		if err != nil || d%time.Microsecond != 0 {
+			return 0, false
+		}
+		n = d.Microseconds()
+	} else {
+		i, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return 0, false
+		}
+		n = i
+	}
+	return n, f.least <= n && n <= f.greatest
+}
+
+// valid reports whether the value is allowed for a field of text.
+func (f field) valid(value string) bool {
+	switch f.kind {
+	case kindWord:
+		return slices.Contains(f.words, value)
+	case kindVerifier:
+		_, err := ParseVerifier(value)
+		return err == nil
+	default:
+		return namePattern.MatchString(value)
+	}
+}
+
+// Reference returns the reference of all fields of a section in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| field | value | default | meaning |\n| --- | --- | --- | --- |\n")
+	for _, p := range slices.Sorted(maps.Keys(fields)) {
+		f := fields[p]
+		def := f.def
+		switch {
+		case f.required:
+			def = "required"
+		case def == "":
+			def = "absent"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", p, strings.TrimPrefix(f.rule(), "must be "), def, f.text)
+	}
+	return b.String()
+}
