--- a/view.go
+++ b/view.go
@@ -1,11 +1,20 @@
 package jacinthtiller
 
 import (
+	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"time"
 )
 
+const (
+	// maxNameBytes bounds the names and addresses in an announcement.
+	maxNameBytes = 255
+	// maxGroupSize bounds the number of targets in a group.
+	maxGroupSize = 99
+)
+
 // Role is a target's part in its group.
 type Role string
 
@@ -39,6 +48,40 @@
 	Term  uint64      `json:"term" cbor:"term"`
 	Role  Role        `json:"role" cbor:"role"`
 	State TargetState `json:"state" cbor:"state"`
+	// Forwarded is set by an entry host that passes the announcement on to the target's owner.
+	Forwarded bool `json:"forwarded,omitempty" cbor:"forwarded,omitempty"`
+}
+
+// Validate returns the first fault of an announcement.
+func (a Announcement) Validate() error {
+	for name, value := range map[string]string{
+		"database": a.Database, "target": a.Target, "address": a.Address, "failure-domain": a.Domain,
+	} {
+		if value == "" {
+			return fmt.Errorf("announcement: %s is empty", name)
+		}
+		if len(value) > maxNameBytes {
+			return fmt.Errorf("announcement: %s is longer than %d bytes", name, maxNameBytes)
+		}
+	}
+	if _, _, err := net.SplitHostPort(a.Address); err != nil {
+		return fmt.Errorf("announcement: address: %w", err)
+	}
+	p, err := ParsePosition(a.Position)
+	if err != nil {
+		return fmt.Errorf("announcement: %w", err)
+	}
+	switch {
+	case a.GroupSize < 1 || a.GroupSize > maxGroupSize:
+		return fmt.Errorf("announcement: group-size %d is not between 1 and %d", a.GroupSize, maxGroupSize)
+	case a.Role != RolePrimary && a.Role != RoleReplica:
+		return fmt.Errorf("announcement: role %q is neither %s nor %s", a.Role, RolePrimary, RoleReplica)
+	case a.State != StateServing && a.State != StateLeaving:
+		return fmt.Errorf("announcement: state %q is neither %s nor %s", a.State, StateServing, StateLeaving)
+	case a.Term < p.Term:
+		return fmt.Errorf("announcement: term %d is below the position's term %d", a.Term, p.Term)
+	}
+	return nil
 }
 
 // Target is a target as the control group knows it.
