replica: routing of reads, positions, marks and settlement

The session and the owner need one place that decides where a statement goes and what is known of the targets' progress.

Positions holds lower bounds of the targets' positions and, from positions of the primary asked at a local instant, how new a replica's data is at least. Marks asks the primary's owner for guests' marks, one outstanding question per database. Settlement finds the position of one term that a majority has.

--- /dev/null
+++ b/replica/metrics.go
@@ -0,0 +1,29 @@
+package replica
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// decisions counts decisions by reason.
+var decisions, decisionsErr = otel.Meter("jacinthtiller/replica").Int64Counter("jacinthtiller.route.decisions",
+	metric.WithDescription("Decisions of the router by reason"))
+
+// reasonOptions holds one option per reason, so that counting does not allocate.
+var reasonOptions = func() map[Reason][]metric.AddOption {
+	out := map[Reason][]metric.AddOption{}
+	for _, r := range Reasons() {
+		out[r] = []metric.AddOption{metric.WithAttributeSet(attribute.NewSet(attribute.String("reason", string(r))))}
+	}
+	return out
+}()
+
+// Count adds the decision to the counter of its reason.
+func Count(ctx context.Context, d Decision) {
+	if decisionsErr == nil {
+		decisions.Add(ctx, 1, reasonOptions[d.Reason]...)
+	}
+}
--- /dev/null
+++ b/replica/positions_test.go
@@ -0,0 +1,202 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// TestPositions guards against an age that is stated younger than it is, which
+// would let a reader see yesterday's data.
+func TestPositions(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	convey.Convey("A replica is as new as the newest question that it covers", t, func() {
+		p := NewPositions()
+		p.Primary("d", pos(5), at(0))
+		p.Primary("d", pos(8), at(1000))
+		p.Observe("d", "r", pos(7))
+		fresh, ok := p.Fresh("d", "r")
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(fresh, convey.ShouldEqual, at(0))
+		need, ok := p.Needed("d", at(500))
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(need, convey.ShouldResemble, pos(8))
+		_, ok = p.Needed("d", at(1001))
+		convey.So(ok, convey.ShouldBeFalse)
+		p.Observe("d", "r", pos(4))
+		convey.So(p.Known("d", "r"), convey.ShouldResemble, pos(7))
+		p.Primary("d", pos(7), at(2000))
+		fresh, _ = p.Fresh("d", "r")
+		convey.So(fresh, convey.ShouldEqual, at(0))
+	})
+	convey.Convey("A replica that was too slow is tried again once it has caught up or a second has passed", t, func() {
+		p := NewPositions()
+		v := jacinthtiller.View{Databases: map[string]jacinthtiller.Database{
+			"d": {Targets: map[string]jacinthtiller.Target{"r": {Owner: "h"}, "q": {Owner: "gone"}}},
+		}, Hosts: map[string]jacinthtiller.Host{"h": {Name: "h"}, "gone": {Name: "gone", Gone: true}}}
+		p.Behind("d", "r", pos(5), at(0))
+		cs := p.Candidates(nil, v, jacinthtiller.Host{Name: "h"}, "d", nil)
+		convey.So(cs, convey.ShouldHaveLength, 2)
+		convey.So(cs[0].Usable, convey.ShouldBeFalse)
+		convey.So(cs[1].SlowUntil, convey.ShouldEqual, at(1000))
+		p.Observe("d", "r", pos(5))
+		cs = p.Candidates(nil, v, jacinthtiller.Host{Name: "h"}, "d", map[string]bool{"r": true})
+		convey.So(cs[1].SlowUntil.IsZero(), convey.ShouldBeTrue)
+		convey.So(cs[1].Usable, convey.ShouldBeFalse)
+	})
+	convey.Convey("No history of questions and observations makes a replica look younger than it is", t, func() {
+		convey.So(func() { rapid.Check(t, checkAge) }, convey.ShouldNotPanic)
+	})
+}
+
+// checkAge moves a primary and a lagging replica and compares Fresh with the true age.
+func checkAge(t *rapid.T) {
+	p, start := NewPositions(), time.Unix(1000, 0)
+	written := []time.Time{start} // written[i] is when entry i was written
+	now, applied := start, uint64(0)
+	for range rapid.IntRange(1, 200).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "gap")) * time.Millisecond)
+		switch rapid.IntRange(0, 3).Draw(t, "step") {
+		case 0:
+			written = append(written, now)
+		case 1:
+			p.Primary("d", pos(uint64(len(written)-1)), now)
+		case 2:
+			applied = rapid.Uint64Range(applied, uint64(len(written)-1)).Draw(t, "applied")
+		case 3:
+			p.Observe("d", "r", pos(applied))
+		}
+		fresh, ok := p.Fresh("d", "r")
+		if ok && int(applied)+1 < len(written) && fresh.After(written[applied+1]) {
+			t.Fatalf("data lacks the entry written at %v but counts as new as %v", written[applied+1], fresh)
+		}
+	}
+}
+
+// TestSettlement guards against commits that are acknowledged before a majority
+// of the group has them in the same term.
+func TestSettlement(t *testing.T) {
+	zero := jacinthtiller.Position{}
+	cases := map[string]struct {
+		size    int
+		reports map[string]jacinthtiller.Position
+		settled jacinthtiller.Position
+	}{
+		"primary alone":          {3, map[string]jacinthtiller.Position{"p": pos(9)}, zero},
+		"one replica":            {3, map[string]jacinthtiller.Position{"p": pos(9), "a": pos(7)}, pos(7)},
+		"both replicas":          {3, map[string]jacinthtiller.Position{"p": pos(9), "a": pos(7), "b": pos(8)}, pos(8)},
+		"replica before primary": {3, map[string]jacinthtiller.Position{"a": pos(7)}, pos(7)},
+		"other terms":            {3, map[string]jacinthtiller.Position{"p": pos(9), "a": {Term: 1, Index: 99}, "b": {Term: 3, Index: 99}}, zero},
+		"group of five":          {5, map[string]jacinthtiller.Position{"p": pos(9), "a": pos(8), "b": pos(7)}, pos(7)},
+		"group of one":           {1, map[string]jacinthtiller.Position{"p": pos(9)}, pos(9)},
+		"group of two":           {2, map[string]jacinthtiller.Position{"p": pos(9)}, zero},
+	}
+	convey.Convey("Settled", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				s := NewSettlement(2, c.size, "p")
+				for target, p := range c.reports {
+					s.Observe(target, p)
+				}
+				convey.So(s.Settled(), convey.ShouldResemble, c.settled)
+			})
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Wait ends with the commit's own position and with its context", t, func() {
+			s := NewSettlement(2, 3, "p")
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			early, late := make(chan error, 1), make(chan error, 1)
+			var wg sync.WaitGroup
+			wg.Go(func() { early <- s.Wait(ctx, pos(4)) })
+			wg.Go(func() { late <- s.Wait(ctx, pos(6)) })
+			synctest.Wait()
+			s.Observe("a", pos(5))
+			convey.So(<-early, convey.ShouldBeNil)
+			convey.So(errors.Is(<-late, context.DeadlineExceeded), convey.ShouldBeTrue)
+			convey.So(s.Wait(ctx, pos(5)), convey.ShouldBeNil)
+			convey.So(s.waiters, convey.ShouldBeEmpty)
+			wg.Wait()
+		})
+	})
+}
+
+// fakePeer answers questions for marks when the test lets it.
+type fakePeer struct {
+	jacinthtiller.Peer
+	asked  chan jacinthtiller.MarkRequest
+	answer chan jacinthtiller.MarkResponse
+}
+
+// fakePeers finds the same peer at every URL.
+type fakePeers struct{ peer *fakePeer }
+
+func (f fakePeers) Peer(string) jacinthtiller.Peer { return f.peer }
+
+func (f *fakePeer) Mark(_ context.Context, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
+	f.asked <- r
+	return <-f.answer, nil
+}
+
+// TestMarks guards against a read that is served by a question which was sent
+// before the read arrived, and against answers of a replaced primary.
+func TestMarks(t *testing.T) {
+	view := jacinthtiller.View{
+		Hosts:     map[string]jacinthtiller.Host{"h": {Name: "h"}},
+		Databases: map[string]jacinthtiller.Database{"d": {Term: 2, Primary: "p", Targets: map[string]jacinthtiller.Target{"p": {Owner: "h"}}}},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Reads that arrive during a question share the next one", t, func() {
+			f := &fakePeer{asked: make(chan jacinthtiller.MarkRequest), answer: make(chan jacinthtiller.MarkResponse)}
+			m := NewMarks(fakePeers{f}, func() jacinthtiller.View { return view }, NewPositions(), event.Discard())
+			got := make(chan jacinthtiller.Position, 3)
+			var wg sync.WaitGroup
+			ask := func(guest string) {
+				wg.Go(func() {
+					r, err := m.Ask(t.Context(), "d", guest)
+					if err != nil {
+						t.Error(err)
+					}
+					got <- r.Marks[guest]
+				})
+				synctest.Wait()
+			}
+			ask("a")
+			convey.So((<-f.asked).Guests, convey.ShouldResemble, []string{"a"})
+			ask("a")
+			ask("b")
+			f.answer <- jacinthtiller.MarkResponse{Term: 2, Marks: map[string]jacinthtiller.Position{"a": pos(1), "b": pos(1)}}
+			convey.So(<-got, convey.ShouldResemble, pos(1))
+			convey.So(got, convey.ShouldBeEmpty)
+			convey.So((<-f.asked).Guests, convey.ShouldResemble, []string{"a", "b"})
+			f.answer <- jacinthtiller.MarkResponse{Term: 2, Marks: map[string]jacinthtiller.Position{"a": pos(7), "b": pos(7)}}
+			convey.So(<-got, convey.ShouldResemble, pos(7))
+			convey.So(<-got, convey.ShouldResemble, pos(7))
+			wg.Wait()
+			m.Close()
+			convey.So(m.busy, convey.ShouldBeEmpty)
+		})
+	})
+	convey.Convey("An answer of an older term or without the guest is refused", t, func() {
+		for _, r := range []jacinthtiller.MarkResponse{{Term: 1, Marks: map[string]jacinthtiller.Position{"a": pos(1)}}, {Term: 2}} {
+			f := &fakePeer{asked: make(chan jacinthtiller.MarkRequest, 1), answer: make(chan jacinthtiller.MarkResponse, 1)}
+			f.answer <- r
+			m := NewMarks(fakePeers{f}, func() jacinthtiller.View { return view }, nil, event.Discard())
+			_, err := m.Ask(t.Context(), "d", "a")
+			var e *MarkError
+			convey.So(errors.As(err, &e), convey.ShouldBeTrue)
+			m.Close()
+		}
+	})
+}
