bench: guests that roam between entry hosts and check what they were told

Cause: the guarantees need a load that finds a lost, doubled, unread or wrongly refused write by itself. Change: closed and open loop, keyed and plain writes, faults during the load, HDR histograms counted from the time an operation was due, results as files set side by side. Result: go test ./bench passes; each case of TestCompare fails when the comparison of its state is left out.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,106 @@
+package bench
+
+import (
+	"bytes"
+	"errors"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestCompare guards against a check of the load tool that cannot find a lost, doubled or wrongly refused write.
+func TestCompare(t *testing.T) {
+	cases := map[string]struct {
+		state state
+		found int64
+		bad   bool
+	}{
+		"acknowledged and there":  {stateDone, 1, false},
+		"acknowledged and lost":   {stateDone, 0, true},
+		"acknowledged and double": {stateDone, 2, true},
+		"not run and absent":      {stateNotRun, 0, false},
+		"not run but there":       {stateNotRun, 1, true},
+		"unknown and absent":      {stateUnknown, 0, false},
+		"unknown and there":       {stateUnknown, 1, false},
+		"unknown and double":      {stateUnknown, 2, true},
+	}
+	convey.Convey("Entries are compared with what the guest was told", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				r := newResults(Plan{}, time.Now())
+				g := &guest{name: "g", entries: []state{c.state}, results: r}
+				g.compare(map[int64]int64{1: c.found})
+				convey.So(r.sum().ViolationCount > 0, convey.ShouldEqual, c.bad)
+			})
+		}
+	})
+}
+
+// TestClassify guards against an outcome that claims more than the error proves.
+func TestClassify(t *testing.T) {
+	cases := map[string]struct {
+		err  error
+		want jacinthtiller.Outcome
+	}{
+		"deadline passed":    {&pgconn.PgError{Code: "JT001"}, jacinthtiller.OutcomeNotRun},
+		"outcome unknown":    {&pgconn.PgError{Code: "08007"}, jacinthtiller.OutcomeUnknown},
+		"unique violation":   {&pgconn.PgError{Code: "23505"}, jacinthtiller.OutcomeNotRun},
+		"host shut down":     {&pgconn.PgError{Code: "57P01"}, jacinthtiller.OutcomeUnknown},
+		"broken connection":  {errors.New("unexpected EOF"), jacinthtiller.OutcomeUnknown},
+		"connection refused": {errors.New("connect: refused"), jacinthtiller.OutcomeNotRun},
+	}
+	convey.Convey("Errors prove outcomes", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() { convey.So(classify(c.err), convey.ShouldEqual, c.want) })
+		}
+	})
+}
+
+// TestPlan guards against loads that cannot run.
+func TestPlan(t *testing.T) {
+	good := Plan{Milliseconds: 1, Logins: []Login{{Team: "a", Guests: 1, URLs: map[string][]string{"d": {"u"}}}}}
+	cases := map[string]struct {
+		change func(*Plan)
+		bad    bool
+	}{
+		"good":          {func(*Plan) {}, false},
+		"no time":       {func(p *Plan) { p.Milliseconds = 0 }, true},
+		"no logins":     {func(p *Plan) { p.Logins = nil }, true},
+		"negative rate": {func(p *Plan) { p.Rate = -1 }, true},
+		"share above 1": {func(p *Plan) { p.ReadShare = 1.1 }, true},
+	}
+	convey.Convey("Plans are checked", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				p := good
+				c.change(&p)
+				var e *PlanError
+				convey.So(errors.As(p.Check(), &e), convey.ShouldEqual, c.bad)
+			})
+		}
+	})
+}
+
+// TestResult guards against results that change when they are stored.
+func TestResult(t *testing.T) {
+	convey.Convey("A stored result is read back and compared", t, func() {
+		r := newResults(Plan{Seed: 3}, time.Now())
+		r.done("a", kindWrite, time.Now().Add(-time.Millisecond))
+		r.failed("a", jacinthtiller.OutcomeNotRun, &pgconn.PgError{Code: "JT001"})
+		r.loadEnded(time.Now())
+		path := filepath.Join(t.TempDir(), "r.json")
+		convey.So(r.sum().Write(path), convey.ShouldBeNil)
+		got, err := ReadResult(path)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(got.Writes, convey.ShouldResemble, r.sum().Writes)
+		convey.So(got.Failed["not-run JT001"], convey.ShouldEqual, 1)
+		var b bytes.Buffer
+		convey.So(Compare(&b, map[string]Result{"one": got, "two": got}), convey.ShouldBeNil)
+		convey.So(b.String(), convey.ShouldContainSubstring, "write gap ms")
+	})
+}
--- /dev/null
+++ b/bench/guest.go
@@ -0,0 +1,253 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+const (
+	// operationTimeout bounds one operation, resends of a keyed write included.
+	operationTimeout = 20 * time.Second
+	// resendPause is the pause before a keyed write of unknown outcome is sent again.
+	resendPause = 20 * time.Millisecond
+)
+
+// The statements of the load. The ledger has no unique key, so that a write that ran twice shows as two rows.
+const (
+	createLedger = "CREATE TABLE IF NOT EXISTS ledger (guest TEXT, entry BIGINT)"
+	createIndex  = "CREATE INDEX IF NOT EXISTS ledger_guest ON ledger (guest, entry)"
+	insertEntry  = "INSERT INTO ledger VALUES ($1, $2)"
+	newestEntry  = "SELECT COALESCE(MAX(entry), 0) FROM ledger WHERE guest = $1"
+	countEntries = "SELECT entry, COUNT(*) FROM ledger WHERE guest = $1 GROUP BY entry"
+)
+
+// state is what a guest knows of one of its writes.
+type state int
+
+const (
+	stateUnknown state = iota
+	stateDone
+	stateNotRun
+)
+
+// guest is one client that uses one connection for each entry host that it visits.
+type guest struct {
+	name     string
+	login    Login
+	database string
+	plan     *Plan
+	rng      *rand.Rand
+	results  *results
+
+	// host is the index of the entry host in use.
+	host  int
+	conns map[int]*pgx.Conn
+	// entries holds the state of entry i at place i-1.
+	entries []state
+	// acknowledged is the greatest entry that was acknowledged.
+	acknowledged int64
+}
+
+func newGuest(name, database string, l Login, p *Plan, r *results, seed uint64) *guest {
+	rng := rand.New(rand.NewPCG(p.Seed, seed))
+	return &guest{
+		name: name, login: l, database: database, plan: p, rng: rng, results: r,
+		host: rng.IntN(len(l.URLs[database])), conns: map[int]*pgx.Conn{},
+	}
+}
+
+// operate runs one operation; due is when it should have started.
+func (g *guest) operate(ctx context.Context, due time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	if g.rng.Float64() < g.plan.Roam {
+		g.move()
+	}
+	if g.login.ReadOnly || g.rng.Float64() < g.plan.ReadShare {
+		g.read(ctx, due)
+		return
+	}
+	g.write(ctx, due, g.rng.Float64() < g.plan.KeyedShare)
+}
+
+// move changes to another entry host.
+func (g *guest) move() {
+	if n := len(g.login.URLs[g.database]); n > 1 {
+		g.host = (g.host + 1 + g.rng.IntN(n-1)) % n
+	}
+}
+
+// conn returns the connection to the current entry host.
+func (g *guest) conn(ctx context.Context) (*pgx.Conn, error) {
+	if c, ok := g.conns[g.host]; ok && !c.IsClosed() {
+		return c, nil
+	}
+	c, err := pgx.Connect(ctx, g.login.URLs[g.database][g.host])
+	if err != nil {
+		return nil, fmt.Errorf("connect: %w", err)
+	}
+	g.conns[g.host] = c
+	return c, nil
+}
+
+// drop closes the connection to the current entry host and moves on.
+func (g *guest) drop() {
+	if c, ok := g.conns[g.host]; ok {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = c.Close(ctx)
+		cancel()
+		delete(g.conns, g.host)
+	}
+	g.move()
+}
+
+// read checks that the guest sees its newest acknowledged write.
+func (g *guest) read(ctx context.Context, due time.Time) {
+	want := g.acknowledged
+	var newest int64
+	c, err := g.conn(ctx)
+	if err == nil {
+		err = c.QueryRow(ctx, newestEntry, g.name).Scan(&newest)
+	}
+	if err != nil {
+		g.results.failed(g.login.Team, classify(err), err)
+		g.afterError(err)
+		return
+	}
+	if newest < want {
+		g.results.violation("%s read entry %d on host %d after entry %d was acknowledged", g.name, newest, g.host, want)
+	}
+	g.results.done(g.login.Team, kindRead, due)
+}
+
+// write inserts the next entry. A keyed write of unknown outcome is sent again with its key, on another host, until
+// its outcome is known; one without a key is sent once.
+func (g *guest) write(ctx context.Context, due time.Time, keyed bool) {
+	g.entries = append(g.entries, stateUnknown)
+	entry := int64(len(g.entries))
+	for {
+		err := g.insert(ctx, entry, keyed)
+		if err == nil {
+			g.entries[entry-1], g.acknowledged = stateDone, entry
+			g.results.done(g.login.Team, kindWrite, due)
+			return
+		}
+		outcome := classify(err)
+		g.afterError(err)
+		if outcome == jacinthtiller.OutcomeUnknown && keyed && ctx.Err() == nil {
+			g.results.resent()
+			pause(ctx, resendPause)
+			continue
+		}
+		// A resend that was not run says nothing about the first try, so the entry stays unknown after one.
+		if outcome == jacinthtiller.OutcomeNotRun && !keyed {
+			g.entries[entry-1] = stateNotRun
+		}
+		g.results.failed(g.login.Team, outcome, err)
+		return
+	}
+}
+
+func (g *guest) insert(ctx context.Context, entry int64, keyed bool) error {
+	c, err := g.conn(ctx)
+	if err != nil {
+		return err
+	}
+	if !keyed {
+		_, err = c.Exec(ctx, insertEntry, g.name, entry)
+		return err
+	}
+	key := fmt.Sprintf("/* idempotency-key: %s-%d */ ", g.name, entry)
+	_, err = c.Exec(ctx, key+insertEntry, pgx.QueryExecModeExec, g.name, entry)
+	return err
+}
+
+// afterError leaves the entry host when the connection is gone.
+func (g *guest) afterError(err error) {
+	var p *pgconn.PgError
+	if !errors.As(err, &p) || strings.HasPrefix(p.Code, "57P") {
+		g.drop()
+	}
+}
+
+// close closes the guest's connections.
+func (g *guest) close() {
+	for h := range g.conns {
+		g.host = h
+		g.drop()
+	}
+}
+
+// verify reads all of the guest's entries back and compares them with what it was told.
+func (g *guest) verify(ctx context.Context) error {
+	c, err := g.conn(ctx)
+	if err != nil {
+		return err
+	}
+	rows, err := c.Query(ctx, countEntries, g.name)
+	if err != nil {
+		return fmt.Errorf("read entries of %s: %w", g.name, err)
+	}
+	defer rows.Close()
+	found := map[int64]int64{}
+	for rows.Next() {
+		var entry, count int64
+		if err := rows.Scan(&entry, &count); err != nil {
+			return fmt.Errorf("read entries of %s: %w", g.name, err)
+		}
+		found[entry] = count
+	}
+	if err := rows.Err(); err != nil {
+		return fmt.Errorf("read entries of %s: %w", g.name, err)
+	}
+	g.compare(found)
+	return nil
+}
+
+func (g *guest) compare(found map[int64]int64) {
+	for i, s := range g.entries {
+		entry := int64(i + 1)
+		switch n := found[entry]; {
+		case n > 1:
+			g.results.violation("entry %d of %s was recorded %d times", entry, g.name, n)
+		case s == stateDone && n == 0:
+			g.results.violation("entry %d of %s was acknowledged and is lost", entry, g.name)
+		case s == stateNotRun && n > 0:
+			g.results.violation("entry %d of %s ran although the guest was told that it did not", entry, g.name)
+		}
+	}
+}
+
+// classify returns the outcome that an error proves.
+func classify(err error) jacinthtiller.Outcome {
+	var p *pgconn.PgError
+	switch {
+	case errors.As(err, &p) && p.Code == jacinthtiller.CodeUnknown:
+		return jacinthtiller.OutcomeUnknown
+	case errors.As(err, &p) && strings.HasPrefix(p.Code, "57P"):
+		// The host ended the connection; pgx does not say whether the statement was sent.
+		return jacinthtiller.OutcomeUnknown
+	case errors.As(err, &p), pgconn.SafeToRetry(err), strings.HasPrefix(err.Error(), "connect: "):
+		return jacinthtiller.OutcomeNotRun
+	}
+	return jacinthtiller.OutcomeUnknown
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/bench/result.go
@@ -0,0 +1,258 @@
+package bench
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+const (
+	// maxLatencyMicroseconds is the greatest latency that histograms tell apart.
+	maxLatencyMicroseconds = 60_000_000
+	// maxViolations bounds the violations that are kept; all are counted.
+	maxViolations = 50
+)
+
+type kind string
+
+const (
+	kindRead  kind = "read"
+	kindWrite kind = "write"
+)
+
+// Latency sums up a histogram. All values are in microseconds.
+type Latency struct {
+	Count  int64 `json:"count"`
+	Median int64 `json:"median-us"`
+	P95    int64 `json:"p95-us"`
+	P99    int64 `json:"p99-us"`
+	Max    int64 `json:"max-us"`
+}
+
+// Result is what a run measured and found.
+type Result struct {
+	Started time.Time `json:"started"`
+	// Milliseconds is how long the load lasted.
+	Milliseconds int64   `json:"milliseconds"`
+	Seed         uint64  `json:"seed"`
+	Rate         float64 `json:"rate"`
+	// Reads and Writes are latencies from the time at which an operation was due, so a
+	// stall counts against every operation that should have started during it.
+	Reads  Latency `json:"reads"`
+	Writes Latency `json:"writes"`
+	// Teams maps a team to the latency of its operations.
+	Teams map[string]Latency `json:"teams"`
+	// Failed counts operations by outcome and SQLSTATE.
+	Failed map[string]int64 `json:"failed,omitempty"`
+	// Resent counts resends of keyed writes.
+	Resent int64 `json:"resent"`
+	// WriteGapMilliseconds is the longest time without an acknowledged write.
+	WriteGapMilliseconds int64 `json:"write-gap-ms"`
+	// Faults lists what was done to the installation.
+	Faults []string `json:"faults,omitempty"`
+	// ReplicaReads and PrimaryReads are the hosts' own counts, where the caller has them.
+	ReplicaReads uint64 `json:"replica-reads"`
+	PrimaryReads uint64 `json:"primary-reads"`
+	// Violations are broken guarantees; there must be none.
+	Violations []string `json:"violations"`
+	// ViolationCount counts all violations.
+	ViolationCount int64 `json:"violation-count"`
+	// Unverified names guests whose entries could not be read back.
+	Unverified []string `json:"unverified,omitempty"`
+}
+
+// OperationsPerSecond returns the rate of successful operations.
+func (r Result) OperationsPerSecond() float64 {
+	return float64(r.Reads.Count+r.Writes.Count) * 1000 / float64(max(1, r.Milliseconds))
+}
+
+// Write stores the result as JSON in a file.
+func (r Result) Write(path string) error {
+	b, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode the result: %w", err)
+	}
+	if err := os.WriteFile(path, append(b, '\n'), 0o644); err != nil {
+		return fmt.Errorf("write the result: %w", err)
+	}
+	return nil
+}
+
+// ReadResult reads a result from a file.
+func ReadResult(path string) (Result, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Result{}, fmt.Errorf("read a result: %w", err)
+	}
+	var r Result
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Result{}, fmt.Errorf("read a result from %s: %w", path, err)
+	}
+	return r, nil
+}
+
+// Compare writes results side by side, a column for each name in order.
+func Compare(w io.Writer, results map[string]Result) error {
+	names := slices.Sorted(maps.Keys(results))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row := func(label string, value func(Result) string) {
+		fmt.Fprintf(t, "%s\t", label)
+		for _, n := range names {
+			fmt.Fprintf(t, "%s\t", value(results[n]))
+		}
+		fmt.Fprintln(t)
+	}
+	fmt.Fprintf(t, "\t")
+	for _, n := range names {
+		fmt.Fprintf(t, "%s\t", n)
+	}
+	fmt.Fprintln(t)
+	row("operations/s", func(r Result) string { return fmt.Sprintf("%.0f", r.OperationsPerSecond()) })
+	row("read median us", func(r Result) string { return fmt.Sprint(r.Reads.Median) })
+	row("read p99 us", func(r Result) string { return fmt.Sprint(r.Reads.P99) })
+	row("write median us", func(r Result) string { return fmt.Sprint(r.Writes.Median) })
+	row("write p99 us", func(r Result) string { return fmt.Sprint(r.Writes.P99) })
+	row("write gap ms", func(r Result) string { return fmt.Sprint(r.WriteGapMilliseconds) })
+	row("replica share %", func(r Result) string {
+		return fmt.Sprintf("%.1f", 100*float64(r.ReplicaReads)/float64(max(1, r.ReplicaReads+r.PrimaryReads)))
+	})
+	row("failed", func(r Result) string { return fmt.Sprint(r.failures()) })
+	row("violations", func(r Result) string { return fmt.Sprint(r.ViolationCount) })
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write the comparison: %w", err)
+	}
+	return nil
+}
+
+func (r Result) failures() int64 {
+	var n int64
+	for _, c := range r.Failed {
+		n += c
+	}
+	return n
+}
+
+// results collects what guests report. It is safe for concurrent use.
+type results struct {
+	mu     sync.Mutex // guards the fields below
+	kinds  map[kind]*hdrhistogram.Histogram
+	teams  map[string]*hdrhistogram.Histogram
+	result Result
+	// wrote is when a write was last acknowledged.
+	wrote time.Time
+}
+
+func newResults(p Plan, now time.Time) *results {
+	return &results{
+		kinds: map[kind]*hdrhistogram.Histogram{kindRead: histogram(), kindWrite: histogram()},
+		teams: map[string]*hdrhistogram.Histogram{},
+		result: Result{
+			Started: now, Seed: p.Seed, Rate: p.Rate, Failed: map[string]int64{}, Teams: map[string]Latency{},
+			Violations: []string{},
+		},
+		wrote: now,
+	}
+}
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatencyMicroseconds, 3) }
+
+// done records a successful operation that was due at the time given.
+func (r *results) done(team string, k kind, due time.Time) {
+	now := time.Now()
+	latency := min(max(1, now.Sub(due).Microseconds()), maxLatencyMicroseconds)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.teams[team] == nil {
+		r.teams[team] = histogram()
+	}
+	_ = r.kinds[k].RecordValue(latency)
+	_ = r.teams[team].RecordValue(latency)
+	if k == kindWrite {
+		r.result.WriteGapMilliseconds = max(r.result.WriteGapMilliseconds, now.Sub(r.wrote).Milliseconds())
+		r.wrote = now
+	}
+}
+
+// failed records an operation that failed with the outcome.
+func (r *results) failed(team string, o jacinthtiller.Outcome, err error) {
+	code := "connection"
+	var p *pgconn.PgError
+	if errors.As(err, &p) {
+		code = p.Code
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Failed[string(o)+" "+code]++
+}
+
+func (r *results) resent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Resent++
+}
+
+// violation records a broken guarantee.
+func (r *results) violation(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.ViolationCount++
+	if len(r.result.Violations) < maxViolations {
+		r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *results) unverified(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Unverified = append(r.result.Unverified, name)
+}
+
+func (r *results) fault(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Faults = append(r.result.Faults, text)
+}
+
+// loadEnded closes the measurement of gaps and of the duration.
+func (r *results) loadEnded(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Milliseconds = now.Sub(r.result.Started).Milliseconds()
+	if r.kinds[kindWrite].TotalCount() > 0 {
+		r.result.WriteGapMilliseconds = max(r.result.WriteGapMilliseconds, now.Sub(r.wrote).Milliseconds())
+	}
+}
+
+// sum returns a copy of the result so far.
+func (r *results) sum() Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.result
+	out.Reads, out.Writes = latency(r.kinds[kindRead]), latency(r.kinds[kindWrite])
+	out.Teams, out.Failed = map[string]Latency{}, maps.Clone(out.Failed)
+	for team, h := range r.teams {
+		out.Teams[team] = latency(h)
+	}
+	out.Faults, out.Violations = slices.Clone(out.Faults), slices.Clone(out.Violations)
+	out.Unverified = slices.Sorted(slices.Values(out.Unverified))
+	return out
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	return Latency{
+		Count: h.TotalCount(), Median: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95),
+		P99: h.ValueAtQuantile(99), Max: h.Max(),
+	}
+}
--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,172 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+)
+
+const (
+	// progressInterval is the time between lines of progress.
+	progressInterval = time.Second
+	// verifyTimeout bounds reading a guest's entries back; guests wait for a change of primary in it.
+	verifyTimeout = 30 * time.Second
+	// verifyWorkers bounds the guests that read back at the same time.
+	verifyWorkers = 16
+)
+
+// Run runs the plan and reads everything back. Lines of progress go to w.
+func Run(ctx context.Context, p Plan, w io.Writer) (Result, error) {
+	if err := p.Check(); err != nil {
+		return Result{}, err
+	}
+	if err := createTables(ctx, p); err != nil {
+		return Result{}, err
+	}
+	r := newResults(p, time.Now())
+	guests := p.guests(r)
+	p.load(ctx, guests, r, w)
+	r.loadEnded(time.Now())
+	fmt.Fprintf(w, "read back the entries of %d guests\n", len(guests))
+	verify(ctx, guests, r)
+	return r.sum(), nil
+}
+
+// createTables makes the ledger in every database.
+func createTables(ctx context.Context, p Plan) error {
+	made := map[string]bool{}
+	for _, l := range p.Logins {
+		for database, urls := range l.URLs {
+			if l.ReadOnly || made[database] {
+				continue
+			}
+			made[database] = true
+			if err := createTable(ctx, urls[0]); err != nil {
+				return fmt.Errorf("create the ledger in %s: %w", database, err)
+			}
+		}
+	}
+	return nil
+}
+
+func createTable(ctx context.Context, url string) error {
+	c, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	defer func() { _ = c.Close(ctx) }()
+	for _, s := range []string{createLedger, createIndex} {
+		if _, err := c.Exec(ctx, s); err != nil {
+			return fmt.Errorf("run %q: %w", s, err)
+		}
+	}
+	return nil
+}
+
+// guests makes the guests of all logins, spread over the login's databases.
+func (p *Plan) guests(r *results) []*guest {
+	var out []*guest
+	for i, l := range p.Logins {
+		databases := slices.Sorted(maps.Keys(l.URLs))
+		for n := range l.Guests {
+			name := fmt.Sprintf("%s-%d-%d", l.Team, i, n)
+			out = append(out, newGuest(name, databases[n%len(databases)], l, p, r, uint64(len(out))))
+		}
+	}
+	return out
+}
+
+// load runs the guests and the faults until the time is over and the last operations have ended.
+func (p *Plan) load(ctx context.Context, guests []*guest, r *results, w io.Writer) {
+	began := time.Now()
+	ends := began.Add(time.Duration(p.Milliseconds) * time.Millisecond)
+	var group conc.WaitGroup
+	for i, g := range guests {
+		if p.Rate > 0 {
+			interval := time.Duration(float64(time.Second) * float64(len(guests)) / p.Rate)
+			first := began.Add(interval * time.Duration(i) / time.Duration(len(guests)))
+			group.Go(func() { g.openLoop(ctx, first, interval, ends) })
+		} else {
+			group.Go(func() { g.closedLoop(ctx, ends) })
+		}
+	}
+	group.Go(func() { p.causeFaults(ctx, began, r, w) })
+	group.Go(func() { progress(ctx, began, ends, r, w) })
+	group.Wait()
+}
+
+func (g *guest) closedLoop(ctx context.Context, ends time.Time) {
+	for ctx.Err() == nil && time.Now().Before(ends) {
+		g.operate(ctx, time.Now())
+	}
+}
+
+// openLoop starts an operation each interval. One that is late still counts from when it was due.
+func (g *guest) openLoop(ctx context.Context, due time.Time, interval time.Duration, ends time.Time) {
+	for ; ctx.Err() == nil && due.Before(ends) && time.Now().Before(ends.Add(operationTimeout)); due = due.Add(interval) {
+		pause(ctx, time.Until(due))
+		g.operate(ctx, due)
+	}
+}
+
+func (p *Plan) causeFaults(ctx context.Context, began time.Time, r *results, w io.Writer) {
+	for _, f := range p.Faults {
+		pause(ctx, time.Until(began.Add(time.Duration(f.AtMilliseconds)*time.Millisecond)))
+		if ctx.Err() != nil {
+			return
+		}
+		text := fmt.Sprintf("%s at %d ms", f.Name, time.Since(began).Milliseconds())
+		if err := f.Do(); err != nil {
+			text += ": " + err.Error()
+		}
+		r.fault(text)
+		fmt.Fprintln(w, text)
+	}
+}
+
+func progress(ctx context.Context, began, ends time.Time, r *results, w io.Writer) {
+	t := time.NewTicker(progressInterval)
+	defer t.Stop()
+	for time.Now().Before(ends) {
+		select {
+		case <-t.C:
+			s := r.sum()
+			fmt.Fprintf(w, "%3.0f s: %d reads, %d writes, %d failed, %d violations\n",
+				time.Since(began).Seconds(), s.Reads.Count, s.Writes.Count, s.failures(), s.ViolationCount)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// verify reads the entries of all guests back, each over a new connection.
+func verify(ctx context.Context, guests []*guest, r *results) {
+	group := pool.New().WithMaxGoroutines(verifyWorkers)
+	for _, g := range guests {
+		group.Go(func() {
+			defer g.close()
+			if len(g.entries) == 0 {
+				return
+			}
+			ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+			defer cancel()
+			err := g.verify(ctx)
+			for err != nil && ctx.Err() == nil {
+				g.drop()
+				pause(ctx, resendPause)
+				err = g.verify(ctx)
+			}
+			if err != nil {
+				r.unverified(g.name)
+			}
+		})
+	}
+	group.Wait()
+}
