standin: stand-in target on sqlite with the target contract

Tests and the quick start need targets that a PostgreSQL client can talk to and that replicate, fence, promote and follow as the design page says.

Transactions read committed data and take one write lock at their first write. Commit, log and position change in one step, so a read never reports a position older than its data. A former primary refuses reads with 57P03 until its log was compared with the new primary's.

--- /dev/null
+++ b/standin/announce.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+// announceNow asks for an announcement at once.
+func (t *Target) announceNow() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+// announcement returns what the target says of itself.
+func (t *Target) announcement() jacinthtiller.Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return jacinthtiller.Announcement{
+		Database: t.cfg.Database, Target: t.cfg.Name, Address: t.Addr(), Domain: t.cfg.Domain,
+		GroupSize: t.cfg.GroupSize, Position: t.last().String(), Term: t.term, Role: t.role, State: t.state,
+	}
+}
+
+// announce posts announcements to the owner, once one is named, or to the listed hosts in turn.
+func (t *Target) announce() {
+	client := wire.NewHTTPClient()
+	defer client.CloseIdleConnections()
+	tick := time.NewTicker(time.Duration(t.cfg.AnnounceMicroseconds) * time.Microsecond)
+	defer tick.Stop()
+	owner, next := "", 0
+	for {
+		to := owner
+		if to == "" {
+			to = t.cfg.Announce[next%len(t.cfg.Announce)]
+		}
+		o, err := t.post(client, to)
+		switch {
+		case err == nil && o != "":
+			owner = o
+		case err != nil && owner == "":
+			next++
+		case err != nil:
+			owner = ""
+			t.announceNow()
+		}
+		select {
+		case <-tick.C:
+		case <-t.kick:
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+// post sends one announcement and returns the owner's URL from the answer.
+func (t *Target) post(client *http.Client, to string) (string, error) {
+	t.thaw()
+	u, err := url.Parse(to)
+	if err != nil {
+		return "", fmt.Errorf("announce URL: %w", err)
+	}
+	if !strings.HasSuffix(u.Path, wire.ProcAnnounce) {
+		u = u.JoinPath(wire.ProcAnnounce)
+	}
+	t.mu.Lock()
+	cut := t.isCut([]string{u.Host, u.Hostname()})
+	t.mu.Unlock()
+	if cut {
+		return "", errCut
+	}
+	body, err := json.Marshal(t.announcement())
+	if err != nil {
+		return "", fmt.Errorf("encode announcement: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(body))
+	if err != nil {
+		return "", fmt.Errorf("make announcement: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return t.answer(client.Do(req))
+}
+
+// answer reads the answer to an announcement.
+func (t *Target) answer(resp *http.Response, err error) (string, error) {
+	if err != nil {
+		return "", fmt.Errorf("announce: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return "", fmt.Errorf("read answer to announcement: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("announcement answered %s", resp.Status)
+	}
+	var r jacinthtiller.AnnounceResponse
+	if err := json.Unmarshal(b, &r); err != nil {
+		return "", fmt.Errorf("decode answer to announcement: %w", err)
+	}
+	return r.Owner, nil
+}
--- /dev/null
+++ b/standin/group.go
@@ -0,0 +1,224 @@
+package standin
+
+import (
+	"context"
+	"database/sql"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	_ "modernc.org/sqlite" // the driver of the stores
+)
+
+// Statement is one write with its bound values.
+type Statement struct {
+	SQL  string `cbor:"sql"`
+	Args []any  `cbor:"args,omitempty"`
+}
+
+// Entry is one committed write transaction.
+type Entry struct {
+	Term  uint64 `cbor:"term"`
+	Index uint64 `cbor:"index"`
+	// Microseconds is the Unix time of the commit on the primary's clock.
+	Microseconds int64 `cbor:"microseconds"`
+	// Statements is empty for the entry that a promotion appends.
+	Statements []Statement `cbor:"statements,omitempty"`
+}
+
+// Position returns the entry's place in the log.
+func (e Entry) Position() jacinthtiller.Position {
+	return jacinthtiller.Position{Term: e.Term, Index: e.Index}
+}
+
+// last returns the position of the newest entry. t.mu is held.
+func (t *Target) last() jacinthtiller.Position {
+	if len(t.log) == 0 {
+		return jacinthtiller.Position{}
+	}
+	return t.log[len(t.log)-1].Position()
+}
+
+// wake tells everybody who waits for a change of the log or of the role. t.mu is held.
+func (t *Target) wake() {
+	close(t.grown)
+	t.grown = make(chan struct{})
+}
+
+// appendEntry adds an entry of the target's own term. t.mu is held.
+func (t *Target) appendEntry(st []Statement) {
+	t.log = append(t.log, Entry{
+		Term: t.term, Index: uint64(len(t.log)) + 1, Microseconds: time.Now().UnixMicro(), Statements: st,
+	})
+	t.wake()
+}
+
+// lead makes the target the primary of the term. t.mu is held.
+func (t *Target) lead(term uint64) {
+	t.role, t.term, t.fenced, t.unchecked = jacinthtiller.RolePrimary, term, max(t.fenced, term), false
+	t.setFollow("")
+	t.appendEntry(nil)
+}
+
+// setFollow changes the primary to pull from. t.mu is held.
+func (t *Target) setFollow(address string) {
+	t.follow = address
+	t.pulls++
+	if t.stopPull != nil {
+		t.stopPull()
+		t.stopPull = nil
+	}
+	t.wake()
+}
+
+// writable returns the refusal of a write, or nil. t.mu is held.
+func (t *Target) writable() error {
+	switch {
+	case t.dead:
+		return pgErrorf("57P01", "terminating connection due to administrator command")
+	case t.role != jacinthtiller.RolePrimary:
+		return pgErrorf("25006", "cannot write: target %s is a replica", t.cfg.Name)
+	case t.term < t.fenced:
+		return pgErrorf("25006", "cannot write: target %s leads term %d and is fenced at %d", t.cfg.Name, t.term, t.fenced)
+	}
+	return nil
+}
+
+// readable returns the refusal of a read, or nil.
+func (t *Target) readable() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.unchecked {
+		return pgErrorf("57P03", "target %s compares its log with the new primary's", t.cfg.Name)
+	}
+	return nil
+}
+
+// fence refuses entries and writes of terms below term from now on.
+func (t *Target) fence(term uint64) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if term > t.fenced {
+		t.fenced = term
+		t.report("fence", term)
+	}
+	return t.last().String()
+}
+
+// promote makes the target the primary of the term. A repeated order changes nothing.
+func (t *Target) promote(term uint64) (string, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.fenced > term:
+		return "", pgErrorf("55000", "cannot promote to term %d: fenced at term %d", term, t.fenced)
+	case t.role == jacinthtiller.RolePrimary && t.term == term:
+		return t.last().String(), nil
+	case t.term >= term:
+		return "", pgErrorf("55000", "cannot promote to term %d: target %s follows or leads term %d", term, t.cfg.Name, t.term)
+	}
+	t.lead(term)
+	t.report("promote", term)
+	t.announceNow()
+	return t.last().String(), nil
+}
+
+// followTerm makes the target a replica of the primary of the term. A repeated order changes nothing.
+func (t *Target) followTerm(term uint64, address string) (string, error) {
+	if _, _, err := net.SplitHostPort(address); err != nil || address == t.Addr() {
+		return "", pgErrorf("22023", "%q is not the address host:port of another target", address)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	primary := t.role == jacinthtiller.RolePrimary
+	switch {
+	case t.fenced > term || t.term > term || primary && t.term == term:
+		return "", pgErrorf("55000", "cannot follow term %d: target %s is at term %d and fenced at term %d",
+			term, t.cfg.Name, t.term, t.fenced)
+	case t.term == term && t.follow == address:
+		return t.last().String(), nil
+	}
+	t.role, t.term, t.fenced = jacinthtiller.RoleReplica, term, term
+	if primary {
+		t.demote()
+	}
+	t.setFollow(address)
+	t.report("follow", term)
+	t.announceNow()
+	return t.last().String(), nil
+}
+
+// demote ends the sessions that hold the write lock, because entries of the new primary need it. t.mu is held.
+func (t *Target) demote() {
+	t.unchecked = true
+	for _, s := range t.sessions {
+		if s.writing.Load() {
+			s.conn.reset()
+		}
+	}
+}
+
+// report writes the event of an order. t.mu is held.
+func (t *Target) report(order string, term uint64) {
+	t.cfg.Log.Emit(event.StandinRole, event.Fields{
+		"target": t.cfg.Name, "order": order, "term": term, "position": t.last().String(),
+	})
+}
+
+// newStore makes a database that holds the entries. t.mu is held or the target is not shared yet.
+func (t *Target) newStore(es []Entry) (*sql.DB, error) {
+	t.stores++
+	file := filepath.Join(t.dir, strconv.Itoa(t.stores)+".db")
+	db, err := sql.Open("sqlite", "file:"+file+
+		"?_pragma=journal_mode(WAL)&_pragma=synchronous(OFF)&_pragma=busy_timeout(2000)&_pragma=foreign_keys(1)")
+	if err != nil {
+		return nil, fmt.Errorf("open store: %w", err)
+	}
+	db.SetMaxIdleConns(t.cfg.Connections + 2)
+	if err := applyEntries(t.ctx, db, es); err != nil {
+		_ = db.Close()
+		return nil, fmt.Errorf("fill store: %w", err)
+	}
+	return db, nil
+}
+
+// applyEntries runs the entries in one sqlite transaction.
+func applyEntries(ctx context.Context, db *sql.DB, es []Entry) error {
+	c, err := db.Conn(ctx)
+	if err != nil {
+		return fmt.Errorf("connect to store: %w", err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.ExecContext(ctx, "BEGIN IMMEDIATE"); err != nil {
+		return fmt.Errorf("begin: %w", err)
+	}
+	for _, e := range es {
+		for _, st := range e.Statements {
+			if _, err := c.ExecContext(ctx, st.SQL, plainArgs(st.Args)...); err != nil {
+				_, _ = c.ExecContext(context.Background(), "ROLLBACK")
+				return fmt.Errorf("apply entry %s: %w", e.Position(), err)
+			}
+		}
+	}
+	if _, err := c.ExecContext(ctx, "COMMIT"); err != nil {
+		_, _ = c.ExecContext(context.Background(), "ROLLBACK")
+		return fmt.Errorf("commit: %w", err)
+	}
+	return nil
+}
+
+// plainArgs undoes what CBOR does to integers: positive ones are decoded without a sign.
+func plainArgs(args []any) []any {
+	out := make([]any, len(args))
+	for i, a := range args {
+		if n, ok := a.(uint64); ok {
+			a = int64(n)
+		}
+		out[i] = a
+	}
+	return out
+}
--- /dev/null
+++ b/standin/replicate.go
@@ -0,0 +1,316 @@
+package standin
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// replicationCode is the code in the first message of a replication connection, in the place where PostgreSQL
+// clients send the protocol version.
+const replicationCode = 0x4a540001
+
+// maxBatch bounds the entries in one answer.
+const maxBatch = 512
+
+// longPoll is how long a primary waits for an entry before it answers without one.
+const longPoll = 200 * time.Millisecond
+
+// pullRequest asks for the entries after a position.
+type pullRequest struct {
+	Name  string                 `cbor:"name"`
+	After jacinthtiller.Position `cbor:"after"`
+}
+
+// pullResponse answers it.
+type pullResponse struct {
+	// Term is the term that the answering target leads; 0 when it is a replica.
+	Term uint64 `cbor:"term"`
+	// Diverged is true when the log has no entry at the position asked for.
+	Diverged bool    `cbor:"diverged,omitempty"`
+	Entries  []Entry `cbor:"entries,omitempty"`
+}
+
+// pull is one period in which a replica follows one primary.
+type pull struct {
+	number  uint64
+	address string
+	ctx     context.Context
+}
+
+// replicate pulls entries whenever the target follows another one.
+func (t *Target) replicate() {
+	for t.ctx.Err() == nil {
+		p, ok := t.nextPull()
+		if !ok {
+			return
+		}
+		if err := t.pullFrom(p); err != nil {
+			sleep(p.ctx, 50*time.Millisecond)
+		}
+	}
+}
+
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	tm := time.NewTimer(d)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-ctx.Done():
+	}
+}
+
+// nextPull waits until there is a primary to follow.
+func (t *Target) nextPull() (pull, bool) {
+	for {
+		t.mu.Lock()
+		grown := t.grown
+		if t.follow != "" && !t.dead {
+			p := pull{number: t.pulls, address: t.follow}
+			if t.stopPull != nil {
+				t.stopPull()
+			}
+			p.ctx, t.stopPull = context.WithCancel(t.ctx)
+			t.mu.Unlock()
+			return p, true
+		}
+		t.mu.Unlock()
+		select {
+		case <-grown:
+		case <-t.ctx.Done():
+			return pull{}, false
+		}
+	}
+}
+
+// pullFrom pulls until the connection fails or the target follows another one.
+func (t *Target) pullFrom(p pull) error {
+	t.thaw()
+	d := net.Dialer{Timeout: time.Second}
+	n, err := d.DialContext(p.ctx, "tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("connect to primary: %w", err)
+	}
+	c, err := t.track(n, p.address)
+	if err != nil {
+		return fmt.Errorf("connect to primary: %w", err)
+	}
+	defer c.forget()
+	stop := context.AfterFunc(p.ctx, func() { _ = c.Close() })
+	defer stop()
+	hello := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 8), replicationCode)
+	if _, err := c.Write(hello); err != nil {
+		return fmt.Errorf("greet primary: %w", err)
+	}
+	for {
+		r, err := t.ask(c, t.Position())
+		if err != nil {
+			return err
+		}
+		if r.Diverged {
+			err = t.rebuild(p, c)
+		} else {
+			err = t.take(p, r)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (t *Target) ask(c *conn, after jacinthtiller.Position) (pullResponse, error) {
+	var r pullResponse
+	if err := c.send(pullRequest{Name: t.cfg.Name, After: after}); err != nil {
+		return r, fmt.Errorf("ask for entries: %w", err)
+	}
+	if err := c.receive(&r); err != nil {
+		return r, fmt.Errorf("receive entries: %w", err)
+	}
+	if r.Term == 0 {
+		return r, fmt.Errorf("the target followed is not a primary")
+	}
+	return r, nil
+}
+
+// take applies entries when their time has come: the lag counts from the commit on the primary.
+func (t *Target) take(p pull, r pullResponse) error {
+	if len(r.Entries) == 0 {
+		return t.apply(p, r)
+	}
+	rest := r.Entries
+	for len(rest) > 0 {
+		n := 0
+		limit := time.Now().UnixMicro() - t.lag.Load()
+		for n < len(rest) && rest[n].Microseconds <= limit {
+			n++
+		}
+		if n == 0 {
+			wait := time.Duration(rest[0].Microseconds-limit) * time.Microsecond
+			sleep(p.ctx, min(wait, 20*time.Millisecond)) // short, because the lag may be changed meanwhile
+			t.thaw()
+			if p.ctx.Err() != nil {
+				return fmt.Errorf("wait for the lag: %w", p.ctx.Err())
+			}
+			continue
+		}
+		r.Entries, rest = rest[:n], rest[n:]
+		if err := t.apply(p, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// accepts returns the refusal of entries from a primary of the term, or nil. t.mu is held.
+func (t *Target) accepts(p pull, term uint64) error {
+	switch {
+	case t.dead:
+		return fmt.Errorf("target is stopped")
+	case t.role != jacinthtiller.RoleReplica || t.pulls != p.number:
+		return fmt.Errorf("target does not follow %s any more", p.address)
+	case term < t.fenced:
+		return fmt.Errorf("entries of a primary of term %d refused: fenced at term %d", term, t.fenced)
+	}
+	return nil
+}
+
+// apply runs entries and appends them to the log.
+func (t *Target) apply(p pull, r pullResponse) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.accepts(p, r.Term); err != nil {
+		return err
+	}
+	if len(r.Entries) > 0 {
+		if r.Entries[0].Index != uint64(len(t.log))+1 {
+			return fmt.Errorf("entry %s does not follow %s", r.Entries[0].Position(), t.last())
+		}
+		if err := applyEntries(t.ctx, t.db, r.Entries); err != nil {
+			t.cfg.Log.Emit(event.StandinApplyFailed, event.Fields{"target": t.cfg.Name, "error": err.Error()})
+			return fmt.Errorf("apply entries: %w", err)
+		}
+		t.log = append(t.log, r.Entries...)
+	}
+	t.adopt(r.Term)
+	return nil
+}
+
+// adopt notes the term of the primary whose log the target's own is a prefix of. t.mu is held.
+func (t *Target) adopt(term uint64) {
+	t.term, t.fenced, t.unchecked = max(t.term, term), max(t.fenced, term), false
+	t.wake()
+}
+
+// rebuild replaces the data by what the primary's log gives. Reads are refused meanwhile, because the data holds
+// entries that the primary does not have.
+func (t *Target) rebuild(p pull, c *conn) error {
+	t.mu.Lock()
+	if err := t.accepts(p, t.fenced); err != nil {
+		t.mu.Unlock()
+		return err
+	}
+	t.unchecked = true
+	t.mu.Unlock()
+	var log []Entry
+	var after jacinthtiller.Position
+	for {
+		r, err := t.ask(c, after)
+		if err != nil {
+			return err
+		}
+		log = append(log, r.Entries...)
+		if len(r.Entries) < maxBatch {
+			return t.replace(p, r.Term, log)
+		}
+		after = log[len(log)-1].Position()
+	}
+}
+
+// replace puts a store with the log in the place of the old one.
+func (t *Target) replace(p pull, term uint64, log []Entry) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.accepts(p, term); err != nil {
+		return err
+	}
+	db, err := t.newStore(log)
+	if err != nil {
+		return err
+	}
+	old, before := t.db, t.last()
+	t.db, t.log = db, log
+	t.adopt(term)
+	t.cfg.Log.Emit(event.StandinRebuilt, event.Fields{
+		"target": t.cfg.Name, "before": before.String(), "position": t.last().String(),
+	})
+	if err := old.Close(); err != nil {
+		return fmt.Errorf("close the old store: %w", err)
+	}
+	return nil
+}
+
+// servePulls answers a replica on a connection that it opened.
+func (t *Target) servePulls(c *conn) {
+	var named bool
+	for {
+		var q pullRequest
+		if c.receive(&q) != nil {
+			return
+		}
+		if !named {
+			if c.name(q.Name) != nil {
+				return
+			}
+			named = true
+		}
+		if c.send(t.entriesAfter(q.After)) != nil {
+			return
+		}
+	}
+}
+
+// entriesAfter waits a short time for entries after the position.
+func (t *Target) entriesAfter(after jacinthtiller.Position) pullResponse {
+	deadline := time.Now().Add(longPoll)
+	for {
+		t.mu.Lock()
+		r, grown := t.batch(after), t.grown
+		t.mu.Unlock()
+		rest := time.Until(deadline)
+		if r.Term == 0 || r.Diverged || len(r.Entries) > 0 || rest <= 0 {
+			return r
+		}
+		tm := time.NewTimer(rest)
+		select {
+		case <-grown:
+		case <-tm.C:
+		case <-t.ctx.Done():
+			return pullResponse{}
+		}
+		tm.Stop()
+	}
+}
+
+// batch returns the entries after the position. t.mu is held.
+func (t *Target) batch(after jacinthtiller.Position) pullResponse {
+	if t.role != jacinthtiller.RolePrimary {
+		return pullResponse{}
+	}
+	r := pullResponse{Term: t.term}
+	switch i := after.Index; {
+	case i > uint64(len(t.log)) || i > 0 && t.log[i-1].Term != after.Term:
+		r.Diverged = true
+	default:
+		r.Entries = append(r.Entries, t.log[i:min(uint64(len(t.log)), i+maxBatch)]...)
+	}
+	return r
+}
--- /dev/null
+++ b/standin/run.go
@@ -0,0 +1,601 @@
+package standin
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// result is what a statement gave.
+type result struct {
+	columns []column
+	// rows are those not sent yet.
+	rows [][]any
+	tag  string
+}
+
+// transaction is a client's transaction. Reads before the first write see committed data each for itself, so that the
+// first write cannot fail because other transactions have committed since.
+type transaction struct {
+	explicit bool
+	readOnly bool
+	// snapshot is true for the levels repeatable read and serializable: one sqlite transaction from the first read on.
+	snapshot bool
+	failed   bool
+	// db and conn are nil until the first statement on data; conn belongs to db.
+	db   *sql.DB
+	conn *sql.Conn
+	// began is true while a sqlite transaction is open.
+	began bool
+	// locked is true while the transaction holds the target's write lock.
+	locked bool
+	// writes are the statements for the log.
+	writes []Statement
+}
+
+// run runs one statement.
+func (s *session) run(st *statement, args []any) (*result, error) {
+	s.t.thaw()
+	if s.tx != nil && s.tx.failed && !endsTransaction(st) {
+		return nil, errFailed
+	}
+	if _, data := dataVerbs[st.verb]; !data {
+		return s.control(st)
+	}
+	if s.tx == nil {
+		s.tx = &transaction{readOnly: s.settings["default_transaction_read_only"] == "on"}
+	}
+	ctx, done := s.interruptible()
+	defer done()
+	name, params := st.call()
+	if textCall.MatchString(name) && name != "pg_sleep" {
+		return s.call(name, params, args)
+	}
+	release, err := s.t.takeSlot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	if name == "pg_sleep" {
+		return s.pgSleep(ctx, params, args)
+	}
+	return s.data(ctx, st, args)
+}
+
+// interruptible returns a context that a CancelRequest ends.
+func (s *session) interruptible() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(s.t.ctx)
+	s.mu.Lock()
+	s.interrupt = cancel
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		s.interrupt = nil
+		s.mu.Unlock()
+		cancel()
+	}
+}
+
+var errCanceled = pgErrorf("57014", "canceling statement due to user request")
+
+// takeSlot waits for a slot and for the service time, and returns what frees the slot.
+func (t *Target) takeSlot(ctx context.Context) (func(), error) {
+	n := t.running.Add(1)
+	for m := t.most.Load(); n > m && !t.most.CompareAndSwap(m, n); m = t.most.Load() {
+	}
+	if n > int64(t.cfg.Slots) {
+		t.beyond.Add(1)
+	}
+	select {
+	case t.slots <- struct{}{}:
+	case <-ctx.Done():
+		t.running.Add(-1)
+		return nil, errCanceled
+	}
+	release := func() {
+		<-t.slots
+		t.running.Add(-1)
+	}
+	sleep(ctx, time.Duration(t.service.Load())*time.Microsecond)
+	if ctx.Err() != nil {
+		release()
+		return nil, errCanceled
+	}
+	return release, nil
+}
+
+// begun returns the transaction with a connection to the store.
+func (s *session) begun() (*transaction, error) {
+	if s.tx == nil {
+		s.tx = &transaction{}
+	}
+	x := s.tx
+	if x.conn != nil {
+		return x, nil
+	}
+	s.t.mu.Lock()
+	x.db = s.t.db
+	s.t.mu.Unlock()
+	c, err := x.db.Conn(s.t.ctx)
+	if err != nil {
+		return nil, fmt.Errorf("connect to store: %w", err)
+	}
+	x.conn = c
+	return x, nil
+}
+
+// data runs a statement on the store.
+func (s *session) data(ctx context.Context, st *statement, args []any) (*result, error) {
+	if err := s.t.readable(); err != nil {
+		return nil, err
+	}
+	x, err := s.begun()
+	if err != nil {
+		return nil, err
+	}
+	if st.write {
+		err = s.startWrite(ctx, x)
+	} else if x.snapshot && !x.began {
+		err = x.exec(ctx, "BEGIN")
+	}
+	if err != nil {
+		return nil, err
+	}
+	if st.verb == "LOCK" {
+		return &result{tag: st.tag(0)}, nil
+	}
+	if st.now {
+		args = append(append([]any(nil), args...), timeText(time.Now()))
+	}
+	r, err := x.run(ctx, st, args)
+	if err != nil {
+		return nil, err
+	}
+	if st.write && st.verb != "SELECT" {
+		x.writes = append(x.writes, Statement{SQL: st.sql, Args: args})
+	}
+	return r, nil
+}
+
+// startWrite checks that the target takes writes and takes the write lock with the transaction's first write.
+func (s *session) startWrite(ctx context.Context, x *transaction) error {
+	if x.readOnly {
+		return pgErrorf("25006", "cannot write in a read-only transaction")
+	}
+	s.t.mu.Lock()
+	err := s.t.writable()
+	s.t.mu.Unlock()
+	if err != nil || x.locked {
+		return err
+	}
+	tm := time.NewTimer(time.Duration(s.t.cfg.LockMicroseconds) * time.Microsecond)
+	defer tm.Stop()
+	select {
+	case s.t.lock <- struct{}{}:
+	case <-ctx.Done():
+		return errCanceled
+	case <-tm.C:
+		return pgErrorf("40001", "could not get the write lock before the deadline")
+	}
+	x.locked = true
+	s.writing.Store(true)
+	if x.began {
+		return nil // sqlite refuses the write itself when the snapshot is no longer the newest
+	}
+	return x.exec(ctx, "BEGIN IMMEDIATE")
+}
+
+// exec runs a statement that begins a sqlite transaction.
+func (x *transaction) exec(ctx context.Context, begin string) error {
+	if _, err := x.conn.ExecContext(ctx, begin); err != nil {
+		return fmt.Errorf("begin: %w", err)
+	}
+	x.began = true
+	return nil
+}
+
+// run runs the statement in sqlite.
+func (x *transaction) run(ctx context.Context, st *statement, args []any) (*result, error) {
+	if !st.rows {
+		res, err := x.conn.ExecContext(ctx, st.sql, args...)
+		if err != nil {
+			return nil, fmt.Errorf("run: %w", canceled(ctx, err))
+		}
+		n, err := res.RowsAffected()
+		if err != nil {
+			return nil, fmt.Errorf("count rows: %w", err)
+		}
+		return &result{tag: st.tag(n)}, nil
+	}
+	rows, err := x.conn.QueryContext(ctx, st.sql, args...)
+	if err != nil {
+		return nil, fmt.Errorf("run: %w", canceled(ctx, err))
+	}
+	defer func() { _ = rows.Close() }()
+	r, err := readRows(rows, math.MaxInt)
+	if err != nil {
+		return nil, canceled(ctx, err)
+	}
+	r.tag = st.tag(int64(len(r.rows)))
+	return r, nil
+}
+
+func canceled(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return errors.Join(errCanceled, err)
+	}
+	return err
+}
+
+// readRows reads up to limit rows.
+func readRows(rows *sql.Rows, limit int) (*result, error) {
+	cs, err := columnsOf(rows)
+	if err != nil {
+		return nil, err
+	}
+	r := &result{columns: cs}
+	for len(r.rows) < limit && rows.Next() {
+		row, to := make([]any, len(cs)), make([]any, len(cs))
+		for i := range row {
+			to[i] = &row[i]
+		}
+		if err := rows.Scan(to...); err != nil {
+			return nil, fmt.Errorf("read row: %w", err)
+		}
+		r.rows = append(r.rows, row)
+	}
+	if err := rows.Err(); err != nil {
+		return nil, fmt.Errorf("read rows: %w", err)
+	}
+	fillTypes(r.columns, r.rows)
+	return r, nil
+}
+
+// pgSleep runs SELECT pg_sleep(seconds) in a slot.
+func (s *session) pgSleep(ctx context.Context, params []token, args []any) (*result, error) {
+	v, err := values(params, args, 1)
+	if err != nil {
+		return nil, err
+	}
+	seconds, err := strconv.ParseFloat(v[0], 64)
+	if err != nil {
+		return nil, pgErrorf("22P02", "invalid number of seconds %q", v[0])
+	}
+	sleep(ctx, time.Duration(seconds*float64(time.Second)))
+	if ctx.Err() != nil {
+		return nil, errCanceled
+	}
+	return one("pg_sleep", ""), nil
+}
+
+// values returns the arguments of a function as text.
+func values(params []token, args []any, n int) ([]string, error) {
+	if len(params) != n {
+		return nil, pgErrorf("42883", "function takes %d arguments, not %d", n, len(params))
+	}
+	out := make([]string, n)
+	for i, k := range params {
+		out[i] = k.unquote()
+		if k.kind == kindParam {
+			j, err := strconv.Atoi(k.text)
+			if err != nil || j > len(args) {
+				return nil, pgErrorf("42P02", "there is no parameter $%s", k.text)
+			}
+			out[i] = fmt.Sprint(args[j-1])
+		}
+	}
+	return out, nil
+}
+
+// one returns a result of one value.
+func one(name string, v any) *result {
+	return &result{columns: []column{{name: name, oid: callType(name)}}, rows: [][]any{{v}}, tag: "SELECT 1"}
+}
+
+// call answers the functions of the target contract and a few of PostgreSQL's.
+func (s *session) call(name string, params []token, args []any) (*result, error) {
+	switch name {
+	case "pg_backend_pid":
+		return one(name, int64(s.pid)), nil
+	case "pg_is_in_recovery":
+		return one(name, s.t.Role() == jacinthtiller.RoleReplica), nil
+	case "group_follow":
+		v, err := values(params, args, 2)
+		if err != nil {
+			return nil, err
+		}
+		term, err := parseTerm(v[0])
+		if err != nil {
+			return nil, err
+		}
+		p, err := s.t.followTerm(term, v[1])
+		return one(name, p), err
+	}
+	v, err := values(params, args, 1)
+	if err != nil {
+		return nil, err
+	}
+	if name == "current_setting" {
+		value, err := s.show(v[0])
+		return one(name, value), err
+	}
+	term, err := parseTerm(v[0])
+	if err != nil {
+		return nil, err
+	}
+	if name == "group_fence" {
+		return one(name, s.t.fence(term)), nil
+	}
+	p, err := s.t.promote(term)
+	return one(name, p), err
+}
+
+func parseTerm(s string) (uint64, error) {
+	n, err := strconv.ParseUint(s, 10, 63)
+	if err != nil || n == 0 {
+		return 0, pgErrorf("22023", "term %q is not a positive integer", s)
+	}
+	return n, nil
+}
+
+// commit ends the transaction. A write transaction is appended to the log in the same step in which sqlite commits it,
+// so that nobody reads the data and an older position.
+func (s *session) commit() error {
+	x := s.tx
+	if x == nil {
+		return nil
+	}
+	defer s.rollback()
+	if !x.began {
+		return nil
+	}
+	s.t.thaw()
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	if len(x.writes) > 0 {
+		if err := s.t.writable(); err != nil {
+			return err
+		}
+		if x.db != s.t.db {
+			return pgErrorf("40001", "the data was rebuilt during the transaction")
+		}
+	}
+	if _, err := x.conn.ExecContext(context.Background(), "COMMIT"); err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	x.began = false
+	if len(x.writes) > 0 {
+		s.t.appendEntry(x.writes)
+	}
+	return nil
+}
+
+// rollback ends the transaction without its writes and frees what it holds.
+func (s *session) rollback() {
+	if s.tx != nil {
+		s.drop()
+		s.tx = nil
+	}
+}
+
+// drop rolls back in sqlite and gives the connection and the lock back.
+func (s *session) drop() {
+	x := s.tx
+	if x.began {
+		_, _ = x.conn.ExecContext(context.Background(), "ROLLBACK") // sqlite may have rolled back by itself
+		x.began = false
+	}
+	if x.conn != nil {
+		_ = x.conn.Close()
+		x.conn = nil
+	}
+	if x.locked {
+		x.locked = false
+		s.writing.Store(false)
+		<-s.t.lock
+	}
+	x.writes = nil
+}
+
+// abort ends an implicit transaction and leaves an explicit one failed.
+func (s *session) abort() {
+	switch {
+	case s.tx == nil:
+	case s.tx.explicit:
+		s.drop()
+		s.tx.failed = true
+	default:
+		s.rollback()
+	}
+}
+
+// control runs the statements on transactions and settings.
+func (s *session) control(st *statement) (*result, error) {
+	switch st.verb {
+	case "BEGIN", "START":
+		return s.beginBlock(st)
+	case "COMMIT", "END":
+		if s.tx != nil && s.tx.failed {
+			s.rollback()
+			return &result{tag: "ROLLBACK"}, nil
+		}
+		return &result{tag: "COMMIT"}, s.commit()
+	case "ROLLBACK", "ABORT":
+		if st.find("TO") >= 0 {
+			return nil, pgErrorf("0A000", "savepoints are not supported")
+		}
+		s.rollback()
+		return &result{tag: "ROLLBACK"}, nil
+	case "SHOW":
+		v, err := s.show(st.showName())
+		return &result{
+			columns: []column{{name: strings.ToLower(st.showName()), oid: oidText}}, rows: [][]any{{v}}, tag: "SHOW",
+		}, err
+	case "SET":
+		return &result{tag: "SET"}, s.set(st)
+	case "RESET":
+		if st.has("RESET", "ALL") {
+			clear(s.settings)
+		} else {
+			delete(s.settings, st.settingName(1))
+		}
+	case "DISCARD":
+		if s.tx != nil && s.tx.explicit {
+			return nil, pgErrorf("25001", "DISCARD ALL cannot run inside a transaction block")
+		}
+		s.discard()
+		return &result{tag: "DISCARD " + st.word(1)}, nil
+	case "DEALLOCATE":
+		return s.deallocate(st)
+	}
+	return &result{tag: st.verb}, nil
+}
+
+func (s *session) deallocate(st *statement) (*result, error) {
+	if st.has("DEALLOCATE", "ALL") {
+		clear(s.statements)
+		return &result{tag: "DEALLOCATE ALL"}, nil
+	}
+	name := st.tokens[len(st.tokens)-1].unquote()
+	if _, ok := s.statements[name]; !ok {
+		return nil, pgErrorf("26000", "prepared statement %q does not exist", name)
+	}
+	delete(s.statements, name)
+	return &result{tag: "DEALLOCATE"}, nil
+}
+
+// beginBlock opens an explicit transaction or makes the implicit one explicit.
+func (s *session) beginBlock(st *statement) (*result, error) {
+	tag := "BEGIN"
+	if st.verb == "START" {
+		tag = "START TRANSACTION"
+	}
+	if s.tx == nil {
+		s.tx = &transaction{readOnly: s.settings["default_transaction_read_only"] == "on"}
+	}
+	s.tx.explicit = true
+	s.tx.modes(st)
+	return &result{tag: tag}, nil
+}
+
+// modes applies the transaction modes that the statement names.
+func (x *transaction) modes(st *statement) {
+	for i := range st.tokens {
+		switch w := st.word(i); {
+		case w == "READ" && st.word(i+1) == "ONLY":
+			x.readOnly = true
+		case w == "READ" && st.word(i+1) == "WRITE":
+			x.readOnly = false
+		case w == "REPEATABLE" || w == "SERIALIZABLE":
+			x.snapshot = true
+		}
+	}
+}
+
+// settingName reads a name that may have a part before a dot, from token i on.
+func (st *statement) settingName(i int) string {
+	if i >= len(st.tokens) {
+		return ""
+	}
+	name := st.tokens[i].unquote()
+	for i+2 < len(st.tokens) && (st.tokens[i+1].text == "." || st.tokens[i+1].text == "-") {
+		name += st.tokens[i+1].text + st.tokens[i+2].unquote()
+		i += 2
+	}
+	return strings.ToLower(name)
+}
+
+func (st *statement) showName() string {
+	if st.has("SHOW", "TRANSACTION", "ISOLATION", "LEVEL") {
+		return "transaction_isolation"
+	}
+	return st.settingName(1)
+}
+
+// show returns the value of a setting.
+func (s *session) show(name string) (string, error) {
+	name = strings.ToLower(name)
+	if name == "log_position" {
+		return s.t.Position().String(), nil
+	}
+	if v, ok := s.settings[name]; ok {
+		return v, nil
+	}
+	for _, p := range reportedSettings {
+		if strings.EqualFold(p[0], name) {
+			return p[1], nil
+		}
+	}
+	switch name {
+	case "transaction_isolation", "default_transaction_isolation":
+		if s.tx != nil && s.tx.snapshot {
+			return "repeatable read", nil
+		}
+		return "read committed", nil
+	case "transaction_read_only":
+		if s.tx != nil && s.tx.readOnly || s.t.Role() == jacinthtiller.RoleReplica {
+			return "on", nil
+		}
+		return "off", nil
+	case "default_transaction_read_only":
+		return "off", nil
+	case "application_name", "search_path":
+		return "", nil
+	case "statement_timeout", "lock_timeout":
+		return "0", nil
+	}
+	return "", pgErrorf("42704", "unrecognized configuration parameter %q", name)
+}
+
+// set runs SET name = value, SET TRANSACTION and SET SESSION CHARACTERISTICS.
+func (s *session) set(st *statement) error {
+	i := 1
+	if w := st.word(i); w == "SESSION" || w == "LOCAL" {
+		i++
+	}
+	if st.word(i) == "TRANSACTION" {
+		if s.tx != nil {
+			s.tx.modes(st)
+		}
+		return nil
+	}
+	if st.word(i) == "CHARACTERISTICS" {
+		var x transaction
+		x.modes(st)
+		s.settings["default_transaction_read_only"] = map[bool]string{true: "on", false: "off"}[x.readOnly]
+		return nil
+	}
+	name := st.settingName(i)
+	if st.word(i) == "TIME" {
+		name = "timezone"
+	}
+	var v []string
+	for j := i; j < len(st.tokens); j++ {
+		if k := st.tokens[j]; k.text == "=" || k.is("TO") || k.is("ZONE") {
+			for _, k := range st.tokens[j+1:] {
+				v = append(v, k.unquote())
+			}
+			break
+		}
+	}
+	if name == "" || len(v) == 0 {
+		return pgErrorf("42601", "syntax error in SET")
+	}
+	if len(v) == 1 && strings.EqualFold(v[0], "DEFAULT") {
+		delete(s.settings, name)
+		return nil
+	}
+	value := strings.Join(v, "")
+	if name == "default_transaction_read_only" && (value == "true" || value == "1") {
+		value = "on"
+	}
+	s.settings[name] = value
+	return nil
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,364 @@
+// Package standin is a stand-in target: a PostgreSQL protocol server on sqlite
+// with the target contract of the design page, for tests and the quick start.
+//
+// Transactions read committed data; all writes of one target run one after the
+// other. Savepoints, COPY, LISTEN and cursors are not supported.
+package standin
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/sourcegraph/conc"
+)
+
+// Config says how a target behaves. Zero values stand for the defaults.
+type Config struct {
+	Name     string
+	Database string
+	Domain   string
+	// Listen is the address to listen on; 127.0.0.1:0 by default.
+	Listen string
+	// GroupSize is announced; 1 by default.
+	GroupSize int
+	// Role is primary by default, or replica when Follow is set. A primary starts in term 1 with an entry of its
+	// own; a replica that follows nobody waits for group_promote or group_follow.
+	Role jacinthtiller.Role
+	// Follow is the address of the primary.
+	Follow string
+	// Password is asked for in clear text; empty means trust.
+	Password string
+	// Announce lists URLs of entry hosts; empty means no announcements.
+	Announce []string
+	// Entries is the log to start with, for a target that returns with its data.
+	Entries []Entry
+	// Connections is the limit of client connections; 30 by default.
+	Connections int
+	// Slots is how many statements run at once; 5 by default.
+	Slots int
+	// LagMicroseconds is how long entries take to arrive from the primary.
+	LagMicroseconds int64
+	// ServiceMicroseconds is added to the run time of each statement.
+	ServiceMicroseconds int64
+	// ConnectMicroseconds delays the answer to a new client connection.
+	ConnectMicroseconds int64
+	// LockMicroseconds bounds the wait for the write lock; 500 ms by default.
+	LockMicroseconds int64
+	// AnnounceMicroseconds is the time between announcements; 500 ms by default.
+	AnnounceMicroseconds int64
+	// Log takes the target's events; nil discards them.
+	Log *event.Log
+}
+
+// Target is a running stand-in target.
+type Target struct {
+	cfg      Config
+	listener net.Listener
+	dir      string
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       conc.WaitGroup
+	slots    chan struct{} // holds one value per running statement
+	lock     chan struct{} // holds a value while a transaction writes
+	kick     chan struct{} // asks for an announcement at once; a value is dropped when one is waiting
+	service  atomic.Int64  // microseconds
+	lag      atomic.Int64  // microseconds
+	running  atomic.Int64  // statements running or waiting for a slot
+	most     atomic.Int64  // the greatest value of running
+	beyond   atomic.Int64  // statements that found no free slot
+	backend  atomic.Uint32 // the newest process id given to a session
+
+	// frozen is not nil while the target is frozen, and closed at the end of that. It is apart from mu because
+	// connections wait for it while mu is held by a commit.
+	frozen atomic.Pointer[chan struct{}]
+
+	mu sync.Mutex // guards the fields below; held during each commit, so that data and position change together
+	db *sql.DB
+	// stores counts the databases made, to name their files.
+	stores int
+	role   jacinthtiller.Role
+	state  jacinthtiller.TargetState
+	// term is the term that the target follows or leads.
+	term uint64
+	// fenced is the lowest term whose entries and writes are accepted; it never decreases.
+	fenced uint64
+	// unchecked is true from the demotion of a primary until its log is known to be a prefix of the new primary's.
+	unchecked bool
+	// log holds entry i at place i-1.
+	log []Entry
+	// grown is closed and replaced whenever log, role or terms change.
+	grown chan struct{}
+	// follow is the address of the primary; empty for none.
+	follow string
+	// pulls counts the changes of follow; answers to a pull begun before the newest change are dropped.
+	pulls uint64
+	// stopPull ends the running pull.
+	stopPull context.CancelFunc
+	sessions map[uint32]*session
+	// conns are all open connections, of clients and of replication, in both directions.
+	conns map[*conn]bool
+	// cutAll drops all peers, cutPeers those named.
+	cutAll   bool
+	cutPeers map[string]bool
+	dead     bool
+}
+
+func (c Config) withDefaults() Config {
+	def := func(v *int64, d int64) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	count := func(v *int, d int) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	def(&c.LockMicroseconds, 500_000)
+	def(&c.AnnounceMicroseconds, 500_000)
+	count(&c.Connections, 30)
+	count(&c.Slots, 5)
+	count(&c.GroupSize, 1)
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	if c.Role == "" {
+		c.Role = jacinthtiller.RolePrimary
+		if c.Follow != "" {
+			c.Role = jacinthtiller.RoleReplica
+		}
+	}
+	return c
+}
+
+// Start starts a target. Close or Kill ends it.
+func Start(cfg Config) (*Target, error) {
+	cfg = cfg.withDefaults()
+	dir, err := os.MkdirTemp("", "jacinth-standin-")
+	if err != nil {
+		return nil, fmt.Errorf("make folder for the data: %w", err)
+	}
+	t := &Target{
+		cfg: cfg, dir: dir,
+		slots: make(chan struct{}, cfg.Slots), lock: make(chan struct{}, 1), kick: make(chan struct{}, 1),
+		role: jacinthtiller.RoleReplica, state: jacinthtiller.StateServing, grown: make(chan struct{}),
+		sessions: map[uint32]*session{}, conns: map[*conn]bool{}, cutPeers: map[string]bool{},
+	}
+	t.service.Store(cfg.ServiceMicroseconds)
+	t.lag.Store(cfg.LagMicroseconds)
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	if err := t.open(); err != nil {
+		t.cancel()
+		return nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	t.wg.Go(t.accept)
+	t.wg.Go(t.replicate)
+	if len(cfg.Announce) > 0 {
+		t.wg.Go(t.announce)
+	}
+	cfg.Log.Emit(event.StandinStarted, event.Fields{"target": cfg.Name, "address": t.Addr(), "role": string(t.Role())})
+	return t, nil
+}
+
+// open makes the store from the configured entries and listens.
+func (t *Target) open() error {
+	db, err := t.newStore(t.cfg.Entries)
+	if err != nil {
+		return err
+	}
+	t.db, t.log = db, append(t.log, t.cfg.Entries...)
+	t.term = t.last().Term
+	t.fenced, t.follow = t.term, t.cfg.Follow
+	if t.cfg.Role == jacinthtiller.RolePrimary {
+		t.lead(max(1, t.term))
+	}
+	if t.listener, err = net.Listen("tcp", t.cfg.Listen); err != nil {
+		return errors.Join(fmt.Errorf("listen on %s: %w", t.cfg.Listen, err), db.Close())
+	}
+	return nil
+}
+
+// Addr returns the address that the target listens on.
+func (t *Target) Addr() string { return t.listener.Addr().String() }
+
+// Name returns the configured name.
+func (t *Target) Name() string { return t.cfg.Name }
+
+// Position returns the position of the last applied entry.
+func (t *Target) Position() jacinthtiller.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.last()
+}
+
+// Role returns the target's part in its group.
+func (t *Target) Role() jacinthtiller.Role {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.role
+}
+
+// Term returns the term that the target follows or leads.
+func (t *Target) Term() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.term
+}
+
+// Log returns the applied entries.
+func (t *Target) Log() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Entry(nil), t.log...)
+}
+
+// MaxRunning returns the greatest number of statements that were running or waiting for a slot at once.
+func (t *Target) MaxRunning() int { return int(t.most.Load()) }
+
+// BeyondSlots counts the statements that came while all slots were taken.
+func (t *Target) BeyondSlots() int { return int(t.beyond.Load()) }
+
+// Sessions returns the number of client connections.
+func (t *Target) Sessions() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.sessions)
+}
+
+// SetLag changes how long entries take to arrive from the primary.
+func (t *Target) SetLag(d time.Duration) { t.lag.Store(d.Microseconds()) }
+
+// SetService changes the time added to each statement.
+func (t *Target) SetService(d time.Duration) { t.service.Store(d.Microseconds()) }
+
+// SetState announces the state.
+func (t *Target) SetState(s jacinthtiller.TargetState) {
+	t.mu.Lock()
+	t.state = s
+	t.mu.Unlock()
+	t.announceNow()
+}
+
+// Freeze stops the target as a suspended process stops: it accepts connections but neither runs nor answers anything.
+func (t *Target) Freeze() {
+	c := make(chan struct{})
+	t.frozen.CompareAndSwap(nil, &c)
+}
+
+// Resume ends Freeze.
+func (t *Target) Resume() {
+	if c := t.frozen.Swap(nil); c != nil {
+		close(*c)
+	}
+}
+
+// thaw waits while the target is frozen.
+func (t *Target) thaw() {
+	c := t.frozen.Load()
+	if c == nil {
+		return
+	}
+	select {
+	case <-*c:
+	case <-t.ctx.Done():
+	}
+}
+
+// Cut resets the connections with the peers and refuses new ones until Heal; without peers it cuts all. A peer is an
+// IP address, host:port, the name of a replica, or a client's user or application name.
+func (t *Target) Cut(peers ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cutAll = t.cutAll || len(peers) == 0
+	for _, p := range peers {
+		t.cutPeers[p] = true
+	}
+	for c := range t.conns {
+		if t.isCut(c.peers) {
+			c.reset()
+		}
+	}
+}
+
+// Heal ends Cut.
+func (t *Target) Heal() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cutAll, t.cutPeers = false, map[string]bool{}
+}
+
+// isCut reports whether one of a connection's names is cut. t.mu is held.
+func (t *Target) isCut(peers []string) bool {
+	if t.cutAll {
+		return true
+	}
+	for _, p := range peers {
+		if t.cutPeers[p] {
+			return true
+		}
+	}
+	return false
+}
+
+// Kill stops the target at once, as a crash does. Log returns its entries afterwards.
+func (t *Target) Kill() { _ = t.stop() }
+
+// Close stops the target and removes its data.
+func (t *Target) Close() error { return t.stop() }
+
+// Shutdown announces that the target is leaving, waits until no transaction is open or ctx ends, and closes it.
+func (t *Target) Shutdown(ctx context.Context) error {
+	t.SetState(jacinthtiller.StateLeaving)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for t.busy() && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	return t.stop()
+}
+
+// busy reports whether a client has a transaction open or a statement running.
+func (t *Target) busy() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.sessions {
+		if s.active.Load() {
+			return true
+		}
+	}
+	return t.running.Load() > 0
+}
+
+func (t *Target) stop() error {
+	t.mu.Lock()
+	if t.dead {
+		t.mu.Unlock()
+		return nil
+	}
+	t.dead = true
+	for c := range t.conns {
+		c.reset()
+	}
+	t.mu.Unlock()
+	t.cancel()
+	err := t.listener.Close()
+	t.wg.Wait()
+	err = errors.Join(err, t.db.Close(), os.RemoveAll(t.dir))
+	t.cfg.Log.Emit(event.StandinStopped, event.Fields{"target": t.cfg.Name})
+	if err != nil {
+		return fmt.Errorf("stop target %s: %w", t.cfg.Name, err)
+	}
+	return nil
+}
