--- /dev/null
+++ b/quorum/check.go
@@ -0,0 +1,116 @@
+package quorum
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"go.etcd.io/bbolt"
+)
+
+// The layout of a bbolt meta page: a page header, then the fields that the checksum covers.
+const (
+	metaOffset       = 16
+	metaMagic        = 0xED0CDAED
+	metaPageSizeAt   = metaOffset + 8
+	metaHighestAt    = metaOffset + 40
+	metaChecksumAt   = metaOffset + 56
+	metaBytes        = metaOffset + 64
+	greatestPageSize = 1 << 16
+)
+
+// checkFile refuses a file that is cut off or damaged before it is opened for
+// writing. bbolt itself falls back to the older of its two meta pages when the newer
+// one is damaged, which would undo a vote or an acknowledgement, and it fails with
+// a memory fault on a file that is too short. A meta page fits into one sector, so
+// a crash during its write leaves it old or new but not damaged.
+func checkFile(path string) (err error) {
+	damaged := func(err error) error {
+		return &FolderError{File: path, Advice: adviceRepair, Err: fmt.Errorf("the file is damaged: %w", err)}
+	}
+	// The lock is taken first: the pages change while another process writes them.
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, ReadOnly: true})
+	if err != nil {
+		return openFault(path, err)
+	}
+	old := debug.SetPanicOnFault(true)
+	defer func() {
+		debug.SetPanicOnFault(old)
+		if r := recover(); r != nil {
+			err = damaged(fmt.Errorf("page check: %v", r))
+		}
+		err = errors.Join(err, db.Close())
+	}()
+	if err := checkMeta(path); err != nil {
+		return damaged(err)
+	}
+	if err := walk(db); err != nil {
+		return damaged(err)
+	}
+	return nil
+}
+
+func checkMeta(path string) (err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open: %w", err)
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	info, err := f.Stat()
+	if err != nil {
+		return fmt.Errorf("stat: %w", err)
+	}
+	page, highest, err := readMeta(f, 0)
+	if err != nil {
+		return fmt.Errorf("first meta page: %w", err)
+	}
+	_, second, err := readMeta(f, page)
+	if err != nil {
+		return fmt.Errorf("second meta page: %w", err)
+	}
+	if needed := max(highest, second) * uint64(page); uint64(info.Size()) < needed {
+		return fmt.Errorf("it has %d bytes, but its pages take %d", info.Size(), needed)
+	}
+	return nil
+}
+
+// readMeta returns the page size and the number of pages in use.
+func readMeta(f *os.File, at int64) (page int64, highest uint64, err error) {
+	b := make([]byte, metaBytes)
+	if _, err := f.ReadAt(b, at); err != nil {
+		if errors.Is(err, io.EOF) {
+			return 0, 0, errors.New("the file is too short")
+		}
+		return 0, 0, fmt.Errorf("read: %w", err)
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(b[metaOffset:metaChecksumAt])
+	size := binary.NativeEndian.Uint32(b[metaPageSizeAt:])
+	switch {
+	case binary.NativeEndian.Uint32(b[metaOffset:]) != metaMagic:
+		return 0, 0, errors.New("it is not a bbolt file")
+	case binary.NativeEndian.Uint64(b[metaChecksumAt:]) != h.Sum64():
+		return 0, 0, errors.New("checksum does not match")
+	case size == 0 || size > greatestPageSize:
+		return 0, 0, fmt.Errorf("page size %d", size)
+	}
+	return int64(size), binary.NativeEndian.Uint64(b[metaHighestAt:]), nil
+}
+
+// walk reads every key and value of every bucket.
+func walk(db *bbolt.DB) error {
+	return db.View(func(tx *bbolt.Tx) error {
+		return tx.ForEach(func(name []byte, b *bbolt.Bucket) error {
+			return b.ForEach(func(k, v []byte) error {
+				if v == nil {
+					return fmt.Errorf("bucket %q holds an unexpected bucket %q", name, k)
+				}
+				return nil
+			})
+		})
+	})
+}
--- /dev/null
+++ b/quorum/election.go
@@ -0,0 +1,223 @@
+package quorum
+
+import "time"
+
+// resetElection draws the next election timeout, between one and two times the least one.
+func (c *Core) resetElection() {
+	d := c.settings.election()
+	c.electionDue = c.now.Add(d + time.Duration(c.random.Int64N(int64(d))))
+}
+
+// leaderAlive reports whether votes are withheld because the leader was heard
+// from. The time is one heartbeat shorter than the least election timeout,
+// so that the first follower whose timeout ends is not refused by one that got
+// the same last heartbeat a moment later.
+func (c *Core) leaderAlive() bool {
+	if c.role == RoleLeader {
+		return true
+	}
+	return c.leader != "" && c.now.Before(c.leaderHeard.Add(c.settings.election()-c.settings.heartbeat()))
+}
+
+// campaign asks for votes: as a pre-candidate without a change of the term.
+func (c *Core) campaign(role Role, transfer bool) {
+	term, kind := c.state.Term+1, KindPreVote
+	c.role, c.leader, c.votes = role, "", map[string]bool{c.settings.Name: true}
+	if role == RoleCandidate {
+		kind = KindVote
+		c.state = State{Term: term, Vote: c.settings.Name}
+	}
+	// A refused or split election is repeated after one to three heartbeats instead of
+	// a whole election timeout, which keeps the time without a leader below 1 s.
+	h := c.settings.heartbeat()
+	c.electionDue = c.now.Add(h + time.Duration(c.random.Int64N(2*int64(h))))
+	for _, m := range c.membership().Members {
+		if m.Voter && m.Name != c.settings.Name {
+			c.send(Message{
+				Kind: kind, To: m.Name, PeerIdentity: m.Identity, Term: term,
+				Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer,
+			})
+		}
+	}
+	c.countVotes()
+}
+
+// upToDate reports whether a candidate's log has all that this one has.
+func (c *Core) upToDate(m Message) bool {
+	if m.LogTerm != c.log.lastTerm() {
+		return m.LogTerm > c.log.lastTerm()
+	}
+	return m.Index >= c.log.last()
+}
+
+// mayVote reports whether the folder belongs to a group and the candidate knows it under its identity.
+func (c *Core) mayVote(m Message) bool { return !c.blank() && m.PeerIdentity == c.settings.Identity }
+
+func (c *Core) receivePreVote(m Message) {
+	if !c.mayVote(m) {
+		return
+	}
+	if c.leaderAlive() || m.Term <= c.state.Term || !c.upToDate(m) {
+		c.send(Message{Kind: KindPreVoteResponse, To: m.From, Reject: true})
+		return
+	}
+	c.send(Message{Kind: KindPreVoteResponse, To: m.From, Term: m.Term})
+}
+
+func (c *Core) receiveVote(m Message) {
+	if !c.mayVote(m) {
+		return
+	}
+	if (c.state.Vote != "" && c.state.Vote != m.From) || c.role == RoleLeader || !c.upToDate(m) {
+		c.send(Message{Kind: KindVoteResponse, To: m.From, Reject: true})
+		return
+	}
+	c.state.Vote = m.From
+	c.resetElection()
+	c.send(Message{Kind: KindVoteResponse, To: m.From})
+}
+
+func (c *Core) receiveVoteResponse(m Message) {
+	expected := c.role == RoleCandidate && m.Kind == KindVoteResponse && m.Term == c.state.Term ||
+		c.role == RolePreCandidate && m.Kind == KindPreVoteResponse && m.Term == c.state.Term+1
+	if expected && !m.Reject && c.counted(m) {
+		c.votes[m.From] = true
+		c.countVotes()
+	}
+}
+
+func (c *Core) countVotes() {
+	n := 0
+	for _, m := range c.membership().Members {
+		if m.Voter && c.votes[m.Name] {
+			n++
+		}
+	}
+	if n <= c.membership().Voters()/2 {
+		return
+	}
+	if c.role == RolePreCandidate {
+		c.campaign(RoleCandidate, false)
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader, c.leaderSince = RoleLeader, c.settings.Name, c.now
+	c.votes, c.reads, c.transferTo = nil, nil, ""
+	c.progress = map[string]*progress{}
+	c.log.append(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryNoOp})
+	c.firstIndex = c.log.last()
+	c.syncProgress()
+	c.heartbeat()
+}
+
+// heartbeat begins a round and steps down when no majority was heard from for an election timeout.
+func (c *Core) heartbeat() {
+	c.heartbeatDue = c.now.Add(c.settings.heartbeat())
+	oldest := c.now.Add(-c.settings.election())
+	heard := c.majorityValue(1, func(p *progress) uint64 {
+		if p.heard.Before(oldest) {
+			return 0
+		}
+		return 1
+	})
+	if heard == 0 {
+		c.follow(c.state.Term, "")
+		return
+	}
+	if c.transferTo != "" && !c.now.Before(c.transferDue) {
+		c.transferTo = ""
+	}
+	for _, p := range c.progress {
+		p.waiting, p.electSent = false, false
+	}
+	c.beginRound()
+}
+
+// beginRound sends a heartbeat that confirms the reads that have arrived.
+func (c *Core) beginRound() {
+	c.round++
+	for i := range c.reads {
+		if c.reads[i].round == 0 {
+			c.reads[i].round = c.round
+		}
+	}
+	for _, n := range c.peers() {
+		c.sendHeartbeat(n, c.progress[n])
+	}
+}
+
+// read takes a read whose leadership is to be confirmed.
+func (c *Core) read(id uint64) {
+	if c.role != RoleLeader {
+		c.answer(Answer{ID: id, Err: c.notLeader()})
+		return
+	}
+	c.reads = append(c.reads, waitingRead{id: id, index: max(c.commit, c.firstIndex)})
+}
+
+// readsNeedRound reports whether reads wait for a round and none is under way.
+// Reads that arrive during a round share the next one.
+func (c *Core) readsNeedRound() bool {
+	if len(c.reads) == 0 || c.reads[len(c.reads)-1].round != 0 {
+		return false
+	}
+	first := c.reads[0].round
+	return first == 0 || c.confirmedRound() >= first
+}
+
+// confirmedRound is the latest round that a majority acknowledged.
+func (c *Core) confirmedRound() uint64 {
+	return c.majorityValue(c.round, func(p *progress) uint64 { return p.round })
+}
+
+// confirmReads confirms the reads whose round a majority acknowledged.
+func (c *Core) confirmReads() {
+	round := c.confirmedRound()
+	n := 0
+	for n < len(c.reads) {
+		r := c.reads[n]
+		if r.round == 0 || r.round > round || r.index > c.commit {
+			break
+		}
+		c.effects.Confirmed = append(c.effects.Confirmed, Confirmed{ID: r.id, Index: r.index})
+		n++
+	}
+	c.reads = c.reads[n:]
+}
+
+// transfer begins to hand the leadership over.
+func (c *Core) transfer(t Transfer) {
+	if c.role != RoleLeader {
+		c.answer(Answer{ID: t.ID, Err: c.notLeader()})
+		return
+	}
+	best := ""
+	for _, m := range c.membership().Members {
+		p := c.progress[m.Name]
+		if !m.Voter || p == nil || p.heard.Before(c.now.Add(-c.settings.election())) {
+			continue
+		}
+		if best == "" || p.match > c.progress[best].match {
+			best = m.Name
+		}
+	}
+	if best == "" {
+		c.answer(Answer{ID: t.ID, Err: &ChangeError{Kind: "transfer", Reason: "no other voter was heard from"}})
+		return
+	}
+	c.transferTo, c.transferDue = best, c.now.Add(c.settings.election())
+	c.answer(Answer{ID: t.ID})
+}
+
+// electTransferTarget tells the next leader to start its election once it has the whole log.
+func (c *Core) electTransferTarget() {
+	p := c.progress[c.transferTo]
+	if p == nil || p.match < c.log.last() || p.electSent {
+		return
+	}
+	p.electSent = true
+	c.send(Message{Kind: KindElectNow, To: c.transferTo})
+}
--- /dev/null
+++ b/quorum/event.go
@@ -0,0 +1,142 @@
+package quorum
+
+import "time"
+
+// Event is an input of Core.Step.
+type Event interface{ event() }
+
+// Tick says only that time has passed. It is due at Core.Deadline.
+type Tick struct{}
+
+// Received is a message from another member.
+type Received struct {
+	Message Message `cbor:"message"`
+}
+
+// Propose asks the leader to append a command.
+type Propose struct {
+	// ID returns in the Answer; it is unique in the process.
+	ID   uint64 `cbor:"id"`
+	Data []byte `cbor:"data"`
+}
+
+// Read asks the leader to confirm its leadership.
+type Read struct {
+	ID uint64 `cbor:"id"`
+}
+
+// ChangeKind is the kind of a membership change.
+type ChangeKind string
+
+// The kinds of membership changes.
+const (
+	ChangeAdd     ChangeKind = "add"     // admits the folder now seen under the name as a learner
+	ChangePromote ChangeKind = "promote" // makes a learner that has caught up a voter
+	ChangeRemove  ChangeKind = "remove"
+)
+
+// Change asks the leader to change the membership.
+type Change struct {
+	ID   uint64     `cbor:"id"`
+	Kind ChangeKind `cbor:"kind"`
+	Name string     `cbor:"name"`
+}
+
+// Transfer asks the leader to hand the leadership to the voter that is nearest to its own log.
+type Transfer struct {
+	ID uint64 `cbor:"id"`
+}
+
+// Compact gives the state of the machine after the entry at Index was applied.
+type Compact struct {
+	Index uint64 `cbor:"index"`
+	Data  []byte `cbor:"data"`
+}
+
+func (Tick) event()     {}
+func (Received) event() {}
+func (Propose) event()  {}
+func (Read) event()     {}
+func (Change) event()   {}
+func (Transfer) event() {}
+func (Compact) event()  {}
+
+// Answer is the first answer to an event with an ID. The entry is appended but
+// not committed when Err is nil.
+type Answer struct {
+	ID    uint64
+	Index uint64
+	Term  uint64
+	Err   error
+}
+
+// Confirmed answers a Read: the member was the leader after the read had arrived,
+// and what was committed before is at or below Index.
+type Confirmed struct {
+	ID    uint64
+	Index uint64
+}
+
+// Effects are the results of a step. State, Snapshot, First, From and Entries
+// must be synced, in one transaction, before anything else in Effects is used.
+type Effects struct {
+	// State is set when it changed.
+	State *State
+	// Snapshot is set when it changed.
+	Snapshot *Snapshot
+	// First, unless 0, says that entries below it are no longer needed.
+	First uint64
+	// From, unless 0, says that entries at and after it are replaced by Entries.
+	From    uint64
+	Entries []Entry
+
+	Messages []Message
+	// Restore is set when the machine must be set to a snapshot before Committed is applied.
+	Restore *Snapshot
+	// Committed are the newly committed entries in order.
+	Committed []Entry
+	Answers   []Answer
+	Confirmed []Confirmed
+}
+
+// Durable reports whether anything must be synced.
+func (e Effects) Durable() bool {
+	return e.State != nil || e.Snapshot != nil || e.First != 0 || e.From != 0
+}
+
+// Settings are the fixed properties of a Core.
+type Settings struct {
+	Name     string
+	Identity string
+	// Members are the names of the initial members, this one included.
+	Members []string
+	// Bootstrap allows an empty folder to take part in founding the group named by Members.
+	Bootstrap bool
+	// Seed determines the random choices together with Name.
+	Seed uint64
+	// HeartbeatMicroseconds is the time between heartbeat rounds; 0 means 100 ms.
+	HeartbeatMicroseconds int64
+	// ElectionMicroseconds is the least election timeout; the greatest is twice as long. 0 means 400 ms.
+	ElectionMicroseconds int64
+	// Trailing is how many entries before a snapshot stay in the log for followers that are a little behind.
+	Trailing uint64
+}
+
+const (
+	defaultHeartbeat = 100 * time.Millisecond
+	defaultElection  = 400 * time.Millisecond
+)
+
+func (s Settings) heartbeat() time.Duration {
+	if s.HeartbeatMicroseconds <= 0 {
+		return defaultHeartbeat
+	}
+	return time.Duration(s.HeartbeatMicroseconds) * time.Microsecond
+}
+
+func (s Settings) election() time.Duration {
+	if s.ElectionMicroseconds <= 0 {
+		return defaultElection
+	}
+	return time.Duration(s.ElectionMicroseconds) * time.Microsecond
+}
--- /dev/null
+++ b/quorum/log.go
@@ -0,0 +1,123 @@
+package quorum
+
+import (
+	"fmt"
+	"slices"
+)
+
+// configuration is a membership with the index from which it holds.
+type configuration struct {
+	index      uint64
+	membership Membership
+}
+
+// log is the part of the log that a member holds in memory.
+type log struct {
+	// entries[0] marks the place before the first entry: only its index and term are used.
+	entries []Entry
+	// snapshot.Index is at least entries[0].Index and at most the commit index.
+	snapshot Snapshot
+	// configurations are ordered by index; the first is that of the snapshot, the last is in force.
+	configurations []configuration
+	// dirty is the lowest index that must be written at the end of the step; 0 when none.
+	dirty uint64
+	// first is the new lowest index after a compaction in this step; 0 when unchanged.
+	first uint64
+	// replaced is true when the snapshot changed in this step.
+	replaced bool
+}
+
+// newLog returns the log made of a snapshot and the entries stored with it.
+func newLog(s Snapshot, entries []Entry) *log {
+	l := &log{snapshot: s, configurations: []configuration{{s.Index, s.Membership}}}
+	if len(entries) == 0 || entries[0].Index > s.Index {
+		l.entries = []Entry{{Index: s.Index, Term: s.Term}}
+	}
+	l.entries = append(l.entries, entries...)
+	for _, e := range l.entries[1:] {
+		if e.Kind == EntryMembership && e.Index > s.Index {
+			l.configurations = append(l.configurations, configuration{e.Index, *e.Membership})
+		}
+	}
+	return l
+}
+
+func (l *log) base() uint64 { return l.entries[0].Index }
+
+func (l *log) last() uint64 { return l.entries[len(l.entries)-1].Index }
+
+func (l *log) lastTerm() uint64 { return l.entries[len(l.entries)-1].Term }
+
+// term returns the term of the entry at the index, and false when the log does not hold it.
+func (l *log) term(index uint64) (uint64, bool) {
+	switch {
+	case index == 0:
+		return 0, true
+	case index == l.snapshot.Index:
+		return l.snapshot.Term, true
+	case index < l.base() || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.base()].Term, true
+}
+
+// slice returns the entries after from up to and including to.
+func (l *log) slice(from, to uint64) []Entry {
+	return l.entries[from+1-l.base() : to+1-l.base() : to+1-l.base()]
+}
+
+func (l *log) membership() Membership { return l.configurations[len(l.configurations)-1].membership }
+
+// configurationIndex is the index of the entry that made the membership in force.
+func (l *log) configurationIndex() uint64 { return l.configurations[len(l.configurations)-1].index }
+
+func (l *log) append(e Entry) {
+	l.entries = append(l.entries, e)
+	if e.Kind == EntryMembership {
+		l.configurations = append(l.configurations, configuration{e.Index, *e.Membership})
+	}
+	l.touch(e.Index)
+}
+
+func (l *log) touch(index uint64) {
+	if l.dirty == 0 || index < l.dirty {
+		l.dirty = index
+	}
+}
+
+// truncate removes the entries from index on.
+func (l *log) truncate(index uint64) {
+	if index <= l.snapshot.Index {
+		panic(fmt.Sprintf("quorum: truncation at %d below the snapshot at %d", index, l.snapshot.Index))
+	}
+	l.entries = l.entries[:index-l.base()]
+	l.configurations = slices.DeleteFunc(l.configurations, func(c configuration) bool { return c.index >= index })
+	l.touch(index)
+}
+
+// compact makes data the snapshot at index and keeps up to trailing entries before it.
+func (l *log) compact(index uint64, data []byte, trailing uint64) {
+	term, ok := l.term(index)
+	if !ok || index <= l.snapshot.Index {
+		return
+	}
+	n := 0
+	for n+1 < len(l.configurations) && l.configurations[n+1].index <= index {
+		n++
+	}
+	l.configurations = slices.Clone(l.configurations[n:])
+	l.snapshot = Snapshot{Index: index, Term: term, Membership: l.configurations[0].membership, Data: data}
+	l.replaced = true
+	if keep := index - min(index, trailing); keep > l.base() {
+		l.entries = slices.Clone(l.entries[keep-l.base():])
+		l.first = keep
+	}
+}
+
+// install replaces the whole log by a snapshot.
+func (l *log) install(s Snapshot) {
+	*l = *newLog(s, nil)
+	l.replaced = true
+	l.first = s.Index + 1
+	l.dirty = s.Index + 1
+}
--- /dev/null
+++ b/quorum/member.go
@@ -0,0 +1,262 @@
+package quorum
+
+import (
+	"encoding/hex"
+	"slices"
+	"time"
+)
+
+// foundingWindow is how many heartbeats old a hello may be when the group is founded or a member is admitted.
+const foundingWindow = 10
+
+// fresh reports whether a contact is recent enough to act on.
+func (c *Core) fresh(x contact) bool {
+	return x.identity != "" && !x.at.Before(c.now.Add(-foundingWindow*c.settings.heartbeat()))
+}
+
+// meet remembers who uses the sender's name.
+func (c *Core) meet(m Message) {
+	x := contact{identity: m.Identity, group: m.Group, at: c.now}
+	if old := c.contacts[m.From]; old.identity == m.Identity && m.Kind != KindHello {
+		x.echoed, x.names = old.echoed, old.names
+	}
+	if m.Kind == KindHello {
+		x.echoed, x.names = m.PeerIdentity == c.settings.Identity, m.Names
+	}
+	c.contacts[m.From] = x
+}
+
+// sayHello tells the initial members that this folder is empty.
+func (c *Core) sayHello() {
+	for _, n := range c.settings.Members {
+		if n != c.settings.Name {
+			c.hello(KindHello, n)
+		}
+	}
+	c.found()
+}
+
+func (c *Core) hello(kind Kind, to string) {
+	m := Message{Kind: kind, To: to, PeerIdentity: c.contacts[to].identity}
+	if c.settings.Bootstrap && c.blank() {
+		m.Names = c.settings.Members
+	}
+	c.send(m)
+}
+
+func (c *Core) receiveHello(m Message) {
+	if m.Kind == KindHelloResponse {
+		return
+	}
+	if m.Group == "" && c.log.snapshot.Index == foundingIndex && c.counted(m) {
+		s := c.log.snapshot.Membership
+		c.send(Message{Kind: KindFound, To: m.From, Membership: &s})
+		return
+	}
+	if c.blank() {
+		c.found()
+	}
+	c.hello(KindHelloResponse, m.From)
+}
+
+// found makes the founding record once all initial members have said that their folders are empty.
+func (c *Core) found() {
+	s := c.settings
+	if !s.Bootstrap || !c.blank() || c.state.Term != 0 || len(s.Members) == 0 || s.Members[0] != s.Name {
+		return
+	}
+	m := Membership{}.With(Member{Name: s.Name, Identity: s.Identity, Voter: true})
+	for _, n := range s.Members[1:] {
+		x := c.contacts[n]
+		if !c.fresh(x) || x.group != "" || !x.echoed || !slices.Equal(x.names, s.Members) {
+			return
+		}
+		m = m.With(Member{Name: n, Identity: x.identity, Voter: true})
+	}
+	m.Group = c.newGroup()
+	c.acceptFounding(m)
+	for _, n := range s.Members[1:] {
+		c.send(Message{Kind: KindFound, To: n, Membership: &m})
+	}
+	c.electionDue = c.now.Add(s.heartbeat())
+}
+
+// newGroup returns a random group identity. It is drawn from the seed and from the founder's random identity.
+func (c *Core) newGroup() string {
+	b := make([]byte, 8)
+	for i := range b {
+		b[i] = byte(c.random.Uint32())
+	}
+	id, err := hex.DecodeString(c.settings.Identity)
+	for i := range min(len(id), len(b)) {
+		if err == nil {
+			b[i] ^= id[i]
+		}
+	}
+	return hex.EncodeToString(b)
+}
+
+// acceptFounding begins the log with the founding record.
+func (c *Core) acceptFounding(m Membership) {
+	c.state = State{Term: max(c.state.Term, foundingTerm), Vote: c.state.Vote}
+	c.log.install(Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: m})
+	c.commit, c.released = foundingIndex, foundingIndex
+	c.resetElection()
+}
+
+// receiveFound accepts a founding record that names this folder, once.
+func (c *Core) receiveFound(m Message) {
+	if !c.blank() || !c.settings.Bootstrap || m.Membership == nil || m.Membership.Group != m.Group {
+		return
+	}
+	if x, ok := m.Membership.Member(c.settings.Name); ok && x.Voter && x.Identity == c.settings.Identity {
+		c.acceptFounding(*m.Membership)
+	}
+}
+
+// change appends a membership change or refuses it.
+func (c *Core) change(x Change) {
+	if c.role != RoleLeader {
+		c.answer(Answer{ID: x.ID, Err: c.notLeader()})
+		return
+	}
+	m, err := c.changed(x)
+	if err != nil {
+		c.answer(Answer{ID: x.ID, Err: err})
+		return
+	}
+	c.propose(x.ID, Entry{Kind: EntryMembership, Membership: &m})
+}
+
+// changed returns the membership after a change. It differs from the present one by at most one voter.
+func (c *Core) changed(x Change) (Membership, error) {
+	refuse := func(retry bool, reason string) (Membership, error) {
+		return Membership{}, &ChangeError{Kind: x.Kind, Name: x.Name, Retry: retry, Reason: reason}
+	}
+	if c.commit < c.firstIndex || c.log.configurationIndex() > c.commit {
+		return refuse(true, "an earlier change or the start of the term is not committed yet")
+	}
+	m := c.membership()
+	old, known := m.Member(x.Name)
+	switch {
+	case x.Name == c.settings.Name && x.Kind != ChangePromote:
+		return refuse(false, "the leader cannot change itself; transfer the leadership first")
+	case x.Kind == ChangeAdd:
+		return c.withLearner(x, refuse)
+	case !known:
+		return refuse(false, "no member has this name")
+	case x.Kind == ChangeRemove:
+		if old.Voter && m.Voters() == 1 {
+			return refuse(false, "the last voter cannot be removed")
+		}
+		return m.Without(x.Name), nil
+	case old.Voter:
+		return m, nil
+	case !c.caughtUp(x.Name):
+		return refuse(true, "the learner has not caught up")
+	}
+	return m.With(Member{Name: x.Name, Identity: old.Identity, Voter: true}), nil
+}
+
+// withLearner admits the folder that was heard from under the name.
+func (c *Core) withLearner(x Change, refuse func(bool, string) (Membership, error)) (Membership, error) {
+	m, seen := c.membership(), c.contacts[x.Name]
+	old, known := m.Member(x.Name)
+	switch {
+	case !c.fresh(seen):
+		c.hello(KindHello, x.Name)
+		return refuse(true, "the member was not heard from")
+	case known && old.Identity == seen.identity:
+		return m, nil
+	case seen.group != "" && seen.group != m.Group:
+		return refuse(false, "the member's folder belongs to another group")
+	}
+	return m.With(Member{Name: x.Name, Identity: seen.identity, Repair: old.Voter || old.Repair}), nil
+}
+
+// caughtUp reports whether a learner may become a voter.
+func (c *Core) caughtUp(name string) bool {
+	p := c.progress[name]
+	if p == nil || p.pace != paceStream || p.heard.Before(c.now.Add(-c.settings.election())) {
+		return false
+	}
+	return p.match >= c.log.configurationIndex() && p.match+caughtUpEntries >= c.log.last()
+}
+
+// silent reports whether the recorded folder of a member has not answered for an
+// election timeout. A second process that is started under the name of a running
+// member must not displace it.
+func (c *Core) silent(name string) bool {
+	p := c.progress[name]
+	return p == nil || p.heard.Before(c.now.Add(-c.settings.election()))
+}
+
+// repair readmits members whose folder was lost, and promotes them when they have caught up.
+func (c *Core) repair() {
+	if c.commit < c.firstIndex || c.log.configurationIndex() > c.commit || c.transferTo != "" {
+		return
+	}
+	for _, x := range c.membership().Members {
+		switch seen := c.contacts[x.Name]; {
+		case x.Name == c.settings.Name:
+		case c.fresh(seen) && seen.group == "" && seen.identity != x.Identity && c.silent(x.Name):
+			c.change(Change{Kind: ChangeAdd, Name: x.Name})
+			return
+		case x.Repair && c.caughtUp(x.Name):
+			c.change(Change{Kind: ChangePromote, Name: x.Name})
+			return
+		}
+	}
+}
+
+// Status is the state of a member for operators.
+type Status struct {
+	Name     string `cbor:"name" json:"name"`
+	Identity string `cbor:"identity" json:"identity"`
+	Group    string `cbor:"group" json:"group"`
+	Role     Role   `cbor:"role" json:"role"`
+	Term     uint64 `cbor:"term" json:"term"`
+	Leader   string `cbor:"leader" json:"leader"`
+	Commit   uint64 `cbor:"commit" json:"commit"`
+	Applied  uint64 `cbor:"applied" json:"applied"`
+	Last     uint64 `cbor:"last" json:"last"`
+	Snapshot uint64 `cbor:"snapshot" json:"snapshot"`
+	// Members are ordered by name.
+	Members []MemberStatus `cbor:"members" json:"members"`
+	// RepairUnfinished is true while a lost voter is not replaced by a voter that has caught up.
+	RepairUnfinished bool `cbor:"repair-unfinished" json:"repair-unfinished"`
+}
+
+// MemberStatus is the state of one member as this member knows it.
+type MemberStatus struct {
+	Member
+	// Match is the highest index known to be stored by the member; only the leader knows it of others.
+	Match uint64 `cbor:"match" json:"match"`
+	// Heard is when the member last answered the leader.
+	Heard time.Time `cbor:"heard" json:"heard"`
+	// OtherIdentity is the identity now used under the name when it is not the recorded one.
+	OtherIdentity string `cbor:"other-identity,omitempty" json:"other-identity,omitempty"`
+}
+
+// Status returns the state without the applied index.
+func (c *Core) Status() Status {
+	s := Status{
+		Name: c.settings.Name, Identity: c.settings.Identity, Group: c.membership().Group,
+		Role: c.role, Term: c.state.Term, Leader: c.leader,
+		Commit: c.commit, Last: c.log.last(), Snapshot: c.log.snapshot.Index,
+	}
+	for _, m := range c.membership().Members {
+		x := MemberStatus{Member: m}
+		if m.Name == s.Name {
+			x.Match, x.Heard = s.Last, c.now
+		} else if p := c.progress[m.Name]; p != nil {
+			x.Match, x.Heard = p.match, p.heard
+		}
+		if seen := c.contacts[m.Name]; c.fresh(seen) && seen.identity != m.Identity {
+			x.OtherIdentity = seen.identity
+		}
+		s.RepairUnfinished = s.RepairUnfinished || m.Repair || (m.Voter && x.OtherIdentity != "")
+		s.Members = append(s.Members, x)
+	}
+	return s
+}
--- /dev/null
+++ b/quorum/node.go
@@ -0,0 +1,454 @@
+package quorum
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// Machine is the state machine that the log is applied to. Its methods are called
+// by one goroutine at a time, Apply in the order of the log.
+type Machine interface {
+	// Apply applies a committed command and returns its result. It is deterministic.
+	Apply(index uint64, command []byte) []byte
+	// Snapshot returns the state after the last applied command.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by that of a snapshot.
+	Restore(snapshot []byte) error
+}
+
+// Transport carries messages between members. It may lose, delay, duplicate and reorder them.
+type Transport interface {
+	// Send never blocks; it drops the message when its bounded ring is full.
+	Send(to string, m Message)
+}
+
+// Config is what a Node needs.
+type Config struct {
+	// Name is the member's name; it must not change as long as the folder is used.
+	Name string
+	// Dir is the data folder, which belongs to the node alone.
+	Dir string
+	// Members are the names of the initial members. An empty folder says hello to them.
+	Members []string
+	// Bootstrap lets an empty folder take part in founding a new group of Members; see the package comment.
+	Bootstrap bool
+	Machine   Machine
+	Transport Transport
+	// Events may be nil.
+	Events *event.Log
+	// Seed determines the random election timeouts; 0 means a random one.
+	Seed uint64
+	// HeartbeatMicroseconds is the time between heartbeats; 0 means 100 ms.
+	HeartbeatMicroseconds int64
+	// ElectionMicroseconds is the least election timeout; 0 means 400 ms. The greatest is twice as long.
+	ElectionMicroseconds int64
+	// SnapshotEvery is how many entries are applied between snapshots; 0 means 10000.
+	SnapshotEvery uint64
+	// Trailing is how many entries before a snapshot are kept; 0 means half of SnapshotEvery.
+	Trailing uint64
+}
+
+const (
+	defaultSnapshotEvery = 10000
+	inboxSize            = 4096
+	requestsSize         = 1024
+	// maxStepEvents bounds the events of one step and thus of one transaction.
+	maxStepEvents = 1024
+	// maxBacklog is how many committed entries may wait for the machine before no new requests are taken.
+	maxBacklog = 8192
+	// maxApplyBatch bounds the entries that are applied between two looks at the snapshot threshold.
+	maxApplyBatch = 512
+)
+
+// outcome is the end of a request.
+type outcome struct {
+	result []byte
+	index  uint64
+	err    error
+}
+
+// request is a call that waits for the log.
+type request struct {
+	event func(id uint64) Event
+	// term and index are set by the driver when the entry is appended.
+	term, index uint64
+	// done gets one outcome; it has room for it.
+	done chan outcome
+}
+
+func (r *request) finish(o outcome) {
+	select {
+	case r.done <- o:
+	default: // the request has ended already
+	}
+}
+
+// task is work for the goroutine that applies the log. One of its fields is set.
+type task struct {
+	restore *Snapshot
+	entries []Entry
+	// requests are those that wait for entries, by index.
+	requests map[uint64]*request
+	// read is finished when all earlier tasks are done.
+	read      *request
+	readIndex uint64
+}
+
+// leadership is what Node.Leadership tells.
+type leadership struct {
+	leader string
+	term   uint64
+	// since is when this member became the leader; zero while it is not.
+	since time.Time
+}
+
+// Node is one member of a group.
+type Node struct {
+	config Config
+	store  *store
+	group  conc.WaitGroup
+
+	// inbox holds received messages. When it is full, Receive drops the message; the group repeats it.
+	inbox chan Message
+	// requests holds calls. When it is full, callers wait until their context ends.
+	requests chan *request
+	// tasks feeds the goroutine that applies the log. When it is full, the driver keeps the tasks in backlog.
+	tasks chan task
+	// compactions holds a new snapshot for the driver. When it is full, the applying goroutine waits.
+	compactions chan Compact
+	// stop is closed when the node is to stop, applyDone when nothing is applied any more,
+	// stopped when all requests are finished.
+	stop, applyDone, stopped chan struct{}
+	stopOnce                 sync.Once
+
+	applied atomic.Uint64
+	dropped atomic.Uint64
+
+	mu sync.Mutex // guards the fields below
+	// core is stepped by the driver only.
+	core       *Core
+	leadership leadership
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	// err is why the node has stopped on its own.
+	err error
+
+	// The fields below belong to the driver.
+
+	lastID uint64
+	// open are requests by id that the core has not answered, appended those that wait for an index.
+	open     map[uint64]*request
+	appended map[uint64]*request
+	backlog  []task
+	// backlogEntries counts the entries in backlog.
+	backlogEntries int
+	timer          *time.Timer
+	warned         map[string]string
+	// seenDropped is the value of dropped at the last event about it.
+	seenDropped uint64
+}
+
+// Open opens the data folder, or creates it, and starts the member.
+func Open(c Config) (*Node, error) {
+	if c.Name == "" || c.Dir == "" || c.Machine == nil || c.Transport == nil {
+		return nil, errors.New("quorum: Config needs Name, Dir, Machine and Transport")
+	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
+	if c.SnapshotEvery == 0 {
+		c.SnapshotEvery = defaultSnapshotEvery
+	}
+	if c.Trailing == 0 {
+		c.Trailing = c.SnapshotEvery / 2
+	}
+	s, old, err := openStore(c.Dir, c.Name)
+	if err != nil {
+		return nil, fmt.Errorf("open data folder of %s: %w", c.Name, err)
+	}
+	if err := restore(c.Machine, old.snapshot); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
+	n := newNode(c, s, old)
+	c.Events.Emit(event.QuorumOpened, event.Fields{
+		"member": c.Name, "identity": s.head.Identity, "term": old.state.Term, "last": n.core.log.last(),
+	})
+	if n.core.blank() {
+		c.Events.Emit(event.QuorumFolderEmpty, event.Fields{"member": c.Name, "folder": c.Dir})
+	}
+	n.group.Go(n.drive)
+	n.group.Go(n.apply)
+	return n, nil
+}
+
+// restore sets the machine to a snapshot. The founding record has no state.
+func restore(m Machine, s Snapshot) error {
+	if s.Index <= foundingIndex {
+		return nil
+	}
+	if err := m.Restore(s.Data); err != nil {
+		return fmt.Errorf("restore snapshot at index %d: %w", s.Index, err)
+	}
+	return nil
+}
+
+func newNode(c Config, s *store, old stored) *Node {
+	settings := Settings{
+		Name: c.Name, Identity: s.head.Identity, Members: c.Members, Bootstrap: c.Bootstrap, Seed: c.Seed,
+		HeartbeatMicroseconds: c.HeartbeatMicroseconds, ElectionMicroseconds: c.ElectionMicroseconds,
+		Trailing: c.Trailing,
+	}
+	n := &Node{
+		config: c, store: s,
+		core:  NewCore(time.Now(), settings, old.state, old.snapshot, old.entries),
+		inbox: make(chan Message, inboxSize), requests: make(chan *request, requestsSize),
+		tasks: make(chan task, 1), compactions: make(chan Compact, 1),
+		stop: make(chan struct{}), applyDone: make(chan struct{}), stopped: make(chan struct{}),
+		changed: make(chan struct{}), open: map[uint64]*request{}, appended: map[uint64]*request{},
+		timer: time.NewTimer(0), warned: map[string]string{},
+	}
+	n.applied.Store(old.snapshot.Index)
+	return n
+}
+
+// Receive takes a message from the transport. It never blocks; it drops the message when the inbox is full.
+func (n *Node) Receive(m Message) {
+	select {
+	case n.inbox <- m:
+	default:
+		n.dropped.Add(1)
+	}
+}
+
+// do hands a request to the driver and waits for its outcome. The error is the
+// bare one of ctx only when the driver may have taken the request.
+func (n *Node) do(ctx context.Context, f func(id uint64) Event) outcome {
+	r := newRequest(f)
+	select {
+	case n.requests <- r:
+	case <-ctx.Done():
+		return outcome{err: fmt.Errorf("request was not taken: %w", ctx.Err())}
+	case <-n.stopped:
+		return outcome{err: &ClosedError{Err: n.Err()}}
+	}
+	select {
+	case o := <-r.done:
+		return o
+	case <-ctx.Done():
+		return outcome{err: ctx.Err()}
+	case <-n.stopped:
+	}
+	select {
+	case o := <-r.done:
+		return o
+	default: // the driver ended without taking the request
+		return outcome{err: &ClosedError{Err: n.Err()}}
+	}
+}
+
+func newRequest(f func(id uint64) Event) *request {
+	return &request{event: f, done: make(chan outcome, 1)}
+}
+
+// Propose appends a command and waits until it is committed and applied here. It
+// returns the result of Machine.Apply and the entry's index. *NotLeaderError and
+// *ClosedError prove that the command is not and will not be applied;
+// *UnknownOutcomeError means that it may or may not be.
+func (n *Node) Propose(ctx context.Context, command []byte) (result []byte, index uint64, err error) {
+	o := n.do(ctx, func(id uint64) Event { return Propose{ID: id, Data: command} })
+	if o.err != nil {
+		return nil, o.index, fmt.Errorf("propose: %w", unknown(ctx, o.err))
+	}
+	return o.result, o.index, nil
+}
+
+// unknown turns the end of ctx while the request was under way into an unknown outcome.
+func unknown(ctx context.Context, err error) error {
+	if ctx.Err() != nil && err == ctx.Err() { //nolint:errorlint // a wrapped one means that the request was not taken
+		return &UnknownOutcomeError{Err: err}
+	}
+	return err
+}
+
+// ConfirmLeader returns nil only when a majority has confirmed this member's
+// leadership in a round that began after the call, and when this member has
+// applied all that was committed before the call.
+func (n *Node) ConfirmLeader(ctx context.Context) error {
+	o := n.do(ctx, func(id uint64) Event { return Read{ID: id} })
+	if o.err != nil {
+		return fmt.Errorf("confirm leadership: %w", o.err)
+	}
+	return nil
+}
+
+// Leadership tells the leader, as far as this member knows it, and the term.
+func (n *Node) Leadership() (leader string, term uint64, isLeader bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leadership.leader, n.leadership.term, !n.leadership.since.IsZero()
+}
+
+// LeaderSince tells when this member became the leader, and false when it is not.
+func (n *Node) LeaderSince() (time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leadership.since, !n.leadership.since.IsZero()
+}
+
+// Changed returns a channel that is closed at the next change of the leadership,
+// the role, the term or the applied index, and when the node stops. A caller takes
+// the channel first and then looks at the state.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// Applied returns the index of the last entry that was applied here.
+func (n *Node) Applied() uint64 { return n.applied.Load() }
+
+// Stopped is closed when the node has stopped, by Close or because of Err.
+func (n *Node) Stopped() <-chan struct{} { return n.stopped }
+
+// Err returns why the node stopped on its own; nil while it runs and after Close.
+func (n *Node) Err() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.err
+}
+
+// Status returns the state for the dump.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.core.Status()
+	s.Applied = n.applied.Load()
+	return s
+}
+
+// AddMember admits the folder that is in use under the name as a learner. It waits
+// until the member is heard from and the change is committed, or ctx ends.
+func (n *Node) AddMember(ctx context.Context, name string) error {
+	return n.change(ctx, ChangeAdd, name)
+}
+
+// PromoteMember makes a learner a voter. It waits until the learner has caught up
+// and the change is committed, or ctx ends.
+func (n *Node) PromoteMember(ctx context.Context, name string) error {
+	return n.change(ctx, ChangePromote, name)
+}
+
+// RemoveMember removes a member.
+func (n *Node) RemoveMember(ctx context.Context, name string) error {
+	return n.change(ctx, ChangeRemove, name)
+}
+
+func (n *Node) change(ctx context.Context, kind ChangeKind, name string) error {
+	for {
+		o := n.do(ctx, func(id uint64) Event { return Change{ID: id, Kind: kind, Name: name} })
+		var refused *ChangeError
+		if !errors.As(o.err, &refused) || !refused.Retry {
+			if o.err != nil {
+				return fmt.Errorf("%s member: %w", kind, unknown(ctx, o.err))
+			}
+			return nil
+		}
+		if err := n.pause(ctx); err != nil {
+			return fmt.Errorf("%s member: %w: %w", kind, err, refused)
+		}
+	}
+}
+
+// pause waits for a heartbeat's time.
+func (n *Node) pause(ctx context.Context) error {
+	t := time.NewTimer(n.core.settings.heartbeat())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.stopped:
+		return &ClosedError{Err: n.Err()}
+	}
+}
+
+// TransferLeadership hands the leadership to the voter that is nearest to this
+// member's log and waits until this member no longer leads. It does nothing on
+// other members.
+func (n *Node) TransferLeadership(ctx context.Context) error {
+	for {
+		if _, _, leads := n.Leadership(); !leads {
+			return nil
+		}
+		o := n.do(ctx, func(id uint64) Event { return Transfer{ID: id} })
+		var other *NotLeaderError
+		if errors.As(o.err, &other) {
+			return nil
+		}
+		if o.err != nil {
+			return fmt.Errorf("transfer leadership: %w", o.err)
+		}
+		if err := n.awaitLoss(ctx); err != nil {
+			return fmt.Errorf("transfer leadership: %w", err)
+		}
+	}
+}
+
+// awaitLoss waits until this member does not lead, at most for an election timeout.
+func (n *Node) awaitLoss(ctx context.Context) error {
+	limit := time.NewTimer(n.core.settings.election())
+	defer limit.Stop()
+	for {
+		changed := n.Changed()
+		if _, _, leads := n.Leadership(); !leads {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.stopped:
+			return &ClosedError{Err: n.Err()}
+		}
+	}
+}
+
+// Close stops the member and closes its file.
+func (n *Node) Close() error {
+	n.halt(nil)
+	n.group.Wait()
+	if err := n.store.close(); err != nil {
+		return fmt.Errorf("close quorum node: %w", err)
+	}
+	return nil
+}
+
+// halt begins the stop, because of err unless it is nil.
+func (n *Node) halt(err error) {
+	n.stopOnce.Do(func() {
+		n.mu.Lock()
+		n.err = err
+		n.mu.Unlock()
+		close(n.stop)
+	})
+}
+
+// notify tells those who wait on Changed.
+func (n *Node) notify() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
--- /dev/null
+++ b/quorum/store.go
@@ -0,0 +1,351 @@
+package quorum
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
+)
+
+const (
+	fileName     = "quorum.db"
+	newFileName  = "quorum.db.new"
+	formatName   = "jacinthtiller-quorum"
+	formatNumber = 1
+	// lockWait is how long Open waits for another process to release the file.
+	lockWait = time.Second
+)
+
+const (
+	adviceRepair = "do not edit or reuse the folder: move it away, start with an empty folder and let the group readmit this member"
+	adviceFolder = "give this member its own folder, or an empty one if it is new or lost its data"
+	adviceBusy   = "stop the other process that uses the folder"
+	adviceDisk   = "check the permissions and the free space of the folder, then start again"
+)
+
+var (
+	bucketMeta    = []byte("meta")
+	bucketEntries = []byte("entries")
+	keyHead       = []byte("head")
+	keyState      = []byte("state")
+	keySnapshot   = []byte("snapshot")
+)
+
+// head identifies the file and its owner. It is written once.
+type head struct {
+	Format   string `cbor:"format"`
+	Number   int    `cbor:"number"`
+	Name     string `cbor:"name"`
+	Identity string `cbor:"identity"`
+}
+
+// store keeps one member's state in a bbolt file. Every value is preceded by
+// its checksum, because bbolt checks only its own meta pages.
+type store struct {
+	path string
+	db   *bbolt.DB
+	head head
+}
+
+// stored is what a store held when it was opened.
+type stored struct {
+	state    State
+	snapshot Snapshot
+	entries  []Entry
+}
+
+// openStore opens the file in dir and creates it when dir is empty.
+func openStore(dir, name string) (*store, stored, error) {
+	path := filepath.Join(dir, fileName)
+	if err := prepareFolder(dir, path, name); err != nil {
+		return nil, stored{}, err
+	}
+	if err := checkFile(path); err != nil {
+		return nil, stored{}, err
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{
+		Timeout: lockWait, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+	})
+	if err != nil {
+		return nil, stored{}, openFault(path, err)
+	}
+	s := &store{path: path, db: db}
+	out, err := s.load(name)
+	if err != nil {
+		return nil, stored{}, errors.Join(err, db.Close())
+	}
+	return s, out, nil
+}
+
+func openFault(path string, err error) error {
+	if errors.Is(err, berrors.ErrTimeout) {
+		return &FolderError{File: path, Advice: adviceBusy, Err: err}
+	}
+	return &FolderError{File: path, Advice: adviceRepair, Err: err}
+}
+
+// prepareFolder creates the folder and the file when there is neither. A folder
+// that holds something else is refused, because the file may have been lost.
+func prepareFolder(dir, path, name string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return &FolderError{File: dir, Advice: adviceDisk, Err: err}
+	}
+	if _, err := os.Lstat(path); err == nil {
+		return nil
+	} else if !errors.Is(err, os.ErrNotExist) {
+		return &FolderError{File: path, Advice: adviceDisk, Err: err}
+	}
+	names, err := os.ReadDir(dir)
+	if err != nil {
+		return &FolderError{File: dir, Advice: adviceDisk, Err: err}
+	}
+	for _, n := range names {
+		if n.Name() != newFileName && n.Name() != "lost+found" {
+			err := fmt.Errorf("folder holds %q but no %s", n.Name(), fileName)
+			return &FolderError{File: path, Advice: adviceFolder, Err: err}
+		}
+	}
+	if err := createFile(dir, path, name); err != nil {
+		return &FolderError{File: path, Advice: adviceDisk, Err: err}
+	}
+	return nil
+}
+
+// createFile makes the file under another name first, so that a crash leaves no half-made file.
+func createFile(dir, path, name string) error {
+	temporary := filepath.Join(dir, newFileName)
+	if err := os.Remove(temporary); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("remove unfinished file: %w", err)
+	}
+	db, err := bbolt.Open(temporary, 0o600, &bbolt.Options{Timeout: lockWait, NoFreelistSync: true})
+	if err != nil {
+		return fmt.Errorf("create file: %w", err)
+	}
+	err = db.Update(func(tx *bbolt.Tx) error { return writeHead(tx, name) })
+	if err := errors.Join(err, db.Close()); err != nil {
+		return fmt.Errorf("write file: %w", err)
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return fmt.Errorf("rename file: %w", err)
+	}
+	return syncFolders(dir, filepath.Dir(dir))
+}
+
+func writeHead(tx *bbolt.Tx, name string) error {
+	id := make([]byte, 8)
+	if _, err := rand.Read(id); err != nil {
+		return fmt.Errorf("random identity: %w", err)
+	}
+	meta, err := tx.CreateBucket(bucketMeta)
+	if err != nil {
+		return fmt.Errorf("bucket: %w", err)
+	}
+	if _, err := tx.CreateBucket(bucketEntries); err != nil {
+		return fmt.Errorf("bucket: %w", err)
+	}
+	return put(meta, keyHead, head{Format: formatName, Number: formatNumber, Name: name, Identity: hex.EncodeToString(id)})
+}
+
+func syncFolders(dirs ...string) error {
+	for _, d := range dirs {
+		f, err := os.Open(d)
+		if err != nil {
+			return fmt.Errorf("open folder: %w", err)
+		}
+		if err := errors.Join(f.Sync(), f.Close()); err != nil {
+			return fmt.Errorf("sync folder: %w", err)
+		}
+	}
+	return nil
+}
+
+// load reads everything and checks that it fits together.
+func (s *store) load(name string) (stored, error) {
+	var out stored
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketEntries)
+		if meta == nil || entries == nil || meta.Get(keyHead) == nil {
+			err := errors.New("the file is not a quorum file")
+			return &FolderError{File: s.path, Advice: adviceFolder, Err: err}
+		}
+		if err := get(meta, keyHead, &s.head); err != nil {
+			return s.damaged(err)
+		}
+		if s.head.Format != formatName || s.head.Number != formatNumber || s.head.Name != name {
+			err := fmt.Errorf("the file is of member %q and format %s %d, not of member %q and format %s %d",
+				s.head.Name, s.head.Format, s.head.Number, name, formatName, formatNumber)
+			return &FolderError{File: s.path, Advice: adviceFolder, Err: err}
+		}
+		return s.loadLog(meta, entries, &out)
+	})
+	return out, err
+}
+
+func (s *store) loadLog(meta, entries *bbolt.Bucket, out *stored) error {
+	if err := errors.Join(get(meta, keyState, &out.state), get(meta, keySnapshot, &out.snapshot)); err != nil {
+		return s.damaged(err)
+	}
+	err := entries.ForEach(func(k, v []byte) error {
+		var e Entry
+		if err := decode(v, &e); err != nil {
+			return fmt.Errorf("entry %x: %w", k, err)
+		}
+		if len(k) != 8 || binary.BigEndian.Uint64(k) != e.Index {
+			return fmt.Errorf("entry %x has index %d", k, e.Index)
+		}
+		out.entries = append(out.entries, e)
+		return nil
+	})
+	if err != nil {
+		return s.damaged(err)
+	}
+	if err := out.check(); err != nil {
+		return s.damaged(err)
+	}
+	return nil
+}
+
+// check reports what cannot be the result of whole writes.
+func (s stored) check() error {
+	if s.snapshot.Index == 0 {
+		if len(s.entries) > 0 || s.state.Vote != "" {
+			return errors.New("there are entries or a vote but no founding record")
+		}
+		return nil
+	}
+	if s.state.Term < s.snapshot.Term {
+		return fmt.Errorf("term %d is below the snapshot's term %d", s.state.Term, s.snapshot.Term)
+	}
+	if len(s.entries) > 0 && s.entries[0].Index > s.snapshot.Index+1 {
+		return fmt.Errorf("entries start at %d after the snapshot at %d", s.entries[0].Index, s.snapshot.Index)
+	}
+	for i, e := range s.entries {
+		switch {
+		case i > 0 && e.Index != s.entries[i-1].Index+1:
+			return fmt.Errorf("entry %d follows entry %d", e.Index, s.entries[i-1].Index)
+		case i > 0 && e.Term < s.entries[i-1].Term, e.Term > s.state.Term:
+			return fmt.Errorf("entry %d has term %d out of order", e.Index, e.Term)
+		case e.Kind == EntryMembership && e.Membership == nil:
+			return fmt.Errorf("entry %d lacks its membership", e.Index)
+		}
+	}
+	if n := len(s.entries); n > 0 && s.entries[n-1].Index < s.snapshot.Index {
+		return fmt.Errorf("entries end at %d before the snapshot at %d", s.entries[n-1].Index, s.snapshot.Index)
+	}
+	return nil
+}
+
+func (s *store) damaged(err error) error {
+	return &FolderError{File: s.path, Advice: adviceRepair, Err: fmt.Errorf("the file is damaged: %w", err)}
+}
+
+// save writes the durable part of effects in one synced transaction.
+func (s *store) save(e Effects) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketEntries)
+		if e.State != nil {
+			if err := put(meta, keyState, *e.State); err != nil {
+				return fmt.Errorf("state: %w", err)
+			}
+		}
+		if e.Snapshot != nil {
+			if err := put(meta, keySnapshot, *e.Snapshot); err != nil {
+				return fmt.Errorf("snapshot: %w", err)
+			}
+		}
+		return saveEntries(entries, e)
+	})
+	if err != nil {
+		return &FolderError{File: s.path, Advice: adviceDisk, Err: fmt.Errorf("write: %w", err)}
+	}
+	return nil
+}
+
+func saveEntries(b *bbolt.Bucket, e Effects) error {
+	if e.First != 0 {
+		if err := remove(b, 0, e.First); err != nil {
+			return fmt.Errorf("compaction: %w", err)
+		}
+	}
+	if e.From != 0 {
+		if err := remove(b, e.From+uint64(len(e.Entries)), 0); err != nil {
+			return fmt.Errorf("truncation: %w", err)
+		}
+	}
+	for _, x := range e.Entries {
+		if err := put(b, entryKey(x.Index), x); err != nil {
+			return fmt.Errorf("entry %d: %w", x.Index, err)
+		}
+	}
+	return nil
+}
+
+// remove deletes the entries from an index up to but without another; 0 means no bound.
+func remove(b *bbolt.Bucket, from, to uint64) error {
+	var keys [][]byte
+	c := b.Cursor()
+	for k, _ := c.Seek(entryKey(from)); k != nil; k, _ = c.Next() {
+		if to != 0 && binary.BigEndian.Uint64(k) >= to {
+			break
+		}
+		keys = append(keys, k)
+	}
+	for _, k := range keys {
+		if err := b.Delete(k); err != nil {
+			return fmt.Errorf("delete %x: %w", k, err)
+		}
+	}
+	return nil
+}
+
+func (s *store) close() error {
+	if err := s.db.Close(); err != nil {
+		return fmt.Errorf("close %s: %w", s.path, err)
+	}
+	return nil
+}
+
+func entryKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+func put(b *bbolt.Bucket, key []byte, v any) error {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	value := binary.BigEndian.AppendUint64(make([]byte, 0, 8+len(data)), xxhash.Sum64(data))
+	if err := b.Put(key, append(value, data...)); err != nil {
+		return fmt.Errorf("put: %w", err)
+	}
+	return nil
+}
+
+// get reads a value; a missing one leaves v unchanged.
+func get(b *bbolt.Bucket, key []byte, v any) error {
+	data := b.Get(key)
+	if data == nil {
+		return nil
+	}
+	if err := decode(data, v); err != nil {
+		return fmt.Errorf("value %q: %w", key, err)
+	}
+	return nil
+}
+
+func decode(data []byte, v any) error {
+	if len(data) < 8 || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[8:]) {
+		return errors.New("checksum does not match")
+	}
+	if err := cbor.Unmarshal(data[8:], v); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	return nil
+}
