--- /dev/null
+++ b/session/attempt.go
@@ -0,0 +1,156 @@
+package session
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// place is where a request runs.
+type place struct {
+	target  string
+	host    string
+	primary bool
+	term    uint64
+	epoch   uint64
+}
+
+// attempt is one try to run a request.
+type attempt struct {
+	place
+	unit    jacinthtiller.Unit
+	answer  *answer
+	started time.Time
+	result  jacinthtiller.Result
+	// err is nil when the target answered, be it with an error of its own.
+	err *jacinthtiller.Error
+}
+
+// unit makes the unit for one attempt.
+func (s *session) unit(q *request, p place, deadline time.Time) jacinthtiller.Unit {
+	s.number++
+	u := jacinthtiller.Unit{
+		Number: s.number, Database: s.database, Target: p.target, Term: p.term, Epoch: p.epoch,
+		Team: s.team, Guest: s.role, Session: s.id, Access: q.access, Primary: p.primary,
+		Deadline: deadline, WaitUntil: deadline, Prepares: q.prepares(), Frames: q.frames,
+	}
+	return u
+}
+
+// try runs one unit on a channel and checks that the answer is the unit's own and whole.
+func (s *session) try(ch jacinthtiller.Channel, q *request, p place, u jacinthtiller.Unit) attempt {
+	at := attempt{
+		place: p, unit: u, started: time.Now(),
+		answer: &answer{s: s, q: q, base: len(s.out), primary: p.primary, term: p.term},
+	}
+	if !s.begin(ch) {
+		at.answer.closed = true
+		at.err = jacinthtiller.NotRun(codeCanceled, "", "canceling statement due to user request")
+		return at
+	}
+	r, err := ch.Run(s.server.ctx, u, at.answer.frames)
+	s.end()
+	at.answer.close()
+	at.result = r
+	at.err = at.check(r, err)
+	return at
+}
+
+// check returns nil when the target answered the unit.
+func (at *attempt) check(r jacinthtiller.Result, err error) *jacinthtiller.Error {
+	switch {
+	case err != nil:
+		return at.sure(jacinthtiller.AsError(err))
+	case r.Number != at.unit.Number:
+		return jacinthtiller.Unknown("the answer to request %d has the number %d", at.unit.Number, r.Number)
+	case r.Outcome != jacinthtiller.OutcomeDone && r.Err != nil:
+		return at.sure(r.Err)
+	case r.Outcome == jacinthtiller.OutcomeNotRun:
+		return at.sure(jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, "", "the request was not run"))
+	case r.Outcome != jacinthtiller.OutcomeDone:
+		return jacinthtiller.Unknown("the outcome of the request is unknown")
+	case at.answer.broken != nil:
+		return jacinthtiller.Unknown("%v", at.answer.broken)
+	case at.answer.ready != 1:
+		return jacinthtiller.Unknown("the answer of the target is not whole")
+	case r.Status != 'I' && r.Status != 'T' && r.Status != 'E':
+		return jacinthtiller.Unknown("the answer of the target has no transaction status")
+	}
+	return nil
+}
+
+// sure turns "not run" into "unknown" when frames of an answer contradict it.
+func (at *attempt) sure(e *jacinthtiller.Error) *jacinthtiller.Error {
+	if e.Outcome == jacinthtiller.OutcomeNotRun && (at.answer.sent || at.answer.completed) {
+		return jacinthtiller.Unknown("%s, but an answer had begun", e.Message)
+	}
+	return e
+}
+
+// stale reports whether the result is of a primary that has been replaced.
+func (at *attempt) stale(v jacinthtiller.View) bool {
+	if !at.primary {
+		return false
+	}
+	term := at.result.Position.Term
+	if term == 0 {
+		term = at.unit.Term
+	}
+	return term < v.Databases[at.unit.Database].Term
+}
+
+// begin notes the channel that a cancel request reaches; it is false when the guest has canceled.
+func (s *session) begin(ch jacinthtiller.Channel) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.canceled {
+		return false
+	}
+	s.running = ch
+	return true
+}
+
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = nil
+}
+
+// cancelTime bounds how long the end of a request waits for a cancel of it that is on its way.
+const cancelTime = time.Second
+
+// cancel cancels the guest's request, if one is in progress. The lock is held
+// meanwhile, so that the cancel never reaches a later request.
+func (s *session) cancel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop == nil {
+		return
+	}
+	s.canceled = true
+	if s.running == nil {
+		s.stop()
+		return
+	}
+	ctx, done := context.WithTimeout(context.Background(), cancelTime)
+	defer done()
+	// The target's answer tells the guest whether the cancel had an effect.
+	_ = s.running.Cancel(ctx)
+}
+
+// inProgress makes the context of a request, within which it waits.
+func (s *session) inProgress(deadline time.Time) context.Context {
+	ctx, stop := context.WithDeadline(s.server.ctx, deadline)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop, s.canceled = stop, false
+	return ctx
+}
+
+func (s *session) over() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop()
+	s.stop = nil
+}
--- /dev/null
+++ b/session/classify.go
@@ -0,0 +1,191 @@
+package session
+
+import (
+	"strings"
+	"unicode/utf8"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// verb is the leading word of a statement as far as the session treats it specially.
+type verb byte
+
+const (
+	verbOther verb = iota
+	verbEmpty
+	verbRead // SELECT, WITH, TABLE, VALUES, SHOW
+	verbBegin
+	verbCommit
+	verbRollback
+	verbLocal // answered by the session, see class.command
+)
+
+// class is what the session needs to know of one SQL text.
+type class struct {
+	verb verb
+	// access is AccessRead when a replica may be tried.
+	access jacinthtiller.Access
+	// plain is true for a read that calls no function but well-known ones, so that running it
+	// twice cannot change anything even on the primary.
+	plain bool
+	// count is the number of statements.
+	count int
+	// commits is true when any statement ends a transaction with COMMIT, END or PREPARE TRANSACTION.
+	commits bool
+	// begins is true when any statement begins a transaction.
+	begins bool
+	// refusal is set when a statement cannot run through pooled connections.
+	refusal *fault
+	command *command
+	// readClass and key come from leading comments.
+	readClass, key string
+	// sql is the text without the comments that are meant for the session, offsets kept.
+	sql string
+}
+
+// classify reads an SQL text. It is no parser: what it does not know counts as a write.
+func classify(sql string) class {
+	c := &classifier{class: class{sql: sql, access: jacinthtiller.AccessRead, plain: true}}
+	c.lex = lexer{sql: sql, comment: c.directive}
+	for {
+		t := c.lex.next()
+		if t.kind == tokenEnd {
+			break
+		}
+		if t.punct(';') || (t.punct('(') && !c.started) {
+			continue
+		}
+		c.statement(t)
+	}
+	return c.finish()
+}
+
+// classifier is the state of one reading.
+type classifier struct {
+	class
+	lex lexer
+	// started is true from the first token that is not an opening parenthesis.
+	started bool
+	// verb1 is the verb of the first statement.
+	verb1 verb
+}
+
+func (c *classifier) finish() class {
+	if c.count == 0 {
+		c.verb, c.plain = verbEmpty, false
+		return c.class
+	}
+	c.verb = c.verb1
+	if c.count > 1 {
+		c.access, c.plain = jacinthtiller.AccessWrite, false
+		if c.command != nil && c.refusal == nil {
+			c.refusal = unsupported("statements that the proxy answers cannot be combined with others in one message",
+				"Send the statement alone.")
+		}
+	}
+	return c.class
+}
+
+// statement reads one statement that begins with t, up to its semicolon.
+func (c *classifier) statement(t token) {
+	c.count++
+	c.started = true
+	words := &statementWords{}
+	first := t
+	for ; t.kind != tokenEnd && !t.punct(';'); t = c.lex.next() {
+		words.add(t)
+	}
+	c.started = false
+	v := c.kind(first, words)
+	if c.count == 1 {
+		c.verb1 = v
+	}
+	if v != verbRead || words.modifies {
+		c.access = jacinthtiller.AccessWrite
+	}
+	if v == verbBegin && words.readOnly {
+		c.access = jacinthtiller.AccessRead
+	}
+	c.plain = c.plain && c.access == jacinthtiller.AccessRead && !words.calls
+	if f := words.refusal(); f != nil && c.refusal == nil {
+		c.refusal = f
+	}
+}
+
+// kind returns the verb of a statement and notes what it does to transactions.
+func (c *classifier) kind(first token, w *statementWords) verb {
+	if first.kind != tokenWord {
+		return verbOther
+	}
+	if w.command(c) {
+		return verbLocal
+	}
+	switch strings.ToLower(first.text) {
+	case "select", "with", "table", "values", "show":
+		return verbRead
+	case "begin":
+		c.begins = true
+		return verbBegin
+	case "start":
+		if w.second.is("transaction") {
+			c.begins = true
+			return verbBegin
+		}
+	case "commit", "end":
+		c.commits = true
+		if w.second.is("prepared") {
+			return verbOther
+		}
+		return verbCommit
+	case "prepare":
+		c.commits = c.commits || w.second.is("transaction")
+	case "rollback", "abort":
+		if w.to || w.second.is("prepared") {
+			return verbOther
+		}
+		return verbRollback
+	}
+	return verbOther
+}
+
+// directive takes a comment: those before the first token may be meant for the session.
+func (c *classifier) directive(start, end int) {
+	if c.count > 0 || c.started {
+		return
+	}
+	text := c.lex.sql[start:end]
+	if !strings.HasPrefix(text, "/*") || !strings.HasSuffix(text, "*/") || len(text) < 4 {
+		return
+	}
+	name, value, ok := strings.Cut(text[2:len(text)-2], ":")
+	if !ok {
+		return
+	}
+	value = strings.TrimSpace(value)
+	switch settingName(strings.TrimSpace(name)) {
+	case "read-class":
+		c.readClass = value
+	case "idempotency-key":
+		c.key = value
+	default:
+		return
+	}
+	// One space per character keeps the character positions in the target's errors right.
+	blank := strings.Repeat(" ", utf8.RuneCountInString(text))
+	c.sql = c.sql[:start+len(c.sql)-len(c.lex.sql)] + blank + c.sql[end+len(c.sql)-len(c.lex.sql):]
+}
+
+// safeCalls are words before an opening parenthesis that call nothing or only a function that changes nothing.
+var safeCalls = func() map[string]bool {
+	out := map[string]bool{}
+	for w := range strings.FieldsSeq(`select from where and or not in as on using over partition by values exists any all some
+		case when then else union except intersect distinct filter within group order limit offset join lateral with
+		materialized recursive like ilike between is having cast
+		abs array_agg avg bool_and bool_or ceil char_length coalesce concat count date_part date_trunc exp extract floor
+		greatest json_agg jsonb_agg json_build_object jsonb_build_object least left length lower ltrim max min mod
+		now nullif position power rank replace right round row row_number rtrim sqrt string_agg substr substring sum
+		to_char to_date to_timestamp trim trunc upper varchar char numeric decimal timestamp interval`) {
+		out[w] = true
+	}
+	return out
+}()
--- /dev/null
+++ b/session/errors.go
@@ -0,0 +1,76 @@
+package session
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// SQLSTATE codes that the session uses besides those of the root package.
+const (
+	codeProtocol           = "08P01" // protocol_violation
+	codeTooManyConnections = "53300" // too_many_connections
+	codeTooLarge           = "54000" // program_limit_exceeded
+	codeAdminShutdown      = "57P01" // admin_shutdown
+	codeCannotConnect      = "57P03" // cannot_connect_now
+	codeCanceled           = "57014" // query_canceled
+	codePassword           = "28P01" // invalid_password
+	codeAuthorization      = "28000" // invalid_authorization_specification
+	codeNoDatabase         = "3D000" // invalid_catalog_name
+	codePrivilege          = "42501" // insufficient_privilege
+	codeFailedTransaction  = "25P02" // in_failed_sql_transaction
+	codeIdleTransaction    = "25P03" // idle_in_transaction_session_timeout
+	codeNoStatement        = "26000" // invalid_sql_statement_name
+	codeDuplicateStatement = "42P05" // duplicate_prepared_statement
+	codeInvalidValue       = "22023" // invalid_parameter_value
+	codeUnknownParameter   = "42704" // undefined_object
+	codeEncoding           = "22021" // character_not_in_repertoire
+)
+
+// fault is an error that is reported to the guest.
+type fault struct {
+	code    string
+	message string
+	hint    string
+	// fatal ends the connection.
+	fatal bool
+}
+
+// Error returns the message with its SQLSTATE.
+func (f *fault) Error() string { return fmt.Sprintf("%s (%s)", f.message, f.code) }
+
+func (f *fault) response() *pgproto3.ErrorResponse {
+	severity := "ERROR"
+	if f.fatal {
+		severity = "FATAL"
+	}
+	return &pgproto3.ErrorResponse{
+		Severity: severity, SeverityUnlocalized: severity,
+		Code: f.code, Message: f.message, Hint: f.hint,
+	}
+}
+
+func newFault(code, format string, args ...any) *fault {
+	return &fault{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+func fatal(code, format string, args ...any) *fault {
+	return &fault{code: code, message: fmt.Sprintf(format, args...), fatal: true}
+}
+
+func unsupported(message, hint string) *fault {
+	return &fault{code: jacinthtiller.CodeNotSupported, message: message, hint: hint}
+}
+
+// fromError turns an outcome into what the guest is told.
+func fromError(e *jacinthtiller.Error) *fault { return &fault{code: e.Code, message: e.Message} }
+
+// asFault finds a fault in the chain of err.
+func asFault(err error) (*fault, bool) {
+	var f *fault
+	ok := errors.As(err, &f)
+	return f, ok
+}
--- /dev/null
+++ b/session/frame.go
@@ -0,0 +1,139 @@
+package session
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+)
+
+const (
+	// readBuffer is held by every guest, so it is small; bodies that are larger are read directly.
+	readBuffer = 512
+	// headerSize is the size of a message's type and length.
+	headerSize = 5
+	// growth bounds how much memory is taken for a body before its bytes arrive.
+	growth = 64 << 10
+	// keptBuffer is the greatest buffer that goes back to the pool.
+	keptBuffer = 64 << 10
+)
+
+// buffers holds byte slices for messages and answers; idle guests hold none.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
+
+func takeBuffer() []byte {
+	b := buffers.Get().(*[]byte)
+	return (*b)[:0]
+}
+
+func returnBuffer(b []byte) {
+	if b != nil && cap(b) <= keptBuffer {
+		buffers.Put(&b)
+	}
+}
+
+// reader splits what a guest sends into messages.
+type reader struct {
+	r *bufio.Reader
+	// limit is the greatest size of a message's body in bytes.
+	limit int
+	// body holds the newest message; nil while the guest is idle.
+	body []byte
+}
+
+func newReader(r io.Reader, limit int) *reader {
+	return &reader{r: bufio.NewReaderSize(r, readBuffer), limit: limit}
+}
+
+// buffered reports whether bytes of a next message have arrived.
+func (r *reader) buffered() bool { return r.r.Buffered() > 0 }
+
+// release gives the buffer of the newest message back.
+func (r *reader) release() {
+	returnBuffer(r.body)
+	r.body = nil
+}
+
+// next returns the type and the body of the next message. The body is valid until the next call.
+func (r *reader) next() (byte, []byte, error) {
+	head, err := r.r.Peek(headerSize)
+	if err != nil {
+		if len(head) > 0 && err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return 0, nil, fmt.Errorf("read the header of a message: %w", err)
+	}
+	kind, size := head[0], int(int32(binary.BigEndian.Uint32(head[1:])))-4
+	if size < 0 {
+		return 0, nil, fatal(codeProtocol, "invalid message length %d", size+4)
+	}
+	if size > r.limit {
+		return 0, nil, fatal(codeTooLarge, "message of %d bytes exceeds the limit of %d", size, r.limit)
+	}
+	if _, err := r.r.Discard(headerSize); err != nil {
+		return 0, nil, fmt.Errorf("read the header of a message: %w", err)
+	}
+	if err := r.read(size); err != nil {
+		return 0, nil, err
+	}
+	return kind, r.body, nil
+}
+
+// startup returns the first packet of a connection, which has no type, with its length.
+func (r *reader) startup(limit int) ([]byte, error) {
+	head, err := r.r.Peek(4)
+	if err != nil {
+		return nil, fmt.Errorf("read the length of the startup packet: %w", err)
+	}
+	size := int(int32(binary.BigEndian.Uint32(head)))
+	if size < 8 || size > limit {
+		return nil, fatal(codeProtocol, "invalid length of startup packet")
+	}
+	if err := r.read(size); err != nil {
+		return nil, err
+	}
+	return r.body, nil
+}
+
+// read fills the body with the next bytes, growing it as they arrive.
+func (r *reader) read(size int) error {
+	if r.body == nil {
+		r.body = takeBuffer()
+	}
+	r.body = r.body[:0]
+	for len(r.body) < size {
+		n := min(size-len(r.body), growth)
+		at := len(r.body)
+		r.body = slices.Grow(r.body, n)[:at+n]
+		if _, err := io.ReadFull(r.r, r.body[at:]); err != nil {
+			return fmt.Errorf("read a message of %d bytes: %w", size, err)
+		}
+	}
+	return nil
+}
+
+// cutString splits a body after a string that ends in a zero byte.
+func cutString(body []byte) (s string, rest []byte, ok bool) {
+	i := bytes.IndexByte(body, 0)
+	if i < 0 {
+		return "", nil, false
+	}
+	return string(body[:i]), body[i+1:], true
+}
+
+// appendFrame appends a message made of the parts.
+func appendFrame(out []byte, kind byte, parts ...[]byte) []byte {
+	size := 4
+	for _, p := range parts {
+		size += len(p)
+	}
+	out = append(out, kind)
+	out = binary.BigEndian.AppendUint32(out, uint32(size))
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
--- /dev/null
+++ b/session/local.go
@@ -0,0 +1,137 @@
+package session
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// textType is the object identifier of PostgreSQL's type text.
+const textType = 25
+
+// local reports whether the session itself answers a statement at this moment.
+func (s *session) local(c *class) bool {
+	switch {
+	case c.verb == verbLocal, c.verb == verbEmpty, s.txn.lost():
+		return true
+	case c.verb == verbCommit, c.verb == verbRollback:
+		return s.txn == nil && c.count == 1
+	}
+	return false
+}
+
+// allLocal reports whether the session answers all statements of a request, and
+// whether it answers any.
+func (s *session) allLocal(q *request) (all, some bool) {
+	all = true
+	for _, st := range q.steps {
+		switch {
+		case st.st == nil && st.kind == 'D': // a portal of an earlier request
+			all = all && q.bound(st.portal)
+		case st.st == nil && st.kind == 'E':
+			all = all && q.bound(st.portal)
+		case st.st == nil:
+		case !s.local(&st.st.class):
+			all = false
+		case st.st.class.verb == verbLocal:
+			some = true
+		}
+	}
+	return all, some
+}
+
+// bound reports whether this request binds the portal.
+func (q *request) bound(portal string) bool {
+	for _, st := range q.steps {
+		if st.kind == 'B' && st.portal == portal {
+			return true
+		}
+	}
+	return false
+}
+
+// answerLocal runs a statement that the session answers and appends its result.
+func (s *session) answerLocal(c *class, describe bool) *fault {
+	switch {
+	case s.txn.lost() && (c.verb == verbCommit || c.verb == verbRollback):
+		s.txn = nil
+		s.send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+		return nil
+	case s.status() == 'E' && c.verb != verbEmpty:
+		return newFault(codeFailedTransaction, "current transaction is aborted, commands ignored until end of transaction block")
+	case c.verb == verbEmpty:
+		s.send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	case c.verb == verbCommit, c.verb == verbRollback:
+		s.noTransaction(c.verb)
+		return nil
+	}
+	value, f := s.execute(c.command)
+	if f != nil {
+		return f
+	}
+	if c.command.kind == commandShow {
+		if describe {
+			s.send(showDescription(c.command))
+		}
+		s.send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	}
+	s.send(&pgproto3.CommandComplete{CommandTag: []byte(c.command.tag)})
+	return nil
+}
+
+// noTransaction answers COMMIT or ROLLBACK outside a transaction as PostgreSQL does.
+func (s *session) noTransaction(v verb) {
+	tag := "ROLLBACK"
+	if v == verbCommit {
+		tag = "COMMIT"
+	}
+	s.send(&pgproto3.NoticeResponse{
+		Severity: "WARNING", SeverityUnlocalized: "WARNING", Code: "25P01", Message: "there is no transaction in progress",
+	})
+	s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+func showDescription(c *command) *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+		Name: []byte(settingPrefix + c.name), DataTypeOID: textType, DataTypeSize: -1, TypeModifier: -1,
+	}}}
+}
+
+// answerSteps answers a request of the extended protocol whose statements are all local.
+func (s *session) answerSteps(q *request) *fault {
+	portals := map[string]*statement{}
+	for _, st := range q.steps {
+		if st.st == nil && st.kind != 'C' {
+			st.st = portals[st.portal]
+		}
+		switch st.kind {
+		case 'P':
+			s.send(&pgproto3.ParseComplete{})
+		case 'B':
+			portals[st.portal] = st.st
+			s.send(&pgproto3.BindComplete{})
+		case 'C':
+			s.send(&pgproto3.CloseComplete{})
+		case 'D':
+			s.describeLocal(&st)
+		case 'E':
+			if f := s.answerLocal(&st.st.class, false); f != nil {
+				return f
+			}
+		}
+	}
+	s.remember(q, len(q.parses))
+	return nil
+}
+
+// describeLocal answers Describe; a statement is described with its parameters, a portal without.
+func (s *session) describeLocal(st *step) {
+	c := &st.st.class
+	if !st.ofPortal {
+		s.send(&pgproto3.ParameterDescription{})
+	}
+	if c.command != nil && c.command.kind == commandShow {
+		s.send(showDescription(c.command))
+		return
+	}
+	s.send(&pgproto3.NoData{})
+}
--- /dev/null
+++ b/session/options.go
@@ -0,0 +1,118 @@
+package session
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/document"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/replica"
+)
+
+// Directory answers what operators decided for teams and roles.
+type Directory interface {
+	Role(name string) (document.Role, document.Team, bool)
+	Class(team, name string) (document.ReadClass, bool)
+}
+
+// Views gives the newest view.
+type Views interface {
+	View() jacinthtiller.View
+	// Changed returns a channel that is closed when the view has changed after the call.
+	Changed() <-chan struct{}
+}
+
+const (
+	// messageTime is how long a message may take from its first byte to its last.
+	messageTime = time.Minute
+	// writeTime is how long a guest may take to read a part of an answer; meanwhile its slot is held.
+	writeTime = time.Minute
+	// defaultReplicaWait is how long a read may wait for a replica to reach its mark; it covers
+	// the round trip between regions and the usual lag.
+	defaultReplicaWait = 50 * time.Millisecond
+	defaultIdle        = time.Minute
+	defaultStartup     = 10 * time.Second
+)
+
+// limits are what guests may use.
+type limits struct {
+	messageBytes    int
+	statements      int
+	unauthenticated int
+	// Times are kept in microseconds.
+	startupMicroseconds, idleMicroseconds, replicaWaitMicroseconds int64
+}
+
+func (l *limits) replicaWait(now, deadline time.Time) time.Time {
+	until := now.Add(time.Duration(l.replicaWaitMicroseconds) * time.Microsecond)
+	if until.After(deadline) {
+		return deadline
+	}
+	return until
+}
+
+func (l *limits) idleTransaction(now time.Time) time.Time {
+	return now.Add(time.Duration(l.idleMicroseconds) * time.Microsecond)
+}
+
+func (l *limits) startup(now time.Time) time.Time {
+	return now.Add(time.Duration(l.startupMicroseconds) * time.Microsecond)
+}
+
+// Option changes a Server that is being made.
+type Option func(*Server)
+
+// WithHost names the host on which the server runs, for the distance to targets.
+func WithHost(h jacinthtiller.Host) Option { return func(s *Server) { s.host = h } }
+
+// WithViews sets where the newest view comes from.
+func WithViews(v Views) Option { return func(s *Server) { s.views = v } }
+
+// WithDirectory sets where the newest directory of the document comes from.
+func WithDirectory(f func() Directory) Option { return func(s *Server) { s.directory = f } }
+
+// WithOpener sets how channels to owner hosts are opened.
+func WithOpener(o jacinthtiller.Opener) Option { return func(s *Server) { s.opener = o } }
+
+// WithMarks sets who asks for guests' marks. Without it reads of guests who may
+// write go to the primary, unless the guest brings a mark.
+func WithMarks(m *replica.Marks) Option { return func(s *Server) { s.marks = m } }
+
+// WithPositions shares what is known of targets' positions.
+func WithPositions(p *replica.Positions) Option { return func(s *Server) { s.positions = p } }
+
+// WithEvents sets the log.
+func WithEvents(l *event.Log) Option { return func(s *Server) { s.events = l } }
+
+// WithTLS sets the configuration for guests that ask for TLS. It is called per
+// connection, so that certificates can be renewed; nil refuses TLS.
+func WithTLS(f func() *tls.Config) Option { return func(s *Server) { s.tls = f } }
+
+// WithServerVersion sets the version that guests are told.
+func WithServerVersion(v string) Option { return func(s *Server) { s.version = v } }
+
+// WithMessageLimit bounds a message, and the messages up to one Sync, in bytes. The default is 64 MB.
+func WithMessageLimit(n int) Option { return func(s *Server) { s.limits.messageBytes = n } }
+
+// WithStatementLimit bounds a guest's prepared statements. The default is 1,000.
+func WithStatementLimit(n int) Option { return func(s *Server) { s.limits.statements = n } }
+
+// WithUnauthenticatedLimit bounds the connections that have not logged in; more
+// wait in the listener's queue. The default is 256.
+func WithUnauthenticatedLimit(n int) Option { return func(s *Server) { s.limits.unauthenticated = n } }
+
+// WithStartupTime bounds the time from accepting a connection to the end of its login. The default is 10 s.
+func WithStartupTime(d time.Duration) Option {
+	return func(s *Server) { s.limits.startupMicroseconds = d.Microseconds() }
+}
+
+// WithIdleTransactionTime bounds how long a guest may leave a transaction idle. The default is one minute.
+func WithIdleTransactionTime(d time.Duration) Option {
+	return func(s *Server) { s.limits.idleMicroseconds = d.Microseconds() }
+}
+
+// WithReplicaWait bounds how long a read may wait for a replica to reach its mark. The default is 50 ms.
+func WithReplicaWait(d time.Duration) Option {
+	return func(s *Server) { s.limits.replicaWaitMicroseconds = d.Microseconds() }
+}
--- /dev/null
+++ b/session/prepared.go
@@ -0,0 +1,253 @@
+package session
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// closedName is the statement that Close is sent for: the guest's own name is not
+// known on the target, and closing a name that does not exist is no error.
+const closedName = "jt_closed"
+
+// statement is a guest's prepared statement.
+type statement struct {
+	class class
+	types []uint32
+	// name is the statement's name on targets' connections.
+	name string
+}
+
+func newStatement(c class, types []uint32) *statement {
+	var d xxhash.Digest
+	d.Reset()
+	hashString(&d, c.sql)
+	hashTypes(&d, types)
+	return &statement{class: c, types: slices.Clone(types), name: fmt.Sprintf("jt_%016x_%x", d.Sum64(), len(c.sql))}
+}
+
+func (st *statement) prepare() jacinthtiller.Statement {
+	return jacinthtiller.Statement{Name: st.name, SQL: st.class.sql, Types: st.types}
+}
+
+func (st *statement) same(o *statement) bool {
+	return st.class.sql == o.class.sql && slices.Equal(st.types, o.types)
+}
+
+// hashString adds s with its length, so that two strings never hash like one.
+func hashString(d *xxhash.Digest, s string) {
+	var size [8]byte
+	_, _ = d.Write(binary.BigEndian.AppendUint64(size[:0], uint64(len(s))))
+	_, _ = d.WriteString(s)
+}
+
+func hashTypes(d *xxhash.Digest, types []uint32) {
+	for _, t := range types {
+		var b [4]byte
+		_, _ = d.Write(binary.BigEndian.AppendUint32(b[:0], t))
+	}
+}
+
+// parsed is a Parse message that was put into the frames.
+type parsed struct {
+	name string
+	st   *statement
+	// repeated is true when the session added it and the guest must not see its answer.
+	repeated bool
+}
+
+// add puts one message of the extended protocol into the request.
+func (q *request) add(s *session, kind byte, body []byte) *fault {
+	q.size += len(body)
+	if q.size > s.server.limits.messageBytes {
+		return newFault(codeTooLarge, "messages before Sync exceed %d bytes", s.server.limits.messageBytes)
+	}
+	switch kind {
+	case 'P':
+		return q.parse(s, body)
+	case 'B':
+		return q.bind(s, body)
+	case 'D':
+		return q.describe(s, body)
+	case 'C':
+		return q.close(body)
+	case 'E':
+		return q.execute(body)
+	}
+	return fatal(codeProtocol, "invalid message type %q", kind)
+}
+
+// lookup finds a statement by the guest's name; here is true when this request prepared it.
+func (q *request) lookup(s *session, name string) (st *statement, here bool) {
+	if st, ok := q.names[name]; ok {
+		return st, true
+	}
+	return s.statements[name], false
+}
+
+func (q *request) setName(name string, st *statement) {
+	if q.names == nil {
+		q.names = map[string]*statement{}
+	}
+	q.names[name] = st
+}
+
+func (q *request) parse(s *session, body []byte) *fault {
+	var m pgproto3.Parse
+	if err := m.Decode(body); err != nil {
+		return fatal(codeProtocol, "invalid Parse message")
+	}
+	if st, _ := q.lookup(s, m.Name); m.Name != "" && st != nil {
+		return newFault(codeDuplicateStatement, "prepared statement %q already exists", m.Name)
+	}
+	if len(s.statements) >= s.server.limits.statements && m.Name != "" {
+		return newFault(codeTooLarge, "more than %d prepared statements", s.server.limits.statements)
+	}
+	c := classify(m.Query)
+	if c.refusal != nil {
+		return c.refusal
+	}
+	st := newStatement(c, m.ParameterOIDs)
+	q.setName(m.Name, st)
+	q.sendParse(m.Name, st, false)
+	q.use(&st.class, false)
+	q.steps = append(q.steps, step{kind: 'P', st: st})
+	return nil
+}
+
+// sendParse prepares st as the unnamed statement of the target's connection: it
+// needs no name there, because later requests name it in Unit.Prepares.
+func (q *request) sendParse(name string, st *statement, repeated bool) {
+	m := pgproto3.Parse{Query: st.class.sql, ParameterOIDs: st.types}
+	q.frames = encode(q.frames, &m)
+	q.parses = append(q.parses, parsed{name: name, st: st, repeated: repeated})
+	q.current = st
+}
+
+// targetName returns the name of the statement on the target and makes sure that it exists there.
+func (q *request) targetName(s *session, name string) (*statement, string, *fault) {
+	st, here := q.lookup(s, name)
+	if st == nil {
+		return nil, "", newFault(codeNoStatement, "prepared statement %q does not exist", name)
+	}
+	if here {
+		if q.current != st {
+			q.sendParse(name, st, true)
+		}
+		return st, "", nil
+	}
+	for _, p := range q.used {
+		if p.name == st.name {
+			if !p.same(st) {
+				return nil, "", newFault(codeNoStatement, "prepared statement %q must be prepared again", name)
+			}
+			return st, st.name, nil
+		}
+	}
+	q.used = append(q.used, st)
+	return st, st.name, nil
+}
+
+func (q *request) bind(s *session, body []byte) *fault {
+	portal, rest, ok := cutString(body)
+	name, rest, ok2 := cutString(rest)
+	if !ok || !ok2 || (&pgproto3.Bind{}).Decode(body) != nil {
+		return fatal(codeProtocol, "invalid Bind message")
+	}
+	st, target, f := q.targetName(s, name)
+	if f != nil {
+		return f
+	}
+	q.frames = appendFrame(q.frames, 'B', zero(portal), zero(target), rest)
+	q.use(&st.class, true)
+	q.hash(&st.class, st.types, rest)
+	q.steps = append(q.steps, step{kind: 'B', st: st, portal: portal})
+	q.executes = true
+	return nil
+}
+
+func (q *request) describe(s *session, body []byte) *fault {
+	if len(body) < 2 {
+		return fatal(codeProtocol, "invalid Describe message")
+	}
+	name, rest, ok := cutString(body[1:])
+	if !ok || len(rest) > 0 || (body[0] != 'S' && body[0] != 'P') {
+		return fatal(codeProtocol, "invalid Describe message")
+	}
+	if body[0] == 'P' {
+		q.frames = appendFrame(q.frames, 'D', body)
+		q.steps = append(q.steps, step{kind: 'D', portal: name, ofPortal: true})
+		q.executes = true
+		return nil
+	}
+	st, target, f := q.targetName(s, name)
+	if f != nil {
+		return f
+	}
+	q.frames = appendFrame(q.frames, 'D', body[:1], zero(target))
+	q.use(&st.class, false)
+	q.steps = append(q.steps, step{kind: 'D', st: st})
+	return nil
+}
+
+func (q *request) close(body []byte) *fault {
+	if len(body) < 2 {
+		return fatal(codeProtocol, "invalid Close message")
+	}
+	name, rest, ok := cutString(body[1:])
+	if !ok || len(rest) > 0 || (body[0] != 'S' && body[0] != 'P') {
+		return fatal(codeProtocol, "invalid Close message")
+	}
+	q.steps = append(q.steps, step{kind: 'C'})
+	if body[0] == 'P' {
+		q.frames = appendFrame(q.frames, 'C', body)
+		return nil
+	}
+	q.setName(name, nil)
+	q.closes = true
+	q.frames = appendFrame(q.frames, 'C', body[:1], zero(closedName))
+	return nil
+}
+
+func (q *request) execute(body []byte) *fault {
+	portal, rest, ok := cutString(body)
+	if !ok || len(rest) != 4 {
+		return fatal(codeProtocol, "invalid Execute message")
+	}
+	q.frames = appendFrame(q.frames, 'E', body)
+	q.hashBytes(body)
+	q.steps = append(q.steps, step{kind: 'E', portal: portal})
+	q.executes = true
+	return nil
+}
+
+// zero returns s with the zero byte that ends a string in a message.
+func zero(s string) []byte { return append([]byte(s), 0) }
+
+// remember keeps the statements whose Parse the target answered, and forgets the closed ones.
+func (s *session) remember(q *request, answered int) {
+	for _, p := range q.parses[:min(answered, len(q.parses))] {
+		if !p.repeated {
+			s.setStatement(p.name, p.st)
+		}
+	}
+	if q.closes {
+		for name, st := range q.names {
+			if st == nil {
+				delete(s.statements, name)
+			}
+		}
+	}
+}
+
+func (s *session) setStatement(name string, st *statement) {
+	if s.statements == nil {
+		s.statements = map[string]*statement{}
+	}
+	s.statements[name] = st
+}
--- /dev/null
+++ b/session/request.go
@@ -0,0 +1,124 @@
+package session
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// request is what a guest sent up to one Query, Sync or Flush.
+type request struct {
+	// frames are the messages for the target.
+	frames []byte
+	size   int
+	// parses are the Parse messages in frames, in order.
+	parses []parsed
+	// used are statements of earlier requests that frames refer to.
+	used []*statement
+	// names are the guest's names that this request prepared, or closed when nil.
+	names map[string]*statement
+	// current is the unnamed statement that the target's connection has at the end of frames.
+	current *statement
+	steps   []step
+	closes  bool
+	// executes is true when there is more than Parse, Describe of a statement, and Close.
+	executes bool
+	// partial is true for a request that ended in Flush: the guest gets no ReadyForQuery.
+	partial bool
+
+	access jacinthtiller.Access
+	// plain is true when the request may run twice on the primary; see class.plain.
+	plain           bool
+	begins, commits bool
+	// beginOnly is true for a single BEGIN, which changes nothing when it runs twice.
+	beginOnly      bool
+	readClass, key string
+	digest         xxhash.Digest
+}
+
+// step is one message of the extended protocol, for requests that the session answers.
+type step struct {
+	kind byte
+	// st is nil for a message about a portal.
+	st     *statement
+	portal string
+	// ofPortal is true for Describe of a portal.
+	ofPortal bool
+}
+
+func newRequest() *request {
+	q := &request{frames: takeBuffer(), access: jacinthtiller.AccessRead, plain: true}
+	q.digest.Reset()
+	return q
+}
+
+// release gives the request's buffer back.
+func (q *request) release() {
+	returnBuffer(q.frames)
+	q.frames = nil
+}
+
+// use notes that the request prepares or runs an SQL text.
+func (q *request) use(c *class, runs bool) {
+	if c.access == jacinthtiller.AccessWrite {
+		q.access = jacinthtiller.AccessWrite
+	}
+	if !runs {
+		return
+	}
+	q.plain = q.plain && c.plain
+	q.beginOnly = c.verb == verbBegin && c.count == 1 && !q.executes
+	q.begins = q.begins || c.begins
+	q.commits = q.commits || c.commits
+	if c.readClass != "" {
+		q.readClass = c.readClass
+	}
+	if c.key != "" {
+		q.key = c.key
+	}
+}
+
+func (q *request) hash(c *class, types []uint32, parameters []byte) {
+	hashString(&q.digest, c.sql)
+	hashTypes(&q.digest, types)
+	q.hashBytes(parameters)
+}
+
+func (q *request) hashBytes(b []byte) { _, _ = q.digest.Write(b) }
+
+// simple makes a request of a Query message.
+func simple(c *class) *request {
+	q := newRequest()
+	q.use(c, true)
+	q.hash(c, nil, nil)
+	q.frames = encode(q.frames, &pgproto3.Query{String: c.sql})
+	return q
+}
+
+// sync ends the frames of the extended protocol.
+func (q *request) sync() { q.frames = appendFrame(q.frames, 'S') }
+
+// prepares lists the statements of earlier requests for Unit.Prepares.
+func (q *request) prepares() []jacinthtiller.Statement {
+	if len(q.used) == 0 {
+		return nil
+	}
+	out := make([]jacinthtiller.Statement, len(q.used))
+	for i, st := range q.used {
+		out[i] = st.prepare()
+	}
+	return out
+}
+
+// encode appends a message. The messages that the session makes itself are always small enough to encode.
+func encode(out []byte, m pgproto3.Message) []byte {
+	type encoder interface {
+		Encode(dst []byte) ([]byte, error)
+	}
+	next, err := m.(encoder).Encode(out)
+	if err != nil {
+		return out
+	}
+	return next
+}
--- /dev/null
+++ b/session/run.go
@@ -0,0 +1,341 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/document"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/replica"
+)
+
+const (
+	// firstBackoff and lastBackoff bound the wait between attempts; a change of view ends it.
+	firstBackoff = 2 * time.Millisecond
+	lastBackoff  = 100 * time.Millisecond
+)
+
+// run is a request outside a transaction on its way.
+type run struct {
+	s        *session
+	q        *request
+	role     document.Role
+	team     document.Team
+	class    document.ReadClass
+	ctx      context.Context
+	deadline time.Time
+	// mark and need are set when known is true; see replica.Query.
+	mark, need jacinthtiller.Position
+	known      bool
+	ageUnknown bool
+	// refused is true after a replica refused the request as a write.
+	refused bool
+	// tried are the replicas that did not run the request.
+	tried    map[string]bool
+	attempts int
+	// pauses counts the waits, which grow.
+	pauses     int
+	candidates []replica.Candidate
+	// unknown is the first unknown outcome; the guest must not be told "not run" after it.
+	unknown *jacinthtiller.Error
+	// last is the newest reason for which the request did not run.
+	last *jacinthtiller.Error
+	why  replica.Reason
+}
+
+// outside runs a request outside a transaction: it routes it, and sends it again
+// as long as it is proved not to have run.
+func (s *session) outside(q *request) *fault {
+	role, team, f := s.permitted()
+	if f != nil {
+		return f
+	}
+	now := time.Now()
+	r := &run{s: s, q: q, role: role, team: team, deadline: team.QueueDeadline(now)}
+	if r.class, f = s.class(q); f != nil {
+		return f
+	}
+	r.ctx = s.inProgress(r.deadline)
+	defer s.over()
+	for {
+		done, f := r.step()
+		if done || f != nil {
+			return f
+		}
+	}
+}
+
+// step makes one decision and one attempt. It is done when the guest has the answer.
+func (r *run) step() (bool, *fault) {
+	changed := r.s.server.views.Changed()
+	v := r.s.server.views.View()
+	if _, ok := v.Databases[r.s.database]; !ok {
+		r.last = jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, "", "database %q has no target yet", r.s.database)
+		return false, r.pause(changed)
+	}
+	d := r.decide(v)
+	r.why = d.Reason
+	switch d.Action {
+	case replica.ActionRefuse:
+		return false, r.fail(jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, "", "database %q has no primary", r.s.database))
+	case replica.ActionWait:
+		if r.last == nil {
+			r.last = jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, "", "database %q has no suitable target", r.s.database)
+		}
+		r.tried = nil
+		return false, r.pause(changed)
+	}
+	at, ch := r.attempt(v, d)
+	done, f := r.judge(&at, ch, changed)
+	if ch != nil && (r.s.txn == nil || r.s.txn.channel != ch) {
+		r.s.closeChannel(ch)
+	}
+	return done, f
+}
+
+// decide routes the request, after it has asked for the guest's mark if that may matter.
+func (r *run) decide(v jacinthtiller.View) replica.Decision {
+	now := time.Now()
+	r.candidates = r.s.server.positions.Candidates(r.candidates[:0], v, r.s.server.host, r.s.database, r.tried)
+	q := replica.Query{
+		Access: r.q.access, Primary: r.refused, PrimaryReason: "",
+		NoPrimary: r.role.Access == document.AccessReadOnly && !r.harmless(),
+		Missing:   r.team.PrimaryMissing, Spread: rand.Uint64(),
+		StaleSince: now.Add(-time.Duration(r.team.StaleAgeMicroseconds) * time.Microsecond),
+		WaitUntil:  r.s.server.limits.replicaWait(now, r.deadline),
+	}
+	if r.refused {
+		q.PrimaryReason = replica.ReasonRefused
+	}
+	if q.NoPrimary {
+		q.Access = jacinthtiller.AccessRead // a replica refuses writes, so that it may see anything
+	}
+	if q.Access == jacinthtiller.AccessRead && !r.refused && hasReplica(r.candidates) {
+		r.learn(now)
+		r.candidates = r.s.server.positions.Candidates(r.candidates[:0], v, r.s.server.host, r.s.database, r.tried)
+		q.MarkUnknown, q.AgeUnknown, q.Need, q.Mark = !r.known, r.ageUnknown, r.need, r.mark
+	}
+	return replica.Route(q, r.candidates, now)
+}
+
+// harmless reports whether the request may run on the primary for a role that must not write.
+func (r *run) harmless() bool { return r.q.access == jacinthtiller.AccessRead && r.q.plain }
+
+// learn finds the position that a replica must have. It asks the primary's owner
+// when the guest may have written through another session, or when nothing recent
+// enough is known for the class's age. The question is sent after the request arrived.
+func (r *run) learn(now time.Time) {
+	if r.known && !r.ageUnknown {
+		return
+	}
+	r.mark, r.known = r.s.settings.mark, !r.asksMark()
+	age := time.Duration(r.class.MaxAgeMicroseconds) * time.Microsecond
+	r.need, r.ageUnknown = r.mark, false
+	recent, fresh := jacinthtiller.Position{}, true
+	if age > 0 {
+		recent, fresh = r.s.server.positions.Needed(r.s.database, now.Add(-age))
+	}
+	if (!r.known || !fresh) && r.s.server.marks != nil {
+		answer, err := r.s.server.marks.Ask(r.ctx, r.s.database, r.s.role)
+		if err == nil {
+			if !r.known {
+				r.mark = r.mark.Max(answer.Marks[r.s.role])
+			}
+			r.known, recent, fresh = true, answer.Position, true
+		}
+	}
+	r.need = r.mark
+	if age > 0 {
+		r.need, r.ageUnknown = r.mark.Max(recent), !fresh
+	}
+}
+
+// asksMark reports whether the guest may have writes that its session does not know of.
+func (r *run) asksMark() bool {
+	return r.role.Access != document.AccessReadOnly && !r.s.settings.brought
+}
+
+// attempt opens a channel and runs the request once.
+func (r *run) attempt(v jacinthtiller.View, d replica.Decision) (attempt, jacinthtiller.Channel) {
+	t := v.Databases[r.s.database]
+	p := place{
+		target: d.Target, host: t.Targets[d.Target].Owner, primary: d.Target == t.Primary,
+		term: t.Term, epoch: t.Targets[d.Target].Epoch,
+	}
+	r.attempts++
+	ch, err := r.s.server.opener.Open(r.ctx, p.host)
+	if err != nil {
+		e := jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, jacinthtiller.ReasonTarget, "host %q cannot be reached: %v", p.host, err)
+		return attempt{place: p, err: e, answer: &answer{s: r.s, base: len(r.s.out)}}, nil
+	}
+	u := r.s.unit(r.q, p, r.deadline)
+	u.Mark, u.WaitUntil = d.Need, r.s.server.limits.replicaWait(time.Now(), r.deadline)
+	if r.refused {
+		u.Access = jacinthtiller.AccessWrite
+	}
+	if !p.primary {
+		u.Access = jacinthtiller.AccessRead
+	}
+	if p.primary && (!r.q.begins || r.q.commits) {
+		u.Key = r.key()
+		u.Fingerprint = r.q.digest.Sum64()
+	}
+	return r.s.try(ch, r.q, p, u), ch
+}
+
+// key returns the idempotency key for the request, empty for a read.
+func (r *run) key() string {
+	if r.q.access == jacinthtiller.AccessRead && !r.refused {
+		return ""
+	}
+	if r.q.key != "" {
+		return r.q.key
+	}
+	return r.s.settings.key
+}
+
+// judge decides after an attempt: the request is answered, fails, or goes on.
+func (r *run) judge(at *attempt, ch jacinthtiller.Channel, changed <-chan struct{}) (bool, *fault) {
+	if at.err != nil {
+		at.answer.discard()
+		if at.err.Outcome == jacinthtiller.OutcomeNotRun {
+			return false, r.notRun(at, changed)
+		}
+		return false, r.unclear(at, at.err, changed)
+	}
+	r.s.server.positions.Observe(r.s.database, at.target, at.result.Position)
+	if !at.primary {
+		return r.judgeReplica(at, ch)
+	}
+	if at.stale(r.s.server.views.View()) {
+		at.answer.discard()
+		return false, r.unclear(at, jacinthtiller.Unknown(
+			"the primary of term %d was replaced before it answered", at.unit.Term), changed)
+	}
+	if at.result.Failed == "" && at.unit.Key == "" {
+		r.s.server.positions.Primary(r.s.database, at.result.Position, at.started)
+	}
+	r.s.answered(r, at, ch)
+	return true, nil
+}
+
+// judgeReplica decides after a replica's answer.
+func (r *run) judgeReplica(at *attempt, ch jacinthtiller.Channel) (bool, *fault) {
+	switch {
+	case at.result.Failed == jacinthtiller.CodeReadOnly && !at.answer.sent && r.role.Access != document.AccessReadOnly:
+		at.answer.discard()
+		r.refused = true
+		return false, nil
+	case !at.result.Position.Covers(at.unit.Mark):
+		at.answer.discard()
+		if at.answer.sent {
+			return false, r.fail(jacinthtiller.Unknown("the replica answered at %s, before the mark %s", at.result.Position, at.unit.Mark))
+		}
+		r.exclude(at)
+		return false, nil
+	}
+	r.s.answered(r, at, ch)
+	return true, nil
+}
+
+// exclude leaves a replica out of the request's next decisions.
+func (r *run) exclude(at *attempt) {
+	if r.tried == nil {
+		r.tried = map[string]bool{}
+	}
+	r.tried[at.target] = true
+	r.s.server.positions.Behind(r.s.database, at.target, at.unit.Mark, time.Now())
+}
+
+// notRun goes on after a proof that the request did not run.
+func (r *run) notRun(at *attempt, changed <-chan struct{}) *fault {
+	if at.err.Code == jacinthtiller.CodeKeyReused || at.err.Code == codeCanceled {
+		return r.fail(at.err)
+	}
+	r.last = at.err
+	r.s.server.events.Emit(event.UnitRetried, event.Fields{
+		"session": r.s.id, "database": r.s.database, "target": at.target, "reason": string(at.err.Reason), "code": at.err.Code,
+	})
+	if !at.primary {
+		r.exclude(at)
+		return nil
+	}
+	return r.pause(changed)
+}
+
+// unclear decides after an unknown outcome: only what cannot change anything, or
+// has a key, is sent again, and only while the guest has got nothing.
+func (r *run) unclear(at *attempt, e *jacinthtiller.Error, changed <-chan struct{}) *fault {
+	repeatable := !at.primary || at.unit.Key != "" || r.q.beginOnly ||
+		(r.q.access == jacinthtiller.AccessRead && r.q.plain && !r.refused)
+	if at.answer.sent || !repeatable {
+		return r.fail(e)
+	}
+	if r.unknown == nil {
+		r.unknown = e
+	}
+	if !at.primary {
+		r.exclude(at)
+		return nil
+	}
+	return r.pause(changed)
+}
+
+// pause waits a little, or until the view changes. It fails when the deadline has passed.
+func (r *run) pause(changed <-chan struct{}) *fault {
+	longest := min(firstBackoff<<min(r.pauses, 10), lastBackoff)
+	r.pauses++
+	timer := time.NewTimer(longest/2 + rand.N(longest/2+1))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-timer.C:
+		return nil
+	case <-r.ctx.Done():
+		return r.ended()
+	}
+}
+
+// ended says why the request's context is over.
+func (r *run) ended() *fault {
+	switch {
+	case r.s.wasCanceled():
+		return r.fail(jacinthtiller.NotRun(codeCanceled, "", "canceling statement due to user request"))
+	case !errors.Is(r.ctx.Err(), context.DeadlineExceeded):
+		return r.fail(jacinthtiller.NotRun(jacinthtiller.CodeNotRunShutdown, jacinthtiller.ReasonDraining, "the host is shutting down"))
+	case r.last != nil && r.last.Code == jacinthtiller.CodeNotRunShutdown:
+		// Another host is shutting down, not this one.
+		return r.fail(jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, r.last.Reason, "%s", r.last.Message))
+	case r.last != nil:
+		return r.fail(r.last)
+	}
+	return r.fail(jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, jacinthtiller.ReasonDeadline, "the deadline has passed"))
+}
+
+// fail ends the request with an error. After an unknown outcome it is never "not run".
+func (r *run) fail(e *jacinthtiller.Error) *fault {
+	if r.unknown != nil && e.Outcome == jacinthtiller.OutcomeNotRun && e.Code != jacinthtiller.CodeKeyReused {
+		e = r.unknown
+	}
+	r.s.note(r.q, nil, e, r.why)
+	return fromError(e)
+}
+
+func (s *session) wasCanceled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.canceled
+}
+
+func hasReplica(candidates []replica.Candidate) bool {
+	for _, c := range candidates {
+		if !c.Primary && c.Usable {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/session/server.go
@@ -0,0 +1,303 @@
+// Package session serves guests over the PostgreSQL protocol on an entry host:
+// it logs them in, splits what they send into units, routes each unit to the
+// owner of a target and gives the guest the whole answer or the proved outcome.
+//
+// A CancelRequest works only on the entry host that holds the guest's connection.
+package session
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/replica"
+)
+
+// Server serves guests.
+type Server struct {
+	host      jacinthtiller.Host
+	views     Views
+	directory func() Directory
+	opener    jacinthtiller.Opener
+	marks     *replica.Marks
+	positions *replica.Positions
+	events    *event.Log
+	tls       func() *tls.Config
+	version   string
+	limits    limits
+
+	ctx  context.Context
+	stop context.CancelFunc
+	// seed makes the salts of unknown roles; it is random.
+	seed  [32]byte
+	group conc.WaitGroup
+	// starting bounds the connections that have not logged in; when it is full, no connection is accepted.
+	starting chan struct{}
+
+	mu sync.Mutex // guards the fields below
+	// sessions maps the process identifiers of guests' sessions, for CancelRequest.
+	sessions map[uint32]*session
+	// guests counts the sessions of each team.
+	guests    map[string]int
+	listeners map[net.Listener]struct{}
+	// conns are the connections that have not logged in.
+	conns    map[net.Conn]struct{}
+	draining bool
+	// empty is closed when the last session has ended during a drain; nil before the drain.
+	empty chan struct{}
+}
+
+// Stats is a snapshot of a server.
+type Stats struct {
+	// Guests is the number of sessions, Teams the same by team.
+	Guests int
+	Teams  map[string]int
+	// Starting is the number of connections that have not logged in.
+	Starting int
+}
+
+// NewServer returns a server that is not listening yet. Views, a directory and an
+// opener are required.
+func NewServer(opts ...Option) *Server {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Server{
+		ctx: ctx, stop: stop, version: "16.0",
+		limits: limits{
+			messageBytes: 64 << 20, statements: 1000, unauthenticated: 256,
+			startupMicroseconds: defaultStartup.Microseconds(), idleMicroseconds: defaultIdle.Microseconds(),
+			replicaWaitMicroseconds: defaultReplicaWait.Microseconds(),
+		},
+		sessions: map[uint32]*session{}, guests: map[string]int{},
+		listeners: map[net.Listener]struct{}{}, conns: map[net.Conn]struct{}{},
+	}
+	_, _ = rand.Read(s.seed[:]) // never fails, see crypto/rand
+	for _, o := range opts {
+		o(s)
+	}
+	if s.positions == nil {
+		s.positions = replica.NewPositions()
+	}
+	s.starting = make(chan struct{}, s.limits.unauthenticated)
+	return s
+}
+
+// acceptPause is the wait after a failed accept, which is mostly a lack of file descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// Serve accepts guests until the listener is closed or the server drains; then it returns nil.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.addListener(l) {
+		return nil
+	}
+	defer s.removeListener(l)
+	for {
+		select {
+		case s.starting <- struct{}{}:
+		case <-s.ctx.Done():
+			return nil
+		}
+		conn, err := l.Accept()
+		switch {
+		case err == nil:
+			s.group.Go(func() { s.start(conn) })
+			continue
+		case s.stopping() || s.ctx.Err() != nil:
+			<-s.starting
+			return nil
+		}
+		<-s.starting
+		if errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("accept guests on %s: %w", l.Addr(), err)
+		}
+		s.events.Emit(event.AcceptFailed, event.Fields{"address": l.Addr().String(), "error": err.Error()})
+		time.Sleep(acceptPause)
+	}
+}
+
+// start takes a connection through its login and hands it to a new goroutine,
+// whose stack has not grown.
+func (s *Server) start(conn net.Conn) {
+	var next *session
+	s.guarded(func() {
+		defer func() { <-s.starting }()
+		if !s.addConn(conn) {
+			_ = conn.Close()
+			return
+		}
+		defer s.removeConn(conn)
+		next = s.login(conn)
+	})
+	if next == nil {
+		return
+	}
+	s.group.Go(func() {
+		defer s.remove(next)
+		s.guarded(next.serve)
+	})
+}
+
+// guarded keeps a fault of the program to one guest.
+func (s *Server) guarded(f func()) {
+	if p := panics.Try(f); p != nil {
+		s.events.Emit(event.GuestPanicked, event.Fields{"panic": p.String()})
+	}
+}
+
+// Drain stops accepting guests, closes idle guests with 57P01 and returns when
+// the others have finished what is in flight. When ctx ends first, it returns its
+// error and the remaining guests stay connected until Close.
+func (s *Server) Drain(ctx context.Context) error {
+	s.events.Emit(event.GuestsDraining, event.Fields{"guests": s.Stats().Guests})
+	s.mu.Lock()
+	s.draining = true
+	if s.empty == nil {
+		s.empty = make(chan struct{})
+		s.checkEmpty()
+	}
+	for l := range s.listeners {
+		_ = l.Close() // Serve returns
+	}
+	for c := range s.conns {
+		_ = c.SetDeadline(time.Unix(1, 0)) // the login fails
+	}
+	all := make([]*session, 0, len(s.sessions))
+	for _, g := range s.sessions {
+		all = append(all, g)
+	}
+	empty := s.empty
+	s.mu.Unlock()
+	for _, g := range all {
+		g.drain()
+	}
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("drain %d guests: %w", s.Stats().Guests, ctx.Err())
+	}
+}
+
+// Close ends all sessions at once and waits for their goroutines.
+func (s *Server) Close() {
+	s.stop()
+	s.mu.Lock()
+	s.draining = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	for _, g := range s.sessions {
+		_ = g.conn.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+// Stats returns the number of guests.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Stats{Guests: len(s.sessions), Teams: map[string]int{}, Starting: len(s.conns)}
+	for t, n := range s.guests {
+		out.Teams[t] = n
+	}
+	return out
+}
+
+func (s *Server) stopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		_ = l.Close()
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) removeListener(l net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+	_ = l.Close() // it may be closed already
+}
+
+func (s *Server) addConn(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) removeConn(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// add registers a session under new random keys. It fails when the team has too many guests.
+func (s *Server) add(g *session, limit int) *fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return fatal(codeCannotConnect, "the host is shutting down")
+	}
+	if limit > 0 && s.guests[g.team] >= limit {
+		return fatal(codeTooManyConnections, "team %q has %d guests on this host, which is its limit", g.team, limit)
+	}
+	_, _ = rand.Read(g.secret[:])
+	for g.pid == 0 || s.sessions[g.pid] != nil {
+		var b [4]byte
+		_, _ = rand.Read(b[:])
+		g.pid = binary.BigEndian.Uint32(b[:]) >> 1 // clients keep it as a signed number
+	}
+	s.sessions[g.pid] = g
+	s.guests[g.team]++
+	countGuest(g.team, 1)
+	return nil
+}
+
+func (s *Server) remove(g *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, g.pid)
+	if s.guests[g.team]--; s.guests[g.team] == 0 {
+		delete(s.guests, g.team)
+	}
+	countGuest(g.team, -1)
+	s.checkEmpty()
+}
+
+// checkEmpty ends a drain when no session is left.
+func (s *Server) checkEmpty() {
+	if s.empty == nil || len(s.sessions) > 0 {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
+	}
+}
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,430 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/document"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/replica"
+)
+
+// session is one guest's connection after its login. One goroutine serves it;
+// other goroutines only cancel and drain it.
+type session struct {
+	server *Server
+	conn   net.Conn
+	r      *reader
+	// out holds what is to be sent; nil while the guest is idle.
+	out []byte
+
+	id       string
+	role     string
+	team     string
+	database string
+	pid      uint32
+	secret   [4]byte
+
+	// number counts the units of the session.
+	number   uint64
+	settings settings
+	// reported is the mark that the guest was told last.
+	reported jacinthtiller.Position
+	// statements maps the guest's names; "" is the unnamed statement.
+	statements map[string]*statement
+	// request is what was received since the last Sync; nil when nothing was.
+	request *request
+	// skipping is true from an error in the extended protocol until Sync.
+	skipping bool
+	// txn is nil outside a transaction.
+	txn *transaction
+
+	mu sync.Mutex // guards the fields below
+	// stop ends the waits of the request in progress; nil when there is none.
+	stop     context.CancelFunc
+	canceled bool
+	// running is the channel on which a unit runs.
+	running jacinthtiller.Channel
+	// waiting is true while the guest is outside a request and a transaction.
+	waiting  bool
+	draining bool
+}
+
+// errTerminated means that the guest said good-bye.
+var errTerminated = errors.New("the guest has terminated the connection")
+
+// serve answers requests until the guest goes or an error ends the connection.
+func (s *session) serve() {
+	err := s.loop()
+	if s.txn != nil && s.txn.channel != nil {
+		s.closeChannel(s.txn.channel)
+	}
+	if f, ok := asFault(err); ok {
+		f.fatal = true
+		s.send(f.response())
+		_ = s.flush() // the guest may be gone
+	}
+	if !errors.Is(err, errTerminated) && !errors.Is(err, io.EOF) {
+		s.server.events.Emit(event.GuestClosed, event.Fields{"session": s.id, "role": s.role, "error": err.Error()})
+	}
+	_ = s.conn.Close() // nothing is lost: everything was flushed
+}
+
+func (s *session) loop() error {
+	for {
+		if err := s.await(); err != nil {
+			return err
+		}
+		kind, body, err := s.r.next()
+		if err != nil {
+			return err
+		}
+		if err := s.message(kind, body); err != nil {
+			return err
+		}
+	}
+}
+
+// await returns when a message has begun to arrive. Before it waits it sends
+// what is to be sent and gives its buffers back.
+func (s *session) await() error {
+	if !s.r.buffered() {
+		if err := s.rest(); err != nil {
+			return err
+		}
+		if err := s.first(); err != nil {
+			return err
+		}
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(messageTime)); err != nil {
+		return fmt.Errorf("set the deadline of a message: %w", err)
+	}
+	return nil
+}
+
+// rest sends the output and gives the buffers back.
+func (s *session) rest() error {
+	if err := s.flush(); err != nil {
+		return err
+	}
+	returnBuffer(s.out)
+	s.out = nil
+	s.r.release()
+	return nil
+}
+
+// first waits for the first byte of a message. Only there a drain or the limit on idle transactions ends the session.
+func (s *session) first() error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	_, err := s.r.r.Peek(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = false
+	switch {
+	case err == nil:
+		return nil
+	case s.draining && s.atRest():
+		return fatal(codeAdminShutdown, "the host is shutting down")
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.txn != nil:
+		return fatal(codeIdleTransaction, "terminating connection due to idle-in-transaction timeout")
+	}
+	return fmt.Errorf("wait for a message: %w", err)
+}
+
+// atRest reports whether nothing of the guest is in flight.
+func (s *session) atRest() bool { return s.txn == nil && s.request == nil }
+
+// enter sets the deadline of the wait and lets a drain interrupt it when nothing is in flight.
+func (s *session) enter() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining && s.atRest() {
+		return fatal(codeAdminShutdown, "the host is shutting down")
+	}
+	s.waiting = s.atRest()
+	var deadline time.Time
+	if s.txn != nil {
+		deadline = s.server.limits.idleTransaction(time.Now())
+	}
+	if err := s.conn.SetReadDeadline(deadline); err != nil {
+		return fmt.Errorf("set the deadline of a wait: %w", err)
+	}
+	return nil
+}
+
+// drain closes the session as soon as nothing is in flight.
+func (s *session) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	if s.waiting {
+		_ = s.conn.SetReadDeadline(time.Unix(1, 0)) // fails only when the connection is closed
+	}
+}
+
+// message takes one message.
+func (s *session) message(kind byte, body []byte) error {
+	switch kind {
+	case 'X':
+		return errTerminated
+	case 'S':
+		return s.finish()
+	case 'd', 'c', 'f': // COPY data after a refused COPY is ignored, as PostgreSQL does
+		return nil
+	case 'P', 'B', 'D', 'E', 'C', 'H', 'Q', 'F':
+		if s.skipping {
+			return nil
+		}
+	default:
+		return fatal(codeProtocol, "invalid frontend message type %d", kind)
+	}
+	switch kind {
+	case 'Q':
+		return s.query(body)
+	case 'H':
+		return s.flushed()
+	case 'F':
+		return s.reject(unsupported("function calls by message are not supported", "Call the function with SELECT."))
+	}
+	if s.request == nil {
+		s.request = newRequest()
+	}
+	if f := s.request.add(s, kind, body); f != nil {
+		return s.reject(f)
+	}
+	return nil
+}
+
+// reject reports an error in the extended protocol: the request does not run, and
+// messages are skipped until Sync.
+func (s *session) reject(f *fault) error {
+	if f.fatal {
+		return f
+	}
+	s.drop()
+	s.lose()
+	s.send(f.response())
+	s.skipping = true
+	return nil
+}
+
+// drop forgets the request that was being received.
+func (s *session) drop() {
+	if s.request != nil {
+		s.request.release()
+		s.request = nil
+	}
+}
+
+// finish runs what was received up to Sync.
+func (s *session) finish() error {
+	if q := s.request; q != nil {
+		if err := s.extended(q); err != nil {
+			return err
+		}
+	}
+	s.skipping = false
+	s.ready()
+	return nil
+}
+
+// flushed runs what was received up to Flush as a request of its own.
+func (s *session) flushed() error {
+	q := s.request
+	if q == nil {
+		return nil
+	}
+	if q.executes {
+		return s.reject(unsupported("Flush after Bind or Execute is not supported", "Send Sync instead."))
+	}
+	q.partial = true
+	return s.extended(q)
+}
+
+// extended runs a request of the extended protocol. After an error messages are skipped until Sync.
+func (s *session) extended(q *request) error {
+	s.request = nil
+	defer q.release()
+	all, some := s.allLocal(q)
+	var f *fault
+	switch {
+	case all:
+		if f = s.answerSteps(q); f != nil && s.status() != 'I' {
+			s.lose()
+		}
+	case some:
+		f = unsupported("statements that the proxy answers cannot be combined with others before Sync", "Send Sync between them.")
+		s.lose()
+	default:
+		q.sync()
+		f = s.perform(q)
+	}
+	if f == nil {
+		return nil
+	}
+	s.skipping = true
+	return s.report(f)
+}
+
+// report sends an error to the guest; a fatal one ends the connection.
+func (s *session) report(f *fault) error {
+	if f.fatal {
+		return f
+	}
+	s.send(f.response())
+	return nil
+}
+
+// query runs a Query message.
+func (s *session) query(body []byte) error {
+	if q := s.request; q != nil {
+		q.partial = true
+		if err := s.extended(q); err != nil || s.skipping {
+			return err
+		}
+	}
+	sql, rest, ok := cutString(body)
+	if !ok || len(rest) > 0 {
+		return fatal(codeProtocol, "invalid Query message")
+	}
+	c := classify(sql)
+	delete(s.statements, "") // as in PostgreSQL, Query ends the unnamed statement
+	f := c.refusal
+	switch {
+	case f != nil && !s.txn.lost():
+		s.lose()
+	case s.local(&c):
+		if f = s.answerLocal(&c, true); f != nil && s.status() != 'I' {
+			s.lose()
+		}
+	default:
+		q := simple(&c)
+		f = s.perform(q)
+		q.release()
+	}
+	if f != nil {
+		if err := s.report(f); err != nil {
+			return err
+		}
+	}
+	s.ready()
+	return nil
+}
+
+// perform runs a request on a target.
+func (s *session) perform(q *request) *fault {
+	if s.txn != nil {
+		return s.inside(q)
+	}
+	return s.outside(q)
+}
+
+// answered takes over what an answered request changed.
+func (s *session) answered(r *run, at *attempt, ch jacinthtiller.Channel) {
+	s.settings.mark = s.settings.mark.Max(at.result.Position)
+	if at.unit.Key != "" {
+		s.settings.key = ""
+	}
+	s.remember(r.q, at.answer.parses)
+	s.keep(r.q, at, ch)
+	if at.answer.failed {
+		s.skipping = r.q.partial
+	}
+	s.note(r.q, at, nil, r.why)
+}
+
+// permitted finds the guest's role in the newest document.
+func (s *session) permitted() (document.Role, document.Team, *fault) {
+	role, team, ok := s.server.directory().Role(s.role)
+	if !ok || team.Name != s.team {
+		return role, team, fatal(codeAuthorization, "role %q does not exist any more", s.role)
+	}
+	if f := mayReach(role, s.database); f != nil {
+		f.fatal = true
+		return role, team, f
+	}
+	return role, team, nil
+}
+
+// class finds the read class of a request: that of its comment, of the session, or the team's default.
+func (s *session) class(q *request) (document.ReadClass, *fault) {
+	if q.readClass != "" {
+		c, ok := s.server.directory().Class(s.team, q.readClass)
+		if !ok {
+			return c, newFault(codeInvalidValue, "read class %q does not exist", q.readClass)
+		}
+		return c, nil
+	}
+	if c, ok := s.server.directory().Class(s.team, s.settings.readClass); ok {
+		return c, nil
+	}
+	// The class was removed from the document. The shortest age is the safe reading of it.
+	return document.ReadClass{MaxAgeMicroseconds: 1}, nil
+}
+
+// ready reports the mark when it changed, and the transaction status.
+func (s *session) ready() {
+	if s.settings.mark != s.reported {
+		s.reported = s.settings.mark
+		s.send(&pgproto3.ParameterStatus{Name: settingPrefix + "mark", Value: s.reported.String()})
+	}
+	s.send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
+}
+
+// send appends a message to the output.
+func (s *session) send(m pgproto3.BackendMessage) {
+	if s.out == nil {
+		s.out = takeBuffer()
+	}
+	s.out = encode(s.out, m)
+}
+
+// flush writes the output.
+func (s *session) flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return fmt.Errorf("set the deadline of an answer: %w", err)
+	}
+	if _, err := s.conn.Write(s.out); err != nil {
+		return fmt.Errorf("write to the guest: %w", err)
+	}
+	s.out = s.out[:0]
+	return nil
+}
+
+// note counts and records the end of a request; at is nil when it failed.
+func (s *session) note(q *request, at *attempt, e *jacinthtiller.Error, why replica.Reason) {
+	outcome := jacinthtiller.OutcomeDone
+	if e != nil {
+		outcome = e.Outcome
+	}
+	count(outcome, why)
+	if !s.server.events.Tracing() {
+		return
+	}
+	f := event.Fields{
+		"session": s.id, "role": s.role, "team": s.team, "database": s.database,
+		"access": string(q.access), "outcome": string(outcome), "reason": string(why), "mark": s.settings.mark.String(),
+	}
+	if e != nil {
+		f["code"], f["message"] = e.Code, e.Message
+	}
+	if at != nil {
+		f["number"], f["target"], f["term"] = at.unit.Number, at.target, at.term
+		f["position"], f["status"], f["failed"] = at.result.Position.String(), string(at.result.Status), at.result.Failed
+	}
+	s.server.events.Emit(event.UnitAnswered, f)
+}
--- /dev/null
+++ b/session/settings.go
@@ -0,0 +1,270 @@
+package session
+
+import (
+	"strings"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// settingPrefix begins the names of the settings that the session keeps.
+const settingPrefix = "jacinthtiller."
+
+// commandKind is what a statement that the session answers does.
+type commandKind byte
+
+const (
+	commandAccept     commandKind = iota // changes nothing
+	commandSet                           // sets command.name to command.value
+	commandReset                         // sets command.name, or everything, to its default
+	commandShow                          // returns command.name
+	commandDiscard                       // forgets prepared statements and settings
+	commandDeallocate                    // forgets the prepared statement command.name, or all
+)
+
+// command is a statement that the session answers.
+type command struct {
+	kind commandKind
+	// tag is the text of CommandComplete.
+	tag string
+	// name is without prefix and with hyphens for settings; empty means all.
+	name  string
+	value string
+}
+
+// settingName returns the form of a setting's name that the session uses.
+func settingName(name string) string {
+	return strings.ReplaceAll(strings.TrimPrefix(strings.ToLower(name), settingPrefix), "_", "-")
+}
+
+// harmless maps settings to the values under which the session behaves anyway,
+// in lower case; an empty list means that every value is harmless.
+var harmless = map[string][]string{
+	"application_name":                    nil,
+	"bytea_output":                        {"hex"},
+	"client_encoding":                     {"utf8", "utf-8", "unicode"},
+	"client_min_messages":                 nil,
+	"datestyle":                           {"iso", "iso, mdy", "iso,mdy"},
+	"default_transaction_isolation":       {"read committed"},
+	"default_transaction_read_only":       {"off", "false"},
+	"extra_float_digits":                  {"1", "2", "3"},
+	"idle_in_transaction_session_timeout": {"0"},
+	"intervalstyle":                       {"postgres"},
+	"lock_timeout":                        {"0"},
+	"standard_conforming_strings":         {"on", "true"},
+	"statement_timeout":                   {"0"},
+	"timezone":                            {"utc", "etc/utc", "gmt"},
+}
+
+// checkSetting returns why a setting cannot have the value, nil if it has no other effect.
+func checkSetting(name, value string) *fault {
+	values, known := harmless[strings.ToLower(name)]
+	ok := known && len(values) == 0
+	for _, v := range values {
+		ok = ok || strings.EqualFold(v, value)
+	}
+	if ok {
+		return nil
+	}
+	return unsupported("a session cannot set "+name+" to this value",
+		"Connections to targets are shared; use SET LOCAL within a transaction.")
+}
+
+// command notes in c that the session answers the statement, and reports whether it does.
+func (w *statementWords) command(c *classifier) bool {
+	var cmd *command
+	switch first := w.tokens[0]; {
+	case first.is("set"):
+		cmd = w.set(c)
+	case first.is("reset"):
+		cmd = &command{kind: commandReset, tag: "RESET"}
+		if name := joined(w.tokens[1:]); strings.HasPrefix(strings.ToLower(name), settingPrefix) {
+			cmd.name = settingName(name)
+		} else if !strings.EqualFold(name, "all") {
+			cmd.kind = commandAccept
+		}
+	case first.is("show"):
+		if name := joined(w.tokens[1:]); strings.HasPrefix(strings.ToLower(name), settingPrefix) {
+			cmd = &command{kind: commandShow, tag: "SHOW", name: settingName(name)}
+		} else if strings.EqualFold(name, "transaction_read_only") {
+			w.modifies = true // drivers ask it to find out whether they can write
+		}
+	case first.is("discard"):
+		cmd = &command{kind: commandAccept, tag: "DISCARD " + strings.ToUpper(w.second.text)}
+		if w.second.is("all") {
+			cmd.kind = commandDiscard
+		}
+	case first.is("deallocate"):
+		cmd = w.deallocate()
+	case first.is("unlisten"):
+		cmd = &command{kind: commandAccept, tag: "UNLISTEN"}
+	}
+	if cmd == nil {
+		return false
+	}
+	if c.class.command == nil {
+		c.class.command = cmd
+	}
+	return true
+}
+
+func (w *statementWords) deallocate() *command {
+	rest := w.tokens[1:]
+	if len(rest) > 0 && rest[0].is("prepare") {
+		rest = rest[1:]
+	}
+	if len(rest) == 0 || rest[0].is("all") {
+		return &command{kind: commandDeallocate, tag: "DEALLOCATE ALL"}
+	}
+	name := rest[0].text
+	if rest[0].kind == tokenWord {
+		name = strings.ToLower(name)
+	}
+	return &command{kind: commandDeallocate, tag: "DEALLOCATE", name: name}
+}
+
+// set reads SET; nil means that the statement belongs to the target's transaction.
+func (w *statementWords) set(c *classifier) *command {
+	rest := w.tokens[1:]
+	local := len(rest) > 0 && rest[0].is("local")
+	if len(rest) > 0 && (local || rest[0].is("session")) {
+		rest = rest[1:]
+	}
+	if len(rest) > 0 && (rest[0].is("transaction") || rest[0].is("constraints")) {
+		return nil
+	}
+	name, value := setParts(rest)
+	own := strings.HasPrefix(strings.ToLower(name), settingPrefix)
+	switch {
+	case own && local:
+		c.refuse(unsupported("SET LOCAL of a setting of the proxy is not supported", "Use SET, or a comment before the statement."))
+	case own:
+		return &command{kind: commandSet, tag: "SET", name: settingName(name), value: value}
+	case local:
+		return nil
+	default:
+		if f := checkSetting(name, value); f != nil {
+			c.refuse(f)
+		}
+	}
+	return &command{kind: commandAccept, tag: "SET"}
+}
+
+func (c *classifier) refuse(f *fault) {
+	if c.refusal == nil {
+		c.refusal = f
+	}
+}
+
+// setParts splits the tokens after SET into name and value.
+func setParts(tokens []token) (name, value string) {
+	if len(tokens) > 1 && tokens[0].is("names") {
+		return "client_encoding", joined(tokens[1:])
+	}
+	if len(tokens) > 2 && tokens[0].is("time") && tokens[1].is("zone") {
+		return "timezone", joined(tokens[2:])
+	}
+	for i, t := range tokens {
+		if t.punct('=') || t.is("to") {
+			return joined(tokens[:i]), joined(tokens[i+1:])
+		}
+	}
+	return joined(tokens), ""
+}
+
+// joined returns the texts of the tokens in a row; words are separated by a space.
+func joined(tokens []token) string {
+	var b strings.Builder
+	for i, t := range tokens {
+		if i > 0 && t.kind == tokenWord && tokens[i-1].kind == tokenWord {
+			b.WriteByte(' ')
+		}
+		text := t.text
+		if t.kind == tokenString {
+			text = strings.ReplaceAll(text, "''", "'")
+		}
+		b.WriteString(text)
+	}
+	return b.String()
+}
+
+// settings are what a session keeps of the settings of the proxy.
+type settings struct {
+	readClass string
+	// key is the idempotency key for the next write; it is cleared when that was answered with a known outcome.
+	key string
+	// mark is the later of the newest acknowledged write and the newest position read.
+	mark jacinthtiller.Position
+	// brought is true when the guest gave a mark, so that the primary's owner need not be asked.
+	brought bool
+}
+
+// set changes one setting.
+func (s *session) set(name, value string) *fault {
+	if strings.EqualFold(value, "default") {
+		value = ""
+	}
+	switch name {
+	case "read-class":
+		if value != "" {
+			if _, ok := s.server.directory().Class(s.team, value); !ok {
+				return newFault(codeInvalidValue, "read class %q does not exist", value)
+			}
+		}
+		s.settings.readClass = value
+	case "idempotency-key":
+		s.settings.key = value
+	case "mark":
+		if value == "" {
+			s.settings.brought = false
+			return nil
+		}
+		p, err := jacinthtiller.ParsePosition(value)
+		if err != nil {
+			return newFault(codeInvalidValue, "%v", err)
+		}
+		s.settings.mark, s.settings.brought = s.settings.mark.Max(p), true
+	default:
+		return newFault(codeUnknownParameter, "setting %q does not exist", settingPrefix+name)
+	}
+	return nil
+}
+
+func (s *session) show(name string) (string, *fault) {
+	switch name {
+	case "read-class":
+		return s.settings.readClass, nil
+	case "idempotency-key":
+		return s.settings.key, nil
+	case "mark":
+		return s.settings.mark.String(), nil
+	}
+	return "", newFault(codeUnknownParameter, "setting %q does not exist", settingPrefix+name)
+}
+
+// execute carries out a command and returns the value of SHOW.
+func (s *session) execute(c *command) (string, *fault) {
+	switch c.kind {
+	case commandSet:
+		return "", s.set(c.name, c.value)
+	case commandShow:
+		return s.show(c.name)
+	case commandReset, commandDiscard:
+		if c.name != "" {
+			return "", s.set(c.name, "")
+		}
+		s.settings = settings{mark: s.settings.mark}
+		if c.kind == commandDiscard {
+			clear(s.statements)
+		}
+	case commandDeallocate:
+		if c.name == "" {
+			clear(s.statements)
+			return "", nil
+		}
+		if _, ok := s.statements[c.name]; !ok {
+			return "", newFault(codeNoStatement, "prepared statement %q does not exist", c.name)
+		}
+		delete(s.statements, c.name)
+	}
+	return "", nil
+}
--- /dev/null
+++ b/session/startup.go
@@ -0,0 +1,300 @@
+package session
+
+import (
+	"bytes"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jacinthtiller/jacinthtiller/document"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// startupBytes is the greatest startup packet, as in PostgreSQL.
+const startupBytes = 10_000
+
+// entrance is a connection before its login.
+type entrance struct {
+	server *Server
+	conn   net.Conn
+	r      *reader
+	// feed holds the one message that backend decodes next, so that it never reads ahead.
+	feed    *bytes.Reader
+	backend *pgproto3.Backend
+	secured bool
+	// extensions are the protocol options that the guest asked for and does not get.
+	extensions []string
+	// newer is true when the guest asked for a newer minor version of the protocol.
+	newer bool
+}
+
+// login takes a connection to its end or to a session.
+func (s *Server) login(conn net.Conn) *session {
+	if err := conn.SetDeadline(s.limits.startup(time.Now())); err != nil {
+		_ = conn.Close()
+		return nil
+	}
+	e := &entrance{server: s, feed: bytes.NewReader(nil)}
+	e.use(conn)
+	g, err := e.login()
+	if err == nil {
+		return g
+	}
+	f, ok := asFault(err)
+	if ok {
+		f.fatal = true
+		e.backend.Send(f.response())
+		_ = e.backend.Flush() // the guest may be gone
+		s.events.Emit(event.GuestRefused, event.Fields{"address": conn.RemoteAddr().String(), "code": f.code, "error": f.message})
+	}
+	_ = e.conn.Close()
+	return nil
+}
+
+// use makes the entrance read from and write to conn.
+func (e *entrance) use(conn net.Conn) {
+	e.conn = conn
+	e.r = newReader(conn, startupBytes)
+	e.backend = pgproto3.NewBackend(e.feed, conn)
+}
+
+// login returns a session, or nil without an error when the connection asked for nothing more.
+func (e *entrance) login() (*session, error) {
+	parameters, err := e.startup()
+	if err != nil || parameters == nil {
+		_ = e.conn.Close()
+		return nil, err
+	}
+	g := &session{server: e.server, conn: e.conn, r: e.r, role: parameters["user"], database: parameters["database"]}
+	if g.database == "" {
+		g.database = g.role
+	}
+	if err := e.check(parameters); err != nil {
+		return nil, err
+	}
+	role, team, err := e.authenticate(g.role)
+	if err != nil {
+		return nil, err
+	}
+	g.team = team.Name
+	if f := e.server.exists(g.database, team); f != nil {
+		return nil, f
+	}
+	if f := mayReach(role, g.database); f != nil {
+		return nil, f
+	}
+	if f := g.options(parameters); f != nil {
+		return nil, f
+	}
+	if f := e.server.add(g, team.MaxGuests); f != nil {
+		return nil, f
+	}
+	if err := e.welcome(g, parameters); err != nil {
+		e.server.remove(g)
+		return nil, err
+	}
+	return g, nil
+}
+
+// startup reads packets up to the startup message and returns its parameters,
+// nil when the connection was for a cancel request.
+func (e *entrance) startup() (map[string]string, error) {
+	// A guest may ask for GSSAPI, then for TLS, and then start.
+	for range 3 {
+		packet, err := e.r.startup(startupBytes)
+		if err != nil {
+			return nil, err
+		}
+		e.negotiate(packet)
+		e.feed.Reset(packet)
+		m, err := e.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, fatal(codeProtocol, "invalid startup packet")
+		}
+		switch m := m.(type) {
+		case *pgproto3.StartupMessage:
+			return e.extract(m.Parameters), nil
+		case *pgproto3.CancelRequest:
+			e.server.cancelRequest(m)
+			return nil, nil
+		case *pgproto3.SSLRequest:
+			err = e.secure()
+		case *pgproto3.GSSEncRequest:
+			_, err = e.conn.Write([]byte("N"))
+		}
+		if err != nil {
+			return nil, fmt.Errorf("answer a request for encryption: %w", err)
+		}
+	}
+	return nil, fatal(codeProtocol, "too many requests for encryption")
+}
+
+// negotiate lowers a newer minor version of protocol 3 to 3.0.
+func (e *entrance) negotiate(packet []byte) {
+	code := binary.BigEndian.Uint32(packet[4:])
+	if code>>16 == 3 && code&0xffff > 0 {
+		e.newer = true
+		binary.BigEndian.PutUint32(packet[4:], pgproto3.ProtocolVersion30)
+	}
+}
+
+// extract removes the protocol options, none of which is known.
+func (e *entrance) extract(parameters map[string]string) map[string]string {
+	for name := range parameters {
+		if strings.HasPrefix(name, "_pq_.") {
+			e.extensions = append(e.extensions, name)
+			delete(parameters, name)
+		}
+	}
+	slices.Sort(e.extensions)
+	return parameters
+}
+
+// secure answers a request for TLS.
+func (e *entrance) secure() error {
+	var config *tls.Config
+	if e.server.tls != nil {
+		config = e.server.tls()
+	}
+	if config == nil || e.secured {
+		_, err := e.conn.Write([]byte("N"))
+		return err
+	}
+	if e.r.buffered() {
+		// What was sent in the clear before the handshake could be an attacker's.
+		return fatal(codeProtocol, "data before the TLS handshake")
+	}
+	if _, err := e.conn.Write([]byte("S")); err != nil {
+		return err
+	}
+	conn := tls.Server(e.conn, config)
+	if err := conn.HandshakeContext(e.server.ctx); err != nil {
+		return fmt.Errorf("TLS handshake: %w", err)
+	}
+	e.secured = true
+	e.use(conn)
+	return nil
+}
+
+// check refuses startup parameters that the session cannot honour.
+func (e *entrance) check(parameters map[string]string) error {
+	if parameters["user"] == "" {
+		return fatal(codeAuthorization, "no user name in the startup packet")
+	}
+	for name, value := range parameters {
+		switch {
+		case name == "user", name == "database", name == "options", strings.HasPrefix(strings.ToLower(name), settingPrefix):
+		case name == "replication" && value != "false" && value != "off" && value != "0":
+			return unsupported("replication connections are not supported", "")
+		case name == "replication":
+		default:
+			if f := checkSetting(name, value); f != nil {
+				return f
+			}
+		}
+	}
+	return nil
+}
+
+// options sets the session's settings from the startup packet.
+func (s *session) options(parameters map[string]string) *fault {
+	for name, value := range parameters {
+		if strings.HasPrefix(strings.ToLower(name), settingPrefix) {
+			if f := s.set(settingName(name), value); f != nil {
+				return f
+			}
+		}
+	}
+	words := strings.Fields(parameters["options"])
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		if word == "-c" && i+1 < len(words) {
+			i++
+			word = words[i]
+		}
+		word = strings.TrimPrefix(strings.TrimPrefix(word, "--"), "-c")
+		name, value, _ := strings.Cut(word, "=")
+		f := checkSetting(name, value)
+		if strings.HasPrefix(strings.ToLower(name), settingPrefix) {
+			f = s.set(settingName(name), value)
+		}
+		if f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
+// exists reports an error for a database that the guest's team does not have.
+func (s *Server) exists(database string, team document.Team) *fault {
+	if slices.Contains(team.Databases, database) {
+		return nil
+	}
+	if _, ok := s.views.View().Databases[database]; ok {
+		return fatal(codePrivilege, "permission denied for database %q", database)
+	}
+	return fatal(codeNoDatabase, "database %q does not exist", database)
+}
+
+// mayReach reports an error for a database that the role may not reach.
+func mayReach(role document.Role, database string) *fault {
+	if slices.Contains(role.Databases, database) {
+		return nil
+	}
+	return fatal(codePrivilege, "permission denied for database %q", database)
+}
+
+// welcome ends the login: the guest learns the parameters and may send requests.
+func (e *entrance) welcome(g *session, parameters map[string]string) error {
+	g.id = g.server.host.Name + "/" + strconv.FormatUint(uint64(g.pid), 16)
+	g.send(&pgproto3.AuthenticationOk{})
+	status := [][2]string{
+		{"server_version", e.server.version},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"application_name", parameters["application_name"]},
+		{"DateStyle", "ISO, MDY"},
+		{"TimeZone", "UTC"},
+		{"IntervalStyle", "postgres"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+		{"is_superuser", "off"},
+		{"session_authorization", g.role},
+		{"default_transaction_read_only", "off"},
+		{"in_hot_standby", "off"},
+	}
+	for _, p := range status {
+		g.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	g.send(&pgproto3.BackendKeyData{ProcessID: g.pid, SecretKey: g.secret[:]})
+	g.ready()
+	if err := g.rest(); err != nil {
+		return err
+	}
+	g.r.limit = g.server.limits.messageBytes
+	if err := e.conn.SetDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("end the deadline of the login: %w", err)
+	}
+	if g.server.events.Tracing() {
+		g.server.events.Emit(event.GuestOpened, event.Fields{"session": g.id, "role": g.role, "team": g.team, "database": g.database})
+	}
+	return nil
+}
+
+// cancelRequest cancels the request of the session that has the keys.
+func (s *Server) cancelRequest(m *pgproto3.CancelRequest) {
+	s.mu.Lock()
+	g := s.sessions[m.ProcessID]
+	s.mu.Unlock()
+	if g != nil && subtle.ConstantTimeCompare(g.secret[:], m.SecretKey) == 1 {
+		g.cancel()
+	}
+}
--- /dev/null
+++ b/session/transaction.go
@@ -0,0 +1,130 @@
+package session
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// transaction is a guest's open transaction.
+type transaction struct {
+	place
+	// channel is nil once the transaction is lost.
+	channel jacinthtiller.Channel
+	// status is 'T' or 'E'.
+	status byte
+	// digest identifies the requests of the transaction so far.
+	digest uint64
+	// commits is true when a COMMIT was bound in an earlier request, so that any request may run it.
+	commits bool
+}
+
+// lost reports whether the transaction is rolled back and the guest has yet to end it.
+func (t *transaction) lost() bool { return t != nil && t.channel == nil }
+
+// status returns the transaction status for ReadyForQuery.
+func (s *session) status() byte {
+	if s.txn == nil {
+		return 'I'
+	}
+	return s.txn.status
+}
+
+// inside runs a request of an open transaction, which stays on its channel.
+func (s *session) inside(q *request) *fault {
+	t := s.txn
+	_, team, f := s.permitted()
+	if f != nil {
+		s.lose()
+		return f
+	}
+	deadline := team.QueueDeadline(time.Now())
+	s.inProgress(deadline)
+	defer s.over()
+	u := s.unit(q, t.place, deadline)
+	t.digest = chain(t.digest, q.digest.Sum64())
+	t.commits = t.commits || q.commits
+	if q.commits && t.primary {
+		u.Key, u.Fingerprint = s.settings.key, t.digest
+		if q.key != "" {
+			u.Key = q.key
+		}
+	}
+	at := s.try(t.channel, q, t.place, u)
+	if at.err == nil && at.result.Failed == "" && at.stale(s.server.views.View()) {
+		at.err = jacinthtiller.Unknown("the primary of term %d was replaced before it answered", u.Term)
+	}
+	if at.err != nil {
+		at.answer.discard()
+		return s.broken(q, at.err, t.commits)
+	}
+	s.server.positions.Observe(s.database, at.target, at.result.Position)
+	s.answered(&run{s: s, q: q}, &at, t.channel)
+	return nil
+}
+
+// broken ends a transaction whose channel is lost. What it was before COMMIT is rolled back for sure.
+func (s *session) broken(q *request, e *jacinthtiller.Error, commits bool) *fault {
+	s.server.events.Emit(event.TransactionLost, event.Fields{
+		"session": s.id, "database": s.database, "target": s.txn.target, "commit": commits, "error": e.Message,
+	})
+	s.lose()
+	if commits {
+		s.txn = nil
+	}
+	if e.Code == jacinthtiller.CodeKeyReused {
+		s.note(q, nil, e, "")
+		return fromError(e)
+	}
+	if !commits || e.Outcome == jacinthtiller.OutcomeNotRun {
+		e = &jacinthtiller.Error{
+			Outcome: jacinthtiller.OutcomeNotRun, Code: jacinthtiller.CodeRolledBack,
+			Message: "the transaction was lost and is rolled back: " + e.Message,
+		}
+	}
+	s.note(q, nil, e, "")
+	return fromError(e)
+}
+
+// lose rolls the open transaction back; the guest has to end it.
+func (s *session) lose() {
+	if s.txn == nil || s.txn.channel == nil {
+		return
+	}
+	s.closeChannel(s.txn.channel)
+	s.txn.channel, s.txn.status = nil, 'E'
+}
+
+// keep follows the transaction status of an answered request.
+func (s *session) keep(q *request, at *attempt, ch jacinthtiller.Channel) {
+	if at.result.Status == 'I' {
+		if s.txn != nil {
+			s.closeChannel(ch)
+			s.txn = nil
+		}
+		return
+	}
+	if s.txn == nil {
+		s.txn = &transaction{place: at.place, channel: ch, digest: chain(0, q.digest.Sum64())}
+	}
+	s.txn.status = at.result.Status
+}
+
+// chain adds the digest of a request to that of the transaction.
+func chain(digest, request uint64) uint64 {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], digest)
+	binary.BigEndian.PutUint64(b[8:], request)
+	return xxhash.Sum64(b[:])
+}
+
+// closeChannel frees a channel. An error means that the owner frees it, because the connection is gone.
+func (s *session) closeChannel(ch jacinthtiller.Channel) {
+	if err := ch.Close(); err != nil {
+		s.server.events.Emit(event.ChannelLost, event.Fields{"session": s.id, "error": err.Error()})
+	}
+}
--- /dev/null
+++ b/session/words.go
@@ -0,0 +1,116 @@
+package session
+
+import "strings"
+
+// statementWords is what the words of one statement say of it.
+type statementWords struct {
+	// tokens are the first tokens, enough for every form that is looked at.
+	tokens []token
+	second token
+	last   token
+	// modifies is true when a word occurs with which a query changes data or locks rows.
+	modifies bool
+	// calls is true when a function is called that is not known to be harmless.
+	calls bool
+	// readOnly is true after READ ONLY.
+	readOnly bool
+	// to is true when the word TO occurs.
+	to bool
+	// hold, temporary and advisory are features that outlive a transaction.
+	hold, temporary, advisory bool
+}
+
+// maxTokens is the number of leading tokens kept; SET with a hyphenated name and value needs 12.
+const maxTokens = 16
+
+func (w *statementWords) add(t token) {
+	if len(w.tokens) < maxTokens {
+		w.tokens = append(w.tokens, t)
+		if len(w.tokens) == 2 {
+			w.second = t
+		}
+	}
+	switch t.kind {
+	case tokenWord:
+		w.word(t)
+	case tokenIdent:
+		w.name(strings.ToLower(t.text))
+	case tokenPunct:
+		if t.text == "(" && w.called() {
+			w.calls = true
+		}
+	}
+	w.last = t
+}
+
+// called reports whether an opening parenthesis after the last token may call an unknown function.
+func (w *statementWords) called() bool {
+	switch w.last.kind {
+	case tokenIdent:
+		return true
+	case tokenWord:
+		return !safeCalls[strings.ToLower(w.last.text)]
+	}
+	return false
+}
+
+func (w *statementWords) word(t token) {
+	switch text := strings.ToLower(t.text); text {
+	case "insert", "update", "delete", "merge", "into", "nextval", "setval":
+		w.modifies = true
+	case "share":
+		w.modifies = w.modifies || w.last.is("for") || w.last.is("key")
+	case "only":
+		w.readOnly = w.readOnly || w.last.is("read")
+	case "to":
+		w.to = true
+	case "hold":
+		w.hold = w.hold || w.last.is("with")
+	case "temp", "temporary":
+		w.temporary = w.temporary || w.temporaryHere()
+	default:
+		w.name(text)
+	}
+}
+
+// temporaryHere reports whether the word TEMP at this place makes an object temporary.
+func (w *statementWords) temporaryHere() bool {
+	if w.last.is("into") {
+		return true
+	}
+	if len(w.tokens) == 0 || !w.tokens[0].is("create") {
+		return false
+	}
+	return w.last.is("create") || w.last.is("replace") || w.last.is("global") || w.last.is("local")
+}
+
+func (w *statementWords) name(text string) {
+	switch {
+	case text == "pg_temp":
+		w.temporary = true
+	case strings.HasPrefix(text, "pg_advisory_") || strings.HasPrefix(text, "pg_try_advisory_"):
+		w.advisory = w.advisory || !strings.Contains(text, "_xact_")
+	}
+}
+
+// refusal returns why the statement cannot run through pooled connections, nil if it can.
+func (w *statementWords) refusal() *fault {
+	first := w.tokens[0]
+	switch {
+	case first.is("listen"):
+		return unsupported("LISTEN is not supported", "Notifications need a connection of one's own; poll instead.")
+	case first.is("copy"):
+		return unsupported("COPY is not supported", "Use INSERT with several rows, or SELECT.")
+	case first.is("load"):
+		return unsupported("LOAD is not supported", "Have the library loaded on the targets.")
+	case first.is("prepare") && !w.second.is("transaction"), first.is("execute"):
+		return unsupported("PREPARE and EXECUTE as statements are not supported", "Prepare with the driver, which uses the extended protocol.")
+	case first.is("declare") && w.hold:
+		return unsupported("DECLARE ... WITH HOLD is not supported", "Use the cursor within one transaction.")
+	case w.temporary:
+		return unsupported("temporary objects are not supported", "Use a common table expression or an ordinary table.")
+	case w.advisory:
+		return unsupported("advisory locks of a session are not supported", "Use pg_advisory_xact_lock within a transaction.")
+	}
+	return nil
+}
