--- /dev/null
+++ b/control/client.go
@@ -0,0 +1,378 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+const (
+	// callTimeout bounds one attempt, so that a process that hangs does not use up the caller's time.
+	callTimeout = 500 * time.Millisecond
+	// slowCallTimeout bounds an attempt that may wait for a lease to end.
+	slowCallTimeout = 2*Lease + callTimeout
+	// retryPause is the pause after a round of attempts in which no process led.
+	retryPause = 50 * time.Millisecond
+	// silentAfter ends a watch without a message; three heartbeats may be missing.
+	silentAfter = 3*heartbeatEvery + 500*time.Millisecond
+)
+
+// Client calls the control group. It implements jacinthtiller.Control.
+type Client struct {
+	http *http.Client
+
+	mu sync.Mutex // guards the fields below
+	// urls are the known processes; those that a redirect names are added.
+	urls []string
+	// leader is the index in urls of the process to ask first.
+	leader int
+	// watched is the index in urls of the process to watch next.
+	watched   int
+	endpoints map[string]*endpoint
+}
+
+// endpoint holds the procedures of one control process.
+type endpoint struct {
+	register       *connect.Client[jacinthtiller.Host, jacinthtiller.RegisterResponse]
+	renew          *connect.Client[jacinthtiller.RenewRequest, jacinthtiller.RenewResponse]
+	release        *connect.Client[jacinthtiller.ReleaseRequest, wire.Empty]
+	observe        *connect.Client[jacinthtiller.ObserveRequest, wire.Empty]
+	lost           *connect.Client[jacinthtiller.LostRequest, wire.Empty]
+	watch          *connect.Client[WatchRequest, jacinthtiller.Delta]
+	sectionGet     *connect.Client[SectionGetRequest, SectionGetResponse]
+	sectionApply   *connect.Client[SectionApplyRequest, SectionApplyResponse]
+	sectionHistory *connect.Client[SectionHistoryRequest, SectionHistoryResponse]
+	status         *connect.Client[wire.Empty, StatusResponse]
+	members        *connect.Client[wire.Empty, MembersResponse]
+	memberChange   *connect.Client[MemberChangeRequest, MembersResponse]
+	movePrimary    *connect.Client[MovePrimaryRequest, MovePrimaryResponse]
+	targetLeave    *connect.Client[TargetLeaveRequest, wire.Empty]
+}
+
+func newEndpoint(h *http.Client, url string) *endpoint {
+	o := wire.ClientOptions()
+	return &endpoint{
+		register:       connect.NewClient[jacinthtiller.Host, jacinthtiller.RegisterResponse](h, url+wire.ProcRegister, o...),
+		renew:          connect.NewClient[jacinthtiller.RenewRequest, jacinthtiller.RenewResponse](h, url+wire.ProcRenew, o...),
+		release:        connect.NewClient[jacinthtiller.ReleaseRequest, wire.Empty](h, url+wire.ProcRelease, o...),
+		observe:        connect.NewClient[jacinthtiller.ObserveRequest, wire.Empty](h, url+wire.ProcObserve, o...),
+		lost:           connect.NewClient[jacinthtiller.LostRequest, wire.Empty](h, url+wire.ProcLost, o...),
+		watch:          connect.NewClient[WatchRequest, jacinthtiller.Delta](h, url+wire.ProcWatch, o...),
+		sectionGet:     connect.NewClient[SectionGetRequest, SectionGetResponse](h, url+wire.ProcSectionGet, o...),
+		sectionApply:   connect.NewClient[SectionApplyRequest, SectionApplyResponse](h, url+wire.ProcSectionApply, o...),
+		sectionHistory: connect.NewClient[SectionHistoryRequest, SectionHistoryResponse](h, url+wire.ProcSectionHistory, o...),
+		status:         connect.NewClient[wire.Empty, StatusResponse](h, url+wire.ProcStatus, o...),
+		members:        connect.NewClient[wire.Empty, MembersResponse](h, url+wire.ProcMembers, o...),
+		memberChange:   connect.NewClient[MemberChangeRequest, MembersResponse](h, url+wire.ProcMemberChange, o...),
+		movePrimary:    connect.NewClient[MovePrimaryRequest, MovePrimaryResponse](h, url+wire.ProcMovePrimary, o...),
+		targetLeave:    connect.NewClient[TargetLeaveRequest, wire.Empty](h, url+wire.ProcTargetLeave, o...),
+	}
+}
+
+// NewClient returns a client of the control processes at the URLs. A nil client means wire.NewHTTPClient.
+func NewClient(urls []string, client *http.Client) *Client {
+	if client == nil {
+		client = wire.NewHTTPClient()
+	}
+	c := &Client{http: client, urls: slices.Clone(urls), endpoints: map[string]*endpoint{}}
+	if len(urls) > 0 {
+		// Hosts start at different processes, so that the watches spread over the group.
+		c.watched = rand.IntN(len(urls))
+	}
+	return c
+}
+
+// at returns the endpoint at the place in urls.
+func (c *Client) at(place int) *endpoint {
+	url := c.urls[place%len(c.urls)]
+	e, ok := c.endpoints[url]
+	if !ok {
+		e = newEndpoint(c.http, url)
+		c.endpoints[url] = e
+	}
+	return e
+}
+
+// next returns the endpoint to ask and its place.
+func (c *Client) next() (*endpoint, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at(c.leader), c.leader
+}
+
+// failed chooses the process to ask after an error of the one at place.
+func (c *Client) failed(place int, leader string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != place {
+		return // another call has found a process already
+	}
+	if leader == "" || leader == leaderUnknown {
+		c.leader = (place + 1) % len(c.urls)
+		return
+	}
+	if i := slices.Index(c.urls, leader); i >= 0 {
+		c.leader = i
+		return
+	}
+	c.urls = append(c.urls, leader)
+	c.leader = len(c.urls) - 1
+}
+
+// call runs attempts until one succeeds, fails for good or ctx ends. Without
+// repeatable, only an attempt that proves that it did not run is followed by another.
+func (c *Client) call(ctx context.Context, timeout time.Duration, repeatable bool, attempt func(context.Context, *endpoint) error) error {
+	if len(c.urls) == 0 {
+		return errors.New("no control process is known")
+	}
+	for tries := 1; ; tries++ {
+		e, place := c.next()
+		once, cancel := context.WithTimeout(ctx, timeout)
+		err := attempt(once, e)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		leader := leaderOf(err)
+		if ctx.Err() != nil || leader == "" && (!repeatable || !transient(err)) {
+			return err
+		}
+		c.failed(place, leader)
+		if leader == leaderUnknown || leader == "" || tries%4 == 0 {
+			select {
+			case <-ctx.Done():
+				return err
+			case <-time.After(retryPause):
+			}
+		}
+	}
+}
+
+// leaderOf returns the URL in the refusal of a process that does not lead; empty for other errors.
+func leaderOf(err error) string {
+	var e *connect.Error
+	if errors.As(err, &e) {
+		return e.Meta().Get(leaderHeader)
+	}
+	return ""
+}
+
+// transient reports whether another process may answer what this one did not.
+func transient(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodePermissionDenied, connect.CodeFailedPrecondition, connect.CodeUnimplemented:
+		return false
+	}
+	return true
+}
+
+// Register records the host, once the lease of a former process of the same name has ended.
+func (c *Client) Register(ctx context.Context, h jacinthtiller.Host) (jacinthtiller.RegisterResponse, error) {
+	var out jacinthtiller.RegisterResponse
+	err := c.call(ctx, slowCallTimeout, true, func(ctx context.Context, e *endpoint) error {
+		r, err := e.register.CallUnary(ctx, connect.NewRequest(&h))
+		if err != nil {
+			return fmt.Errorf("register host %s: %w", h.Name, err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Renew asks for the host's lease.
+func (c *Client) Renew(ctx context.Context, m jacinthtiller.RenewRequest) (jacinthtiller.RenewResponse, error) {
+	var out jacinthtiller.RenewResponse
+	err := c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		r, err := e.renew.CallUnary(ctx, connect.NewRequest(&m))
+		if err != nil {
+			return fmt.Errorf("renew lease of %s: %w", m.Host, err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Release gives up the host's lease and targets. Repeating it changes nothing.
+func (c *Client) Release(ctx context.Context, m jacinthtiller.ReleaseRequest) error {
+	return c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		if _, err := e.release.CallUnary(ctx, connect.NewRequest(&m)); err != nil {
+			return fmt.Errorf("release host %s: %w", m.Host, err)
+		}
+		return nil
+	})
+}
+
+// Observe reports a target's announcement.
+func (c *Client) Observe(ctx context.Context, m jacinthtiller.ObserveRequest) error {
+	return c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		if _, err := e.observe.CallUnary(ctx, connect.NewRequest(&m)); err != nil {
+			return fmt.Errorf("observe target %s: %w", m.Announcement.Target, err)
+		}
+		return nil
+	})
+}
+
+// Lost gives up a target. Repeating it changes nothing, because the epoch is past.
+func (c *Client) Lost(ctx context.Context, m jacinthtiller.LostRequest) error {
+	return c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		if _, err := e.lost.CallUnary(ctx, connect.NewRequest(&m)); err != nil {
+			return fmt.Errorf("report target %s as lost: %w", m.Target, err)
+		}
+		return nil
+	})
+}
+
+// Watch passes deltas to apply until the stream fails or ctx ends. A delta whose
+// From equals its Index is a heartbeat. The next call watches another process.
+func (c *Client) Watch(ctx context.Context, from uint64, apply func(jacinthtiller.Delta) error) error {
+	if len(c.urls) == 0 {
+		return errors.New("no control process is known")
+	}
+	c.mu.Lock()
+	e := c.at(c.watched)
+	c.watched++
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(silentAfter, func() { cancel(errSilent) })
+	defer silence.Stop()
+	s, err := e.watch.CallServerStream(ctx, connect.NewRequest(&WatchRequest{From: from}))
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	defer func() { _ = s.Close() }()
+	for s.Receive() {
+		silence.Reset(silentAfter)
+		if err := apply(*s.Msg()); err != nil {
+			return fmt.Errorf("apply delta at index %d: %w", s.Msg().Index, err)
+		}
+	}
+	return fmt.Errorf("watch ended: %w", errors.Join(s.Err(), context.Cause(ctx)))
+}
+
+// errSilent ends a watch whose process has stopped sending heartbeats.
+var errSilent = errors.New("no heartbeat from the control process")
+
+// SectionGet returns a team's section.
+func (c *Client) SectionGet(ctx context.Context, team string) (SectionGetResponse, error) {
+	var out SectionGetResponse
+	err := c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		r, err := e.sectionGet.CallUnary(ctx, connect.NewRequest(&SectionGetRequest{Team: team}))
+		if err != nil {
+			return fmt.Errorf("get section of %s: %w", team, err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// SectionApply replaces a team's section. It is repeated under the same request id until it is answered.
+func (c *Client) SectionApply(ctx context.Context, m SectionApplyRequest) (SectionApplyResponse, error) {
+	var out SectionApplyResponse
+	timeout := slowCallTimeout + min(time.Duration(m.WaitMicroseconds)*time.Microsecond, maxWait)
+	err := c.call(ctx, timeout, true, func(ctx context.Context, e *endpoint) error {
+		r, err := e.sectionApply.CallUnary(ctx, connect.NewRequest(&m))
+		if err != nil {
+			return fmt.Errorf("apply section of %s: %w", m.Team, err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// SectionHistory returns the kept revisions of a team's section, oldest first.
+func (c *Client) SectionHistory(ctx context.Context, team string) (SectionHistoryResponse, error) {
+	var out SectionHistoryResponse
+	err := c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		r, err := e.sectionHistory.CallUnary(ctx, connect.NewRequest(&SectionHistoryRequest{Team: team}))
+		if err != nil {
+			return fmt.Errorf("history of the section of %s: %w", team, err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Status returns the group's state as the leader sees it.
+func (c *Client) Status(ctx context.Context) (StatusResponse, error) {
+	var out StatusResponse
+	err := c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		r, err := e.status.CallUnary(ctx, connect.NewRequest(&wire.Empty{}))
+		if err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Members returns the control group's members as the process asked first knows them.
+func (c *Client) Members(ctx context.Context) (MembersResponse, error) {
+	var out MembersResponse
+	err := c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		r, err := e.members.CallUnary(ctx, connect.NewRequest(&wire.Empty{}))
+		if err != nil {
+			return fmt.Errorf("members: %w", err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// MemberChange changes the control group's members. An error without a refusal leaves the outcome open.
+func (c *Client) MemberChange(ctx context.Context, m MemberChangeRequest) (MembersResponse, error) {
+	var out MembersResponse
+	err := c.call(ctx, slowCallTimeout, false, func(ctx context.Context, e *endpoint) error {
+		r, err := e.memberChange.CallUnary(ctx, connect.NewRequest(&m))
+		if err != nil {
+			return fmt.Errorf("%s member %s: %w", m.Action, m.Name, err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// MovePrimary asks for a planned change of primary and waits for it as long as the request says.
+func (c *Client) MovePrimary(ctx context.Context, m MovePrimaryRequest) (MovePrimaryResponse, error) {
+	var out MovePrimaryResponse
+	timeout := slowCallTimeout + min(time.Duration(m.WaitMicroseconds)*time.Microsecond, maxWait)
+	err := c.call(ctx, timeout, false, func(ctx context.Context, e *endpoint) error {
+		r, err := e.movePrimary.CallUnary(ctx, connect.NewRequest(&m))
+		if err != nil {
+			return fmt.Errorf("move primary of %s: %w", m.Database, err)
+		}
+		out = *r.Msg
+		return nil
+	})
+	return out, err
+}
+
+// TargetLeave asks that a target gets no new work.
+func (c *Client) TargetLeave(ctx context.Context, m TargetLeaveRequest) error {
+	return c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+		if _, err := e.targetLeave.CallUnary(ctx, connect.NewRequest(&m)); err != nil {
+			return fmt.Errorf("leave target %s: %w", m.Target, err)
+		}
+		return nil
+	})
+}
+
+var _ jacinthtiller.Control = (*Client)(nil)
--- /dev/null
+++ b/control/command.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// Command is one entry of the replicated log. Exactly one of the fields is set;
+// a Batch holds commands that are applied in order under one index.
+type Command struct {
+	Batch     []Command         `cbor:"batch,omitempty"`
+	Barrier   *barrierCommand   `cbor:"barrier,omitempty"`
+	Register  *registerCommand  `cbor:"register,omitempty"`
+	Gone      *goneCommand      `cbor:"gone,omitempty"`
+	Forget    *forgetCommand    `cbor:"forget,omitempty"`
+	Observe   *observeCommand   `cbor:"observe,omitempty"`
+	Assign    *assignCommand    `cbor:"assign,omitempty"`
+	Unassign  *unassignCommand  `cbor:"unassign,omitempty"`
+	Lost      *lostCommand      `cbor:"lost,omitempty"`
+	Leave     *leaveCommand     `cbor:"leave,omitempty"`
+	Remove    *removeCommand    `cbor:"remove,omitempty"`
+	Bootstrap *bootstrapCommand `cbor:"bootstrap,omitempty"`
+	Open      *openCommand      `cbor:"open,omitempty"`
+	Commit    *commitCommand    `cbor:"commit,omitempty"`
+	Move      *moveCommand      `cbor:"move,omitempty"`
+	Section   *sectionCommand   `cbor:"section,omitempty"`
+}
+
+// barrierCommand changes nothing. A new leader waits for its own barrier and so
+// knows that it has applied every entry of earlier leaders.
+type barrierCommand struct {
+	Leader string `cbor:"leader"`
+}
+
+type registerCommand struct {
+	Host jacinthtiller.Host `cbor:"host"`
+}
+
+// goneCommand ends a host's registration, because its lease has ended or because it released it.
+type goneCommand struct {
+	Host        string `cbor:"host"`
+	Incarnation string `cbor:"incarnation"`
+	// Released is true when the host gave up its targets.
+	Released bool `cbor:"released,omitempty"`
+}
+
+type forgetCommand struct {
+	Host string `cbor:"host"`
+}
+
+type observeCommand struct {
+	Host             string                     `cbor:"host"`
+	Announcement     jacinthtiller.Announcement `cbor:"announcement"`
+	OwnerUnreachable bool                       `cbor:"owner-unreachable,omitempty"`
+}
+
+// assignCommand gives a target to a host.
+type assignCommand struct {
+	Database string `cbor:"database"`
+	Target   string `cbor:"target"`
+	// Epoch is the epoch that the assignment replaces.
+	Epoch uint64 `cbor:"epoch"`
+	Host  string `cbor:"host"`
+	// InForce is the index that the former owner of a handover has in force; 0 outside a handover.
+	InForce uint64 `cbor:"in-force,omitempty"`
+}
+
+// unassignCommand takes a target from a live owner, as the first half of a handover.
+type unassignCommand struct {
+	Database string `cbor:"database"`
+	Target   string `cbor:"target"`
+	Epoch    uint64 `cbor:"epoch"`
+}
+
+type lostCommand struct {
+	Host     string `cbor:"host"`
+	Database string `cbor:"database"`
+	Target   string `cbor:"target"`
+	Epoch    uint64 `cbor:"epoch"`
+}
+
+// leaveCommand marks a target as leaving whatever it announces.
+type leaveCommand struct {
+	Database string `cbor:"database"`
+	Target   string `cbor:"target"`
+}
+
+type removeCommand struct {
+	Database string `cbor:"database"`
+	Target   string `cbor:"target"`
+}
+
+// bootstrapCommand records the primary that a new database has announced.
+type bootstrapCommand struct {
+	Database string `cbor:"database"`
+	Target   string `cbor:"target"`
+	Term     uint64 `cbor:"term"`
+}
+
+// openCommand begins Term without a primary. Its guards are checked when it is
+// applied, because the former owner may have registered again since the decision.
+type openCommand struct {
+	Database string `cbor:"database"`
+	// From is the term that the new one follows.
+	From uint64 `cbor:"from"`
+	Term uint64 `cbor:"term"`
+}
+
+type commitCommand struct {
+	Database string `cbor:"database"`
+	Term     uint64 `cbor:"term"`
+	Target   string `cbor:"target"`
+}
+
+// moveCommand starts a planned move, or cancels it when Target is empty.
+type moveCommand struct {
+	Database string `cbor:"database"`
+	Term     uint64 `cbor:"term"`
+	Target   string `cbor:"target"`
+}
+
+type sectionCommand struct {
+	Team     string `cbor:"team"`
+	Text     string `cbor:"text"`
+	Author   string `cbor:"author"`
+	Request  string `cbor:"request"`
+	Replaces uint64 `cbor:"replaces"`
+	// Roles are the names in Text, read before the command was proposed, so that
+	// applying it does not depend on the version of the parser.
+	Roles []string `cbor:"roles,omitempty"`
+}
+
+// code says what became of a command.
+type code string
+
+const (
+	codeDone      code = ""
+	codeStale     code = "stale"      // the state has moved on; nothing was changed
+	codeBusy      code = "busy"       // another incarnation of the host may still hold its lease
+	codeConflict  code = "conflict"   // the section has another revision
+	codeReused    code = "reused"     // the request id was used with other content
+	codeRoleTaken code = "role-taken" // another team has the role
+	codeUnknown   code = "unknown"    // the database or target does not exist
+)
+
+// answer is the result of a command, the same on every control process.
+type answer struct {
+	Code code `cbor:"code,omitempty"`
+	// Index is where the change was recorded, which for a resend is the first time.
+	Index uint64 `cbor:"index"`
+	// Revision is the section's revision after the command.
+	Revision uint64 `cbor:"revision,omitempty"`
+	// Names are the roles that are taken.
+	Names []string `cbor:"names,omitempty"`
+}
+
+// encoding sorts keys, so that equal states have equal bytes.
+var encoding = mustEncoding()
+
+func mustEncoding() cbor.EncMode {
+	m, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("cbor options: %v", err))
+	}
+	return m
+}
+
+func encode(v any) ([]byte, error) {
+	b, err := encoding.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return b, nil
+}
+
+func decode(b []byte, v any) error {
+	if err := cbor.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/control/handler.go
@@ -0,0 +1,519 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/document"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/quorum"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+const (
+	// leaderHeader is set in the error of a process that does not lead: the leader's
+	// URL, or "unknown". It proves that the request was not run.
+	leaderHeader  = "Jacinthtiller-Leader"
+	leaderUnknown = "unknown"
+	// heartbeatEvery is the time between messages of a watch without changes.
+	heartbeatEvery = time.Second
+	// isolatedAfter is how long a process without a leader goes on serving watches.
+	isolatedAfter = 2 * time.Second
+	// maxWait bounds the waits that operators may ask for.
+	maxWait = 30 * time.Second
+)
+
+// Handler returns the service of the process.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	opts := wire.HandlerOptions()
+	mux.Handle(wire.ProcRegister, connect.NewUnaryHandler(wire.ProcRegister, s.register, opts...))
+	mux.Handle(wire.ProcRenew, connect.NewUnaryHandler(wire.ProcRenew, s.renew, opts...))
+	mux.Handle(wire.ProcRelease, connect.NewUnaryHandler(wire.ProcRelease, s.release, opts...))
+	mux.Handle(wire.ProcObserve, connect.NewUnaryHandler(wire.ProcObserve, s.observe, opts...))
+	mux.Handle(wire.ProcLost, connect.NewUnaryHandler(wire.ProcLost, s.lost, opts...))
+	mux.Handle(wire.ProcWatch, connect.NewServerStreamHandler(wire.ProcWatch, s.watch, opts...))
+	mux.Handle(wire.ProcStep, connect.NewUnaryHandler(wire.ProcStep, s.step, opts...))
+	mux.Handle(wire.ProcSectionGet, connect.NewUnaryHandler(wire.ProcSectionGet, s.sectionGet, opts...))
+	mux.Handle(wire.ProcSectionApply, connect.NewUnaryHandler(wire.ProcSectionApply, s.sectionApply, opts...))
+	mux.Handle(wire.ProcSectionHistory, connect.NewUnaryHandler(wire.ProcSectionHistory, s.sectionHistory, opts...))
+	mux.Handle(wire.ProcStatus, connect.NewUnaryHandler(wire.ProcStatus, s.status, opts...))
+	mux.Handle(wire.ProcMembers, connect.NewUnaryHandler(wire.ProcMembers, s.members, opts...))
+	mux.Handle(wire.ProcMemberChange, connect.NewUnaryHandler(wire.ProcMemberChange, s.memberChange, opts...))
+	mux.Handle(wire.ProcMovePrimary, connect.NewUnaryHandler(wire.ProcMovePrimary, s.movePrimary, opts...))
+	mux.Handle(wire.ProcTargetLeave, connect.NewUnaryHandler(wire.ProcTargetLeave, s.targetLeave, opts...))
+	return mux
+}
+
+// notLeader is the error that sends a caller to the leader.
+func (s *Server) notLeader(leader string) error {
+	url, ok := s.urls[leader]
+	if !ok || leader == s.name {
+		url = leaderUnknown
+	}
+	e := connect.NewError(connect.CodeUnavailable, &quorum.NotLeaderError{Leader: leader})
+	e.Meta().Set(leaderHeader, url)
+	return e
+}
+
+// leading returns the leader's part of the state, or an error that names the leader.
+func (s *Server) leading() (*leader, error) {
+	s.mu.Lock()
+	l := s.leader
+	s.mu.Unlock()
+	name, _, leads := s.node.Leadership()
+	if l == nil || !leads {
+		return nil, s.notLeader(name)
+	}
+	return l, nil
+}
+
+// confirmed returns the leader's part after a quorum has confirmed the leadership.
+func (s *Server) confirmed(ctx context.Context) (*leader, error) {
+	l, err := s.leading()
+	if err != nil {
+		return nil, err
+	}
+	if err := s.rounds.wait(ctx); err != nil {
+		return nil, s.refusal(err)
+	}
+	return l, nil
+}
+
+// refusal turns an error of the log into one for the caller.
+func (s *Server) refusal(err error) error {
+	var n *quorum.NotLeaderError
+	var f *ForbiddenError
+	switch {
+	case errors.As(err, &n):
+		return s.notLeader(n.Leader)
+	case errors.As(err, &f):
+		return connect.NewError(connect.CodePermissionDenied, err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+func invalid(format string, args ...any) error {
+	return connect.NewError(connect.CodeInvalidArgument, fmt.Errorf(format, args...))
+}
+
+// write proposes a command of a caller.
+func (s *Server) write(ctx context.Context, c Command) (answer, error) {
+	if _, err := s.leading(); err != nil {
+		return answer{}, err
+	}
+	a, err := s.propose(ctx, c)
+	if err != nil {
+		return answer{}, s.refusal(err)
+	}
+	return a, nil
+}
+
+func (s *Server) register(ctx context.Context, r *connect.Request[jacinthtiller.Host]) (*connect.Response[jacinthtiller.RegisterResponse], error) {
+	h := *r.Msg
+	if h.Name == "" || h.Domain == "" || h.RPC == "" || h.Incarnation == "" {
+		return nil, invalid("host: name, domain, rpc and incarnation must be set")
+	}
+	for {
+		st, changed := s.machine.watch()
+		if old := st.View.Hosts[h.Name]; old.Name == "" || old.Gone || old.Incarnation == h.Incarnation {
+			a, err := s.write(ctx, Command{Register: &registerCommand{Host: h}})
+			if err != nil {
+				return nil, err
+			}
+			if a.Code == codeDone {
+				return connect.NewResponse(&jacinthtiller.RegisterResponse{Index: a.Index}), nil
+			}
+			continue
+		}
+		// The lease of the former process must end first: it may still run.
+		if _, err := s.leading(); err != nil {
+			return nil, err
+		}
+		select {
+		case <-changed:
+		case <-time.After(Lease):
+		case <-s.ctx.Done():
+			return nil, s.notLeader("")
+		case <-ctx.Done():
+			return nil, s.refusal(fmt.Errorf("wait for the lease of the former process: %w", ctx.Err()))
+		}
+	}
+}
+
+func (s *Server) renew(ctx context.Context, r *connect.Request[jacinthtiller.RenewRequest]) (*connect.Response[jacinthtiller.RenewResponse], error) {
+	l, err := s.confirmed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader != l {
+		return nil, s.notLeader("")
+	}
+	// The state is read under the lock, so that a host whose end was decided cannot be granted a lease.
+	out := l.renew(s.machine.state(), *r.Msg, time.Now())
+	if out.LeaseMicroseconds > 0 {
+		s.metrics.renewals.Add(ctx, 1)
+	}
+	return connect.NewResponse(&out), nil
+}
+
+func (s *Server) release(ctx context.Context, r *connect.Request[jacinthtiller.ReleaseRequest]) (*connect.Response[wire.Empty], error) {
+	a, err := s.write(ctx, Command{Gone: &goneCommand{Host: r.Msg.Host, Incarnation: r.Msg.Incarnation, Released: true}})
+	if err != nil {
+		return nil, err
+	}
+	if a.Code == codeDone {
+		s.events.Emit(event.ControlHostReleased, event.Fields{"name": r.Msg.Host, "index": a.Index})
+	}
+	return connect.NewResponse(&wire.Empty{}), nil
+}
+
+func (s *Server) observe(ctx context.Context, r *connect.Request[jacinthtiller.ObserveRequest]) (*connect.Response[wire.Empty], error) {
+	if err := r.Msg.Announcement.Validate(); err != nil {
+		return nil, invalid("%w", err)
+	}
+	if _, err := s.leading(); err != nil {
+		return nil, err
+	}
+	c := observeCommand{Host: r.Msg.Host, Announcement: r.Msg.Announcement, OwnerUnreachable: r.Msg.OwnerUnreachable}
+	// Hosts repeat observations until their view shows them, so most of them change nothing.
+	if !s.machine.state().news(c) {
+		return connect.NewResponse(&wire.Empty{}), nil
+	}
+	if _, err := s.write(ctx, Command{Observe: &c}); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.Empty{}), nil
+}
+
+// news reports whether an observation would change the view, or the choice of a first primary.
+func (s *state) news(c observeCommand) bool {
+	_, _, ch := apply(s, s.View.Index+1, Command{Observe: &c})
+	if !ch.empty() {
+		return true
+	}
+	a := c.Announcement
+	old, known := s.Announced[a.Database][a.Target]
+	return s.View.Databases[a.Database].Term == 0 && (!known || old.Role != a.Role || old.Term != a.Term)
+}
+
+func (s *Server) lost(ctx context.Context, r *connect.Request[jacinthtiller.LostRequest]) (*connect.Response[wire.Empty], error) {
+	// A report of an ownership that has ended already changes nothing, so a resend is harmless.
+	_, err := s.write(ctx, Command{Lost: &lostCommand{
+		Host: r.Msg.Host, Database: r.Msg.Database, Target: r.Msg.Target, Epoch: r.Msg.Epoch,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.Empty{}), nil
+}
+
+// watch streams views. A process that knows no leader ends its watches, because
+// it may be cut off from the group and its view would grow old unnoticed.
+func (s *Server) watch(ctx context.Context, r *connect.Request[WatchRequest], out *connect.ServerStream[encodedDelta]) error {
+	s.metrics.watchers.Add(ctx, 1)
+	defer s.metrics.watchers.Add(ctx, -1)
+	from := r.Msg.From
+	ticks := time.NewTicker(heartbeatEvery)
+	defer ticks.Stop()
+	alone := time.Now().Add(isolatedAfter)
+	for {
+		d, changed := s.machine.delta(from)
+		if d != nil {
+			if err := out.Send(d); err != nil {
+				return fmt.Errorf("send delta: %w", err)
+			}
+			from = d.delta.Index
+			s.metrics.deltas.Add(ctx, 1)
+			continue
+		}
+		select {
+		case <-changed:
+			continue
+		case <-s.ctx.Done():
+			return s.notLeader("")
+		case <-ctx.Done():
+			return fmt.Errorf("watch: %w", ctx.Err())
+		case <-ticks.C:
+		}
+		now := time.Now()
+		if leader, _, _ := s.node.Leadership(); leader != "" {
+			alone = now.Add(isolatedAfter)
+		}
+		if !now.Before(alone) {
+			return s.notLeader("")
+		}
+		if h := s.machine.heartbeat(from); h != nil {
+			if err := out.Send(h); err != nil {
+				return fmt.Errorf("send heartbeat: %w", err)
+			}
+		}
+	}
+}
+
+func (s *Server) step(_ context.Context, r *connect.Request[StepRequest]) (*connect.Response[wire.Empty], error) {
+	for _, m := range r.Msg.Messages {
+		s.node.Receive(m)
+	}
+	return connect.NewResponse(&wire.Empty{}), nil
+}
+
+func (s *Server) sectionGet(ctx context.Context, r *connect.Request[SectionGetRequest]) (*connect.Response[SectionGetResponse], error) {
+	if _, err := s.confirmed(ctx); err != nil {
+		return nil, err
+	}
+	v := s.machine.state().View
+	return connect.NewResponse(&SectionGetResponse{Section: v.Sections[r.Msg.Team], Index: v.Document}), nil
+}
+
+func (s *Server) sectionHistory(ctx context.Context, r *connect.Request[SectionHistoryRequest]) (*connect.Response[SectionHistoryResponse], error) {
+	if _, err := s.confirmed(ctx); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&SectionHistoryResponse{Revisions: s.machine.state().Histories[r.Msg.Team]}), nil
+}
+
+func (s *Server) sectionApply(ctx context.Context, r *connect.Request[SectionApplyRequest]) (*connect.Response[SectionApplyResponse], error) {
+	m := *r.Msg
+	if _, err := s.leading(); err != nil {
+		return nil, err
+	}
+	if err := s.operators.allow(m.Operator, m.Team); err != nil {
+		return nil, s.refusal(err)
+	}
+	if m.Request == "" {
+		return nil, invalid("section %s: request id is empty", m.Team)
+	}
+	team, faults := document.Parse(m.Team, m.Text)
+	if len(faults) > 0 {
+		s.events.Emit(event.ControlSectionRefused, event.Fields{"team": m.Team, "author": m.Operator.Name, "faults": len(faults)})
+		return connect.NewResponse(&SectionApplyResponse{Outcome: SectionInvalid, Faults: faults}), nil
+	}
+	c := sectionCommand{Team: m.Team, Text: m.Text, Author: m.Operator.Name, Request: m.Request, Replaces: m.Replaces}
+	for _, role := range team.Roles {
+		c.Roles = append(c.Roles, role.Name)
+	}
+	a, err := s.write(ctx, Command{Section: &c})
+	if err != nil {
+		return nil, err
+	}
+	out := s.sectionAnswer(a, team)
+	if out.Outcome != SectionAccepted {
+		s.events.Emit(event.ControlSectionRefused, event.Fields{
+			"team": m.Team, "author": m.Operator.Name, "outcome": string(out.Outcome), "replaces": m.Replaces,
+		})
+		return connect.NewResponse(&out), nil
+	}
+	out.InForce, out.Waiting = s.awaitInForce(ctx, out.Index, m.WaitMicroseconds)
+	return connect.NewResponse(&out), nil
+}
+
+// sectionAnswer turns the log's answer into one for the operator.
+func (s *Server) sectionAnswer(a answer, team document.Team) SectionApplyResponse {
+	st := s.machine.state()
+	switch a.Code {
+	case codeDone:
+		return SectionApplyResponse{Outcome: SectionAccepted, Revision: a.Revision, Index: a.Index}
+	case codeConflict:
+		return SectionApplyResponse{Outcome: SectionConflict, Current: st.View.Sections[team.Name]}
+	case codeRoleTaken:
+		faults := document.RolesTaken(st.Roles, team)
+		if len(faults) == 0 {
+			faults = []document.Fault{{Path: "roles", Value: fmt.Sprint(a.Names), Rule: "were roles of another team"}}
+		}
+		return SectionApplyResponse{Outcome: SectionInvalid, Faults: faults}
+	default:
+		return SectionApplyResponse{Outcome: SectionReused, Current: st.View.Sections[team.Name]}
+	}
+}
+
+// awaitInForce returns which hosts have the index in force, once all of them do or the wait is over.
+func (s *Server) awaitInForce(ctx context.Context, index uint64, microseconds int64) (have, lack []string) {
+	end := time.Now().Add(min(time.Duration(microseconds)*time.Microsecond, maxWait))
+	for {
+		s.mu.Lock()
+		if s.leader != nil {
+			have, lack = s.leader.inForceOn(s.machine.state(), index)
+		}
+		s.mu.Unlock()
+		if len(lack) == 0 || !time.Now().Before(end) || ctx.Err() != nil || s.ctx.Err() != nil {
+			return have, lack
+		}
+		s.pause(tickEvery)
+	}
+}
+
+func (s *Server) status(ctx context.Context, _ *connect.Request[wire.Empty]) (*connect.Response[StatusResponse], error) {
+	l, err := s.confirmed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	st := s.machine.state()
+	leader, term, _ := s.node.Leadership()
+	out := &StatusResponse{
+		Leader: leader, Term: term, Index: st.View.Index, Document: st.View.Document,
+		Sections: map[string]uint64{}, Log: s.node.Status(),
+	}
+	for n, sec := range st.View.Sections {
+		out.Sections[n] = sec.Revision
+	}
+	for _, n := range slices.Sorted(maps.Keys(st.View.Databases)) {
+		out.Databases = append(out.Databases, st.View.Databases[n])
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out.Hosts = l.hosts(st, time.Now())
+	return connect.NewResponse(out), nil
+}
+
+// hosts describes the hosts and their leases.
+func (l *leader) hosts(s *state, now time.Time) []HostStatus {
+	counts := map[string]int{}
+	for _, d := range s.View.Databases {
+		for _, t := range d.Targets {
+			counts[t.Owner]++
+		}
+	}
+	var out []HostStatus
+	for _, n := range slices.Sorted(maps.Keys(s.View.Hosts)) {
+		h := HostStatus{Host: s.View.Hosts[n], Lease: LeaseUnknown, Targets: counts[n]}
+		if e := l.leases[n]; e != nil {
+			h.InForce = e.inForce
+		}
+		switch {
+		case h.Host.Gone:
+			h.Lease = LeaseEnded
+		case l.live(n, now):
+			h.Lease = LeaseHeld
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+func (s *Server) members(context.Context, *connect.Request[wire.Empty]) (*connect.Response[MembersResponse], error) {
+	return connect.NewResponse(&MembersResponse{Log: s.node.Status(), URLs: s.urls}), nil
+}
+
+func (s *Server) memberChange(ctx context.Context, r *connect.Request[MemberChangeRequest]) (*connect.Response[MembersResponse], error) {
+	if _, err := s.leading(); err != nil {
+		return nil, err
+	}
+	if err := s.operators.allow(r.Msg.Operator, AllTeams); err != nil {
+		return nil, s.refusal(err)
+	}
+	var err error
+	switch r.Msg.Action {
+	case MemberAdd:
+		if _, ok := s.urls[r.Msg.Name]; !ok {
+			return nil, invalid("member %q has no URL in the settings of this process", r.Msg.Name)
+		}
+		err = s.node.AddMember(ctx, r.Msg.Name)
+	case MemberPromote:
+		err = s.node.PromoteMember(ctx, r.Msg.Name)
+	case MemberRemove:
+		err = s.node.RemoveMember(ctx, r.Msg.Name)
+	default:
+		return nil, invalid("action %q is none of add, promote, remove", r.Msg.Action)
+	}
+	var refused *quorum.ChangeError
+	if errors.As(err, &refused) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	if err != nil {
+		return nil, s.refusal(err)
+	}
+	s.events.Emit(event.ControlMembersChanged, event.Fields{
+		"action": string(r.Msg.Action), "name": r.Msg.Name, "operator": r.Msg.Operator.Name,
+	})
+	return s.members(ctx, nil)
+}
+
+func (s *Server) movePrimary(ctx context.Context, r *connect.Request[MovePrimaryRequest]) (*connect.Response[MovePrimaryResponse], error) {
+	m := *r.Msg
+	if _, err := s.leading(); err != nil {
+		return nil, err
+	}
+	if err := s.operators.allow(m.Operator, AllTeams); err != nil {
+		return nil, s.refusal(err)
+	}
+	d, t, ok := s.machine.state().target(m.Database, m.Target)
+	switch {
+	case !ok:
+		return nil, invalid("target %q of database %q is not known", m.Target, m.Database)
+	case d.Primary == m.Target:
+		return connect.NewResponse(&MovePrimaryResponse{Database: d}), nil
+	case d.Primary == "" || d.Moving != "":
+		return nil, connect.NewError(connect.CodeFailedPrecondition,
+			fmt.Errorf("database %s is changing its primary in term %d", d.Name, d.Term))
+	case !s.able(t):
+		return nil, connect.NewError(connect.CodeFailedPrecondition,
+			fmt.Errorf("target %s is lost, is leaving or has no owner with a lease", t.Name))
+	}
+	a, err := s.write(ctx, Command{Move: &moveCommand{Database: m.Database, Term: d.Term, Target: m.Target}})
+	if err != nil {
+		return nil, err
+	}
+	if a.Code != codeDone {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("database %s changed meanwhile (%s)", d.Name, a.Code))
+	}
+	d = s.awaitMove(ctx, m)
+	return connect.NewResponse(&MovePrimaryResponse{Database: d}), nil
+}
+
+func (s *Server) able(t jacinthtiller.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader != nil && s.leader.able(t, time.Now())
+}
+
+// awaitMove returns the database once the move has ended or the wait is over.
+func (s *Server) awaitMove(ctx context.Context, m MovePrimaryRequest) jacinthtiller.Database {
+	end := time.NewTimer(min(time.Duration(m.WaitMicroseconds)*time.Microsecond, maxWait))
+	defer end.Stop()
+	for {
+		st, changed := s.machine.watch()
+		d := st.View.Databases[m.Database]
+		if d.Moving == "" {
+			return d
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return d
+		case <-ctx.Done():
+			return d
+		case <-s.ctx.Done():
+			return d
+		}
+	}
+}
+
+func (s *Server) targetLeave(ctx context.Context, r *connect.Request[TargetLeaveRequest]) (*connect.Response[wire.Empty], error) {
+	if _, err := s.leading(); err != nil {
+		return nil, err
+	}
+	if err := s.operators.allow(r.Msg.Operator, AllTeams); err != nil {
+		return nil, s.refusal(err)
+	}
+	a, err := s.write(ctx, Command{Leave: &leaveCommand{Database: r.Msg.Database, Target: r.Msg.Target}})
+	if err != nil {
+		return nil, err
+	}
+	if a.Code == codeUnknown {
+		return nil, invalid("target %q of database %q is not known", r.Msg.Target, r.Msg.Database)
+	}
+	return connect.NewResponse(&wire.Empty{}), nil
+}
--- /dev/null
+++ b/control/lease.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+const (
+	// Lease is how long a host's lease lasts, counted by the host from before it asked.
+	Lease = 1500 * time.Millisecond
+	// RenewEvery is the time between a host's renewals; three may fail before the lease ends.
+	RenewEvery = 400 * time.Millisecond
+	// ClockRateBound is what the leader adds to a lease, because clocks may run at rates that differ by 2%.
+	ClockRateBound = Lease / 50
+)
+
+// leaseEnd returns the time, by the leader's clock, until which a host that was
+// answered at now may consider its lease valid.
+func leaseEnd(now time.Time) time.Time { return now.Add(Lease + ClockRateBound) }
+
+// lease is what the leader remembers of one host. It is not in the log.
+type lease struct {
+	incarnation string
+	// registered is the index of the registration that the entry belongs to.
+	registered uint64
+	// deadline is when the host no longer holds a lease; it never moves back.
+	deadline time.Time
+	// since is when this leader first granted the lease; zero until then. Only such a host gets targets.
+	since time.Time
+	// ended is set once the leader has decided that the host is gone. From then on no
+	// lease is granted until the host has registered again.
+	ended bool
+	// inForce is the highest index that the host has reported for this incarnation.
+	inForce uint64
+}
+
+// follow makes the table match the hosts in the view. A host without an entry may
+// hold a lease that a former leader granted, so it counts as alive for a full lease.
+func (l *leader) follow(s *state, now time.Time) {
+	for name, h := range s.View.Hosts {
+		e, ok := l.leases[name]
+		switch {
+		case h.Gone:
+			delete(l.leases, name)
+		case !ok || e.registered != s.Registered[name]:
+			l.leases[name] = &lease{
+				incarnation: h.Incarnation, registered: s.Registered[name], deadline: leaseEnd(now),
+			}
+		}
+	}
+	for name := range l.leases {
+		if _, ok := s.View.Hosts[name]; !ok {
+			delete(l.leases, name)
+		}
+	}
+}
+
+// renew grants a lease unless the host is not registered under the incarnation,
+// was decided to be gone, or does not yet have the view of its registration in
+// force. A host with an older view may believe that it owns what it has lost.
+// It is called after a quorum has confirmed the leadership.
+func (l *leader) renew(s *state, r jacinthtiller.RenewRequest, now time.Time) jacinthtiller.RenewResponse {
+	h, ok := s.View.Hosts[r.Host]
+	if !ok || h.Gone || h.Incarnation != r.Incarnation {
+		return jacinthtiller.RenewResponse{Unregistered: true}
+	}
+	if e := l.leases[r.Host]; e == nil || e.registered != s.Registered[r.Host] {
+		l.follow(s, now)
+	}
+	e := l.leases[r.Host]
+	if e.ended {
+		return jacinthtiller.RenewResponse{Unregistered: true}
+	}
+	if r.Index > e.inForce {
+		e.inForce = r.Index
+		l.rescan = l.rescan || len(s.Handovers) > 0
+	}
+	if r.Index < s.Registered[r.Host] {
+		return jacinthtiller.RenewResponse{}
+	}
+	if e.since.IsZero() {
+		e.since = now
+		l.rescan = true
+	}
+	e.deadline = leaseEnd(now)
+	return jacinthtiller.RenewResponse{LeaseMicroseconds: Lease.Microseconds()}
+}
+
+// expire ends the leases whose time has passed.
+func (l *leader) expire(now time.Time) []Command {
+	var out []Command
+	for name, e := range l.leases {
+		if now.Before(e.deadline) {
+			continue
+		}
+		e.ended = true
+		out = append(out, Command{Gone: &goneCommand{Host: name, Incarnation: e.incarnation}})
+	}
+	slices.SortFunc(out, func(a, b Command) int {
+		if a.Gone.Host < b.Gone.Host {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// live reports whether the host holds a lease that this leader granted.
+func (l *leader) live(host string, now time.Time) bool {
+	e := l.leases[host]
+	return e != nil && !e.ended && !e.since.IsZero() && now.Before(e.deadline)
+}
+
+// inForceOn splits the hosts that are not gone by whether they have the index in force.
+func (l *leader) inForceOn(s *state, index uint64) (have, lack []string) {
+	for name, h := range s.View.Hosts {
+		e := l.leases[name]
+		switch {
+		case h.Gone:
+		case e != nil && e.incarnation == h.Incarnation && e.inForce >= index:
+			have = append(have, name)
+		default:
+			lack = append(lack, name)
+		}
+	}
+	slices.Sort(have)
+	slices.Sort(lack)
+	return have, lack
+}
--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,243 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// recentChanges is how many indexes a watcher may lag behind and still get a
+// delta. At 670 configuration changes a day this covers more than a day.
+const recentChanges = 1024
+
+// machine is the replicated state machine. It implements quorum.Machine.
+type machine struct {
+	events *event.Log
+
+	mu sync.Mutex // guards the fields below
+	s  *state
+	// base is the index of the oldest view that recent leads from.
+	base   uint64
+	recent []changes
+	// changed is closed and replaced when the view changes.
+	changed chan struct{}
+	// encoded holds the deltas to the current view by the index that they start from.
+	encoded map[uint64]*encodedDelta
+}
+
+func newMachine(events *event.Log) *machine {
+	return &machine{
+		events: events, s: newState(), changed: make(chan struct{}), encoded: map[uint64]*encodedDelta{},
+	}
+}
+
+// Apply applies one entry of the log and returns its encoded answer.
+func (m *machine) Apply(index uint64, command []byte) []byte {
+	var c Command
+	if err := decode(command, &c); err != nil {
+		m.events.Emit(event.ControlCommandUnreadable, event.Fields{"index": index, "error": err.Error()})
+		c = Command{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.s
+	next, out, ch := apply(m.s, index, c)
+	m.s = next
+	if !ch.empty() {
+		m.recent = append(m.recent, ch)
+		if len(m.recent) > recentChanges {
+			m.base = m.recent[0].index
+			m.recent = slices.Clone(m.recent[1:])
+		}
+		m.announceChange()
+	}
+	report(m.events, before, next, ch)
+	b, err := encode(out)
+	if err != nil {
+		m.events.Emit(event.ControlCommandUnreadable, event.Fields{"index": index, "error": err.Error()})
+	}
+	return b
+}
+
+func (m *machine) announceChange() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+	m.encoded = map[uint64]*encodedDelta{}
+}
+
+// Snapshot returns the encoded state; equal states have equal bytes.
+func (m *machine) Snapshot() ([]byte, error) { return encode(m.state()) }
+
+// Restore replaces the state by a snapshot.
+func (m *machine) Restore(snapshot []byte) error {
+	s := newState()
+	if err := decode(snapshot, s); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.s, m.recent, m.base = s, nil, s.View.Index
+	m.announceChange()
+	return nil
+}
+
+func (m *machine) state() *state {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.s
+}
+
+// watch returns the state and a channel that is closed when the view changes.
+func (m *machine) watch() (*state, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.s, m.changed
+}
+
+// delta returns what leads from the view at from to the current one, and a
+// channel that is closed when the view changes. A watcher that is ahead of this
+// process gets nothing.
+func (m *machine) delta(from uint64) (*encodedDelta, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if from >= m.s.View.Index {
+		return nil, m.changed
+	}
+	d, ok := m.encoded[from]
+	if !ok {
+		d = &encodedDelta{delta: m.build(from)}
+		m.encoded[from] = d
+	}
+	return d, m.changed
+}
+
+// heartbeat returns a delta without content for a watcher that is at from, or
+// nothing when the watcher is ahead of this process or about to get a delta.
+func (m *machine) heartbeat(from uint64) *encodedDelta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if from != m.s.View.Index {
+		return nil
+	}
+	d, ok := m.encoded[from]
+	if !ok {
+		d = &encodedDelta{delta: jacinthtiller.Delta{From: from, Index: from, Document: m.s.View.Document}}
+		m.encoded[from] = d
+	}
+	return d
+}
+
+// build makes a delta from the names of what changed since from.
+func (m *machine) build(from uint64) jacinthtiller.Delta {
+	v := m.s.View
+	if from == 0 || from < m.base {
+		return jacinthtiller.Delta{
+			Index: v.Index, Document: v.Document, Hosts: v.Hosts, Databases: v.Databases, Sections: v.Sections,
+		}
+	}
+	d := jacinthtiller.Delta{
+		From: from, Index: v.Index, Document: v.Document,
+		Hosts: map[string]jacinthtiller.Host{}, Databases: map[string]jacinthtiller.Database{},
+		Sections: map[string]jacinthtiller.Section{},
+	}
+	removed := map[string]bool{}
+	for i := len(m.recent) - 1; i >= 0 && m.recent[i].index > from; i-- {
+		for _, n := range m.recent[i].hosts {
+			if h, ok := v.Hosts[n]; ok {
+				d.Hosts[n] = h
+			} else {
+				removed[n] = true
+			}
+		}
+		for _, n := range m.recent[i].databases {
+			d.Databases[n] = v.Databases[n]
+		}
+		for _, n := range m.recent[i].sections {
+			d.Sections[n] = v.Sections[n]
+		}
+	}
+	d.RemovedHosts = slices.Sorted(maps.Keys(removed))
+	return d
+}
+
+// encodedDelta is a delta that is encoded once for all its watchers.
+type encodedDelta struct {
+	delta jacinthtiller.Delta
+	once  sync.Once
+	raw   []byte
+	err   error
+}
+
+// MarshalCBOR returns the encoded delta.
+func (d *encodedDelta) MarshalCBOR() ([]byte, error) {
+	d.once.Do(func() { d.raw, d.err = encode(d.delta) })
+	return d.raw, d.err
+}
+
+// MarshalJSON returns the delta for people with a plain HTTP client.
+func (d *encodedDelta) MarshalJSON() ([]byte, error) {
+	b, err := json.Marshal(d.delta)
+	if err != nil {
+		return nil, fmt.Errorf("encode delta: %w", err)
+	}
+	return b, nil
+}
+
+// report emits the events of one applied entry.
+func report(events *event.Log, before, after *state, ch changes) {
+	for _, n := range ch.hosts {
+		old, h := before.View.Hosts[n], after.View.Hosts[n]
+		f := event.Fields{"name": n, "domain": h.Domain, "incarnation": h.Incarnation, "index": ch.index}
+		switch {
+		case h.Gone && !old.Gone:
+			events.Emit(event.ControlHostGone, f)
+		case h.Name != "" && !h.Gone:
+			events.Emit(event.ControlHostRegistered, f)
+		}
+	}
+	for _, n := range ch.databases {
+		reportDatabase(events, before.View.Databases[n], after.View.Databases[n], ch.index)
+	}
+	for _, n := range ch.sections {
+		s := after.View.Sections[n]
+		events.Emit(event.ControlSectionApplied, event.Fields{
+			"team": n, "revision": s.Revision, "author": s.Author, "index": ch.index,
+		})
+	}
+}
+
+func reportDatabase(events *event.Log, old, d jacinthtiller.Database, index uint64) {
+	f := event.Fields{"database": d.Name, "term": d.Term, "primary": d.Primary, "index": index}
+	switch {
+	case d.Term > old.Term && d.Primary == "":
+		events.Emit(event.ControlPromotionOpened, f)
+	case d.Primary != "" && (d.Term > old.Term || old.Primary == ""):
+		events.Emit(event.ControlPromotionCommitted, f)
+	case d.Moving != "" && old.Moving == "":
+		events.Emit(event.ControlMoveStarted, event.Fields{"database": d.Name, "term": d.Term, "target": d.Moving, "index": index})
+	case d.Moving == "" && old.Moving != "":
+		events.Emit(event.ControlMoveCancelled, f)
+	}
+	for _, n := range d.TargetNames() {
+		t, was := d.Targets[n], old.Targets[n]
+		g := event.Fields{"database": d.Name, "target": n, "owner": t.Owner, "epoch": t.Epoch, "index": index}
+		switch {
+		case t.Lost && !was.Lost || was.Owner != "" && t.Owner == "":
+			events.Emit(event.ControlTargetLost, g)
+		case t.Owner != was.Owner:
+			events.Emit(event.ControlTargetsAssigned, g)
+		case t != was:
+			events.Emit(event.ControlTargetObserved, g)
+		}
+	}
+	for n := range old.Targets {
+		if _, ok := d.Targets[n]; !ok {
+			events.Emit(event.ControlTargetRemoved, event.Fields{"database": d.Name, "target": n, "index": index})
+		}
+	}
+}
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,411 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/quorum"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+const (
+	// tickEvery is how often the leader looks for leases that have ended.
+	tickEvery = 20 * time.Millisecond
+	// proposeTimeout bounds a decision's way into the log.
+	proposeTimeout = 2 * time.Second
+	// confirmTimeout bounds a round that confirms the leadership.
+	confirmTimeout = time.Second
+	// fenceCalls bounds the fencing calls that run at a time; the loss of a domain opens about 155 promotions.
+	fenceCalls = 256
+	// closeTimeout bounds the hand-over of the leadership at a stop.
+	closeTimeout = 2 * time.Second
+)
+
+// node is what the server needs of a quorum.Node.
+type node interface {
+	Propose(ctx context.Context, command []byte) (result []byte, index uint64, err error)
+	ConfirmLeader(ctx context.Context) error
+	Leadership() (leader string, term uint64, isLeader bool)
+	Changed() <-chan struct{}
+	Status() quorum.Status
+	AddMember(ctx context.Context, name string) error
+	PromoteMember(ctx context.Context, name string) error
+	RemoveMember(ctx context.Context, name string) error
+	TransferLeadership(ctx context.Context) error
+	Receive(m quorum.Message)
+	Close() error
+}
+
+// Config holds the settings of a control process.
+type Config struct {
+	// Name is this process's name among Members.
+	Name string
+	// Dir is the data folder.
+	Dir string
+	// Members maps the names of all control processes, this one included, to the URLs of their services.
+	Members map[string]string
+	// Bootstrap allows an empty folder to take part in founding a new group.
+	Bootstrap bool
+	// Peers finds the entry hosts that fence targets.
+	Peers jacinthtiller.Peers
+	// Events may be nil.
+	Events *event.Log
+	// Operators is nil when everybody may change things.
+	Operators *Operators
+	// Client carries the calls between control processes; nil means wire.NewHTTPClient.
+	Client *http.Client
+}
+
+// Server is one control process.
+type Server struct {
+	name      string
+	urls      map[string]string
+	events    *event.Log
+	operators *Operators
+	peers     jacinthtiller.Peers
+	machine   *machine
+	node      node
+	rounds    *rounds
+	metrics   metrics
+
+	// ctx ends when the server closes.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     *conc.WaitGroup
+
+	mu sync.Mutex // guards the fields below
+	// leader is nil unless this process leads and has applied all entries of former leaders.
+	leader *leader
+}
+
+// metrics are the measures of a control process.
+type metrics struct {
+	renewals  metric.Int64Counter
+	watchers  metric.Int64UpDownCounter
+	deltas    metric.Int64Counter
+	decisions metric.Int64Counter
+}
+
+func newMetrics() (metrics, error) {
+	m := otel.Meter("jacinthtiller/control")
+	var out metrics
+	var errs [4]error
+	out.renewals, errs[0] = m.Int64Counter("control-renewals", metric.WithDescription("Renewals answered with a lease."))
+	out.watchers, errs[1] = m.Int64UpDownCounter("control-watchers", metric.WithDescription("Watches that are open."))
+	out.deltas, errs[2] = m.Int64Counter("control-deltas", metric.WithDescription("Views and deltas sent to watchers."))
+	out.decisions, errs[3] = m.Int64Counter("control-decisions", metric.WithDescription("Commands proposed by the leader's own decisions."))
+	if err := errors.Join(errs[:]...); err != nil {
+		return metrics{}, fmt.Errorf("create metrics: %w", err)
+	}
+	return out, nil
+}
+
+// Open starts a control process. Its Handler must be served at its URL in Members.
+func Open(c Config) (*Server, error) {
+	if _, ok := c.Members[c.Name]; !ok {
+		return nil, fmt.Errorf("name %q is not among the members", c.Name)
+	}
+	s, err := newServer(c)
+	if err != nil {
+		return nil, err
+	}
+	client := c.Client
+	if client == nil {
+		client = wire.NewHTTPClient()
+	}
+	n, err := quorum.Open(quorum.Config{
+		Name: c.Name, Dir: c.Dir, Members: slices.Sorted(maps.Keys(c.Members)), Bootstrap: c.Bootstrap,
+		Machine: s.machine, Transport: newTransport(s.ctx, s.wg, c.Name, c.Members, client, c.Events), Events: c.Events,
+	})
+	if err != nil {
+		s.cancel()
+		s.wg.Wait()
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	s.start(n)
+	return s, nil
+}
+
+func newServer(c Config) (*Server, error) {
+	m, err := newMetrics()
+	if err != nil {
+		return nil, err
+	}
+	if c.Operators == nil {
+		c.Events.Emit(event.ControlWithoutOperators, nil)
+	}
+	s := &Server{
+		name: c.Name, urls: maps.Clone(c.Members), events: c.Events, operators: c.Operators, peers: c.Peers,
+		machine: newMachine(c.Events), metrics: m, wg: conc.NewWaitGroup(),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s, nil
+}
+
+func (s *Server) start(n node) {
+	s.node = n
+	s.rounds = &rounds{confirm: n.ConfirmLeader, ctx: s.ctx, wg: s.wg}
+	s.wg.Go(s.lead)
+}
+
+// Close hands the leadership over, ends the watches and stops the process.
+func (s *Server) Close() error {
+	if _, _, leads := s.node.Leadership(); leads && len(s.urls) > 1 {
+		ctx, cancel := context.WithTimeout(s.ctx, closeTimeout)
+		// Without a successor the others elect one after the election timeout.
+		_ = s.node.TransferLeadership(ctx)
+		cancel()
+	}
+	s.cancel()
+	s.wg.Wait()
+	if err := s.node.Close(); err != nil {
+		return fmt.Errorf("close log: %w", err)
+	}
+	return nil
+}
+
+// View returns the view at this process.
+func (s *Server) View() jacinthtiller.View { return s.machine.state().View }
+
+// Dump returns the process's state for operators.
+func (s *Server) Dump() any {
+	st := s.machine.state()
+	out := map[string]any{
+		"name": s.name, "log": s.node.Status(), "view": st.View, "handovers": len(st.Handovers),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out["leading"] = s.leader != nil
+	if s.leader != nil {
+		out["hosts"] = s.leader.hosts(st, time.Now())
+	}
+	return out
+}
+
+// lead runs the leader's decisions whenever this process leads the group.
+func (s *Server) lead() {
+	for s.ctx.Err() == nil {
+		changed := s.node.Changed()
+		if _, term, leads := s.node.Leadership(); leads {
+			s.reign(term)
+			s.pause(tickEvery)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+func (s *Server) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-s.ctx.Done():
+	}
+}
+
+// reign makes decisions until the process no longer leads the term.
+func (s *Server) reign(term uint64) {
+	if _, err := s.propose(s.ctx, Command{Barrier: &barrierCommand{Leader: s.name}}); err != nil {
+		s.events.Emit(event.ControlProposalFailed, event.Fields{"error": err.Error()})
+		return
+	}
+	s.setLeader(newLeader())
+	s.events.Emit(event.ControlLeading, event.Fields{"term": term})
+	ctx, cancel := context.WithCancel(s.ctx)
+	wg := conc.NewWaitGroup()
+	defer func() {
+		s.setLeader(nil)
+		cancel()
+		wg.Wait()
+		s.events.Emit(event.ControlFollowing, event.Fields{"term": term})
+	}()
+	// results takes the answers of fencing calls; a call waits when it is full.
+	results := make(chan fenceResult, fenceCalls)
+	slots := make(chan struct{}, fenceCalls)
+	ticks := time.NewTicker(tickEvery)
+	defer ticks.Stop()
+	for s.leads(term) {
+		st, changed := s.machine.watch()
+		d := s.decide(st)
+		for _, c := range d.fences {
+			s.callFence(ctx, wg, c, slots, results)
+		}
+		if len(d.commands) > 0 && s.record(ctx, d.commands) && s.machine.state().View.Index > st.View.Index {
+			continue
+		}
+		select {
+		case <-ticks.C:
+		case <-changed:
+		case <-ctx.Done():
+		case r := <-results:
+			s.takeResults(r, results)
+		}
+	}
+}
+
+func (s *Server) leads(term uint64) bool {
+	_, now, leads := s.node.Leadership()
+	return leads && now == term && s.ctx.Err() == nil
+}
+
+func (s *Server) setLeader(l *leader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = l
+}
+
+func (s *Server) decide(st *state) decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader.step(st, time.Now())
+}
+
+// record writes decisions to the log as one entry.
+func (s *Server) record(ctx context.Context, commands []Command) bool {
+	s.metrics.decisions.Add(ctx, int64(len(commands)))
+	if _, err := s.propose(ctx, Command{Batch: commands}); err != nil {
+		s.events.Emit(event.ControlProposalFailed, event.Fields{"error": err.Error(), "commands": len(commands)})
+		return false
+	}
+	return true
+}
+
+// takeResults records r and whatever else has arrived.
+func (s *Server) takeResults(r fenceResult, results <-chan fenceResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		s.leader.fenced(r, time.Now())
+		select {
+		case r = <-results:
+		default:
+			return
+		}
+	}
+}
+
+// callFence runs one fencing call. When all slots are taken the call is left out
+// and the leader asks again later.
+func (s *Server) callFence(ctx context.Context, wg *conc.WaitGroup, c fenceCall, slots chan struct{}, results chan<- fenceResult) {
+	select {
+	case slots <- struct{}{}:
+	default:
+		return
+	}
+	wg.Go(func() {
+		defer func() { <-slots }()
+		call, cancel := context.WithDeadline(ctx, c.deadline)
+		defer cancel()
+		r := fenceResult{fenceCall: c}
+		out, err := s.peers.Peer(c.url).Fence(call, jacinthtiller.FenceRequest{
+			Database: c.database, Target: c.target, Term: c.term,
+		})
+		r.position, r.err = out.Position, err
+		s.reportFence(r)
+		select {
+		case results <- r:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (s *Server) reportFence(r fenceResult) {
+	f := event.Fields{"database": r.database, "target": r.target, "term": r.term}
+	if r.err != nil {
+		f["error"] = r.err.Error()
+		s.events.Emit(event.ControlFenceFailed, f)
+		return
+	}
+	f["position"] = r.position.String()
+	s.events.Emit(event.ControlTargetFenced, f)
+}
+
+// propose writes a command to the log and returns its answer.
+func (s *Server) propose(ctx context.Context, c Command) (answer, error) {
+	b, err := encode(c)
+	if err != nil {
+		return answer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	out, _, err := s.node.Propose(ctx, b)
+	if err != nil {
+		return answer{}, fmt.Errorf("propose: %w", err)
+	}
+	var a answer
+	if err := decode(out, &a); err != nil {
+		return answer{}, fmt.Errorf("answer of the log: %w", err)
+	}
+	return a, nil
+}
+
+// rounds lets requests that wait at the same time share one confirmation of the leadership.
+type rounds struct {
+	confirm func(context.Context) error
+	ctx     context.Context
+	wg      *conc.WaitGroup
+
+	mu sync.Mutex // guards the fields below
+	// next is the round that has not begun; requests that arrive join it.
+	next    *round
+	running bool
+}
+
+// round is one confirmation.
+type round struct {
+	done chan struct{}
+	// err is set before done is closed.
+	err error
+}
+
+// wait returns after a round that began after the call.
+func (r *rounds) wait(ctx context.Context) error {
+	r.mu.Lock()
+	if r.next == nil {
+		r.next = &round{done: make(chan struct{})}
+	}
+	mine := r.next
+	if !r.running {
+		r.running = true
+		r.wg.Go(r.run)
+	}
+	r.mu.Unlock()
+	select {
+	case <-mine.done:
+		return mine.err
+	case <-ctx.Done():
+		return fmt.Errorf("wait for a confirmation round: %w", ctx.Err())
+	}
+}
+
+// run runs rounds until nobody waits.
+func (r *rounds) run() {
+	for {
+		r.mu.Lock()
+		now := r.next
+		r.next = nil
+		r.running = now != nil
+		r.mu.Unlock()
+		if now == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.ctx, confirmTimeout)
+		now.err = r.confirm(ctx)
+		cancel()
+		close(now.done)
+	}
+}
--- /dev/null
+++ b/event/control.go
@@ -0,0 +1,51 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// The events of package control, 2000 to 2999.
+var (
+	ControlLeading = register(2000, "control-leading", logrus.InfoLevel,
+		"This control process leads the group and makes its decisions.")
+	ControlFollowing = register(2001, "control-following", logrus.InfoLevel,
+		"This control process no longer leads the group.")
+	ControlHostRegistered = register(2002, "control-host-registered", logrus.InfoLevel,
+		"An entry host has registered; it gets a lease once it has the view of its registration in force.")
+	ControlHostGone = register(2003, "control-host-gone", logrus.WarnLevel,
+		"The lease of an entry host has ended; its targets go to other hosts of its failure domain.")
+	ControlHostReleased = register(2004, "control-host-released", logrus.InfoLevel,
+		"An entry host has given up its lease and its targets, at a planned stop.")
+	ControlTargetObserved = register(2005, "control-target-observed", logrus.InfoLevel,
+		"A target has announced itself for the first time, with other facts or after it was lost.")
+	ControlTargetLost = register(2006, "control-target-lost", logrus.WarnLevel,
+		"An owner cannot reach its target, or has drained it for a planned move, and has given up the ownership.")
+	ControlTargetsAssigned = register(2007, "control-targets-assigned", logrus.InfoLevel,
+		"Targets have a new owner.")
+	ControlPromotionOpened = register(2008, "control-promotion-opened", logrus.WarnLevel,
+		"A new term without a primary has begun; writes to the database wait until a primary is chosen.")
+	ControlPromotionCommitted = register(2009, "control-promotion-committed", logrus.InfoLevel,
+		"A primary has been chosen for the term.")
+	ControlTargetFenced = register(2010, "control-target-fenced", logrus.InfoLevel,
+		"A target refuses writes of lower terms and has told its position.")
+	ControlFenceFailed = register(2011, "control-fence-failed", logrus.WarnLevel,
+		"A target could not be fenced; the call is repeated until a majority of the group has answered.")
+	ControlMoveStarted = register(2012, "control-move-started", logrus.InfoLevel,
+		"The owner of a primary has been asked to drain it for a planned move.")
+	ControlMoveCancelled = register(2013, "control-move-cancelled", logrus.WarnLevel,
+		"A planned move did not end in time, or its successor was lost; the primary stays.")
+	ControlSectionApplied = register(2014, "control-section-applied", logrus.InfoLevel,
+		"An edit of a team's section has been accepted.")
+	ControlSectionRefused = register(2015, "control-section-refused", logrus.WarnLevel,
+		"An edit of a team's section has been refused; the answer to the operator gives the reason.")
+	ControlWithoutOperators = register(2016, "control-without-operators", logrus.WarnLevel,
+		"No operators file is set; every operator is accepted under the name given.")
+	ControlProposalFailed = register(2017, "control-proposal-failed", logrus.WarnLevel,
+		"A decision of the leader could not be recorded; it is made again from the state at hand.")
+	ControlCommandUnreadable = register(2018, "control-command-unreadable", logrus.ErrorLevel,
+		"A log entry could not be decoded and changes nothing; a newer version may have written it.")
+	ControlStepDropped = register(2019, "control-step-dropped", logrus.DebugLevel,
+		"A message to another control process was dropped because the process does not take messages fast enough.")
+	ControlTargetRemoved = register(2020, "control-target-removed", logrus.InfoLevel,
+		"A target that was leaving has stopped and is no longer part of its group.")
+	ControlMembersChanged = register(2021, "control-members-changed", logrus.InfoLevel,
+		"An operator has changed the members of the control group.")
+)
--- a/view.go
+++ b/view.go
@@ -106,6 +106,9 @@
 	Term uint64 `cbor:"term" json:"term"`
 	// Primary is the target that leads Term; empty while a promotion is open or before the first one.
 	Primary string `cbor:"primary" json:"primary"`
+	// Moving names the target that a planned move makes the next primary; the owner of Primary
+	// stops admitting work and gives up the ownership once it has drained. Empty when no move runs.
+	Moving string `cbor:"moving,omitempty" json:"moving,omitempty"`
 	// GroupSize is the greatest number of targets announced for the group.
 	GroupSize int `cbor:"group-size" json:"group-size"`
 	// Targets maps names to targets.
