session, replica: refusals by outcome, whole answers, lost transactions

A buffer could be reused while a channel that had failed still read it. A replica that was behind once was left out for 1 s.

A replica that was behind is left out for 50 ms, doubled up to 5 s.

--- a/replica/positions.go
+++ b/replica/positions.go
@@ -13,8 +13,11 @@
 	// sampleGap is the time between two samples that are both kept; 32 of them reach back 3 s
 	// at the highest rate of questions, and further when there are fewer.
 	sampleGap = 100 * time.Millisecond
-	// slowTime is how long a replica that did not reach a position in time is not asked to wait again.
-	slowTime = time.Second
+	// shortSlow is how long a replica that did not reach a position in time is not asked to wait
+	// again. It doubles with every failure in a row up to longSlow, so that a replica which stays
+	// behind delays one read in a hundred and a short stall costs few reads on the primary.
+	shortSlow = 50 * time.Millisecond
+	longSlow  = 5 * time.Second
 )
 
 // sample is a position that a primary had when it was asked at an instant or later.
@@ -29,6 +32,8 @@
 	// slowUntil is zero once the target has reached the position that it was too slow for.
 	slowUntil time.Time
 	slowFor   jacinthtiller.Position
+	// failures counts the positions not reached in time since the last one reached.
+	failures int
 	// fresh is the latest instant of a sample whose position the target covers; it never goes back.
 	fresh time.Time
 }
@@ -75,7 +80,7 @@
 	k := h.target(target)
 	k.position = k.position.Max(at)
 	if k.position.Covers(k.slowFor) {
-		k.slowUntil = time.Time{}
+		k.slowUntil, k.failures = time.Time{}, 0
 	}
 	h.refresh(k)
 }
@@ -98,9 +103,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	k := h.target(target)
-	if !k.position.Covers(wanted) {
-		k.slowFor, k.slowUntil = wanted, now.Add(slowTime)
+	if k.position.Covers(wanted) || now.Before(k.slowUntil) {
+		return // refusals of reads that waited at the same time count once
 	}
+	k.slowFor, k.slowUntil = wanted, now.Add(min(shortSlow<<min(k.failures, 10), longSlow))
+	k.failures++
 }
 
 // Needed returns a position such that data which covers it is at least as new as since.
--- a/session/answer.go
+++ b/session/answer.go
@@ -74,6 +74,8 @@
 	case 'Z': // the session sends its own, after the mark
 		a.ready++
 		return
+	case 'A': // a notification for a guest that used the connection before
+		return
 	case '1':
 		a.parses++
 		if n := a.parses - 1; n >= len(a.q.parses) || a.q.parses[n].repeated {
--- a/session/attempt.go
+++ b/session/attempt.go
@@ -53,7 +53,9 @@
 	s.end()
 	at.answer.close()
 	at.result = r
-	at.err = at.check(r, err)
+	if at.err = at.check(r, err); at.err != nil {
+		q.borrowed = true
+	}
 	return at
 }
 
--- a/session/fake_test.go
+++ b/session/fake_test.go
@@ -389,3 +389,10 @@
 	t.Cleanup(func() { _ = c.Close(context.Background()) })
 	return c
 }
+
+var (
+	complete = &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}
+	ready    = &pgproto3.ReadyForQuery{TxStatus: 'I'}
+)
+
+func pos(index uint64) jacinthtiller.Position { return jacinthtiller.Position{Term: 1, Index: index} }
--- a/session/local.go
+++ b/session/local.go
@@ -55,8 +55,8 @@
 		s.txn = nil
 		s.send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
 		return nil
-	case s.status() == 'E' && c.verb != verbEmpty:
-		return newFault(codeFailedTransaction, "current transaction is aborted, commands ignored until end of transaction block")
+	case s.blocked(c):
+		return errFailedTransaction()
 	case c.verb == verbEmpty:
 		s.send(&pgproto3.EmptyQueryResponse{})
 		return nil
@@ -78,6 +78,15 @@
 	return nil
 }
 
+// blocked reports whether the failed transaction has to be ended before the statement.
+func (s *session) blocked(c *class) bool {
+	return s.status() == 'E' && c.verb != verbEmpty && c.verb != verbCommit && c.verb != verbRollback
+}
+
+func errFailedTransaction() *fault {
+	return newFault(codeFailedTransaction, "current transaction is aborted, commands ignored until end of transaction block")
+}
+
 // noTransaction answers COMMIT or ROLLBACK outside a transaction as PostgreSQL does.
 func (s *session) noTransaction(v verb) {
 	tag := "ROLLBACK"
@@ -103,6 +112,9 @@
 		if st.st == nil && st.kind != 'C' {
 			st.st = portals[st.portal]
 		}
+		if st.st != nil && s.blocked(&st.st.class) {
+			return errFailedTransaction()
+		}
 		switch st.kind {
 		case 'P':
 			s.send(&pgproto3.ParseComplete{})
--- a/session/request.go
+++ b/session/request.go
@@ -12,6 +12,8 @@
 	// frames are the messages for the target.
 	frames []byte
 	size   int
+	// borrowed is true when a channel failed, which may still read frames.
+	borrowed bool
 	// parses are the Parse messages in frames, in order.
 	parses []parsed
 	// used are statements of earlier requests that frames refer to.
@@ -55,7 +57,9 @@
 
 // release gives the request's buffer back.
 func (q *request) release() {
-	returnBuffer(q.frames)
+	if !q.borrowed {
+		returnBuffer(q.frames)
+	}
 	q.frames = nil
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -72,6 +72,7 @@
 		f.fatal = true
 		s.send(f.response())
 		_ = s.flush() // the guest may be gone
+		linger(s.conn)
 	}
 	if !errors.Is(err, errTerminated) && !errors.Is(err, io.EOF) {
 		s.server.events.Emit(event.GuestClosed, event.Fields{"session": s.id, "role": s.role, "error": err.Error()})
@@ -79,6 +80,19 @@
 	_ = s.conn.Close() // nothing is lost: everything was flushed
 }
 
+// lingerTime is how long a connection that was ended by the host waits for the guest to close it.
+const lingerTime = 500 * time.Millisecond
+
+// linger waits until the guest has closed the connection. Closing it while bytes of the guest
+// are unread would reset it, and the guest could lose the error that says why.
+func linger(conn net.Conn) {
+	c, ok := conn.(interface{ CloseWrite() error })
+	if !ok || c.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, conn) // ends with the guest or the deadline
+}
+
 func (s *session) loop() error {
 	for {
 		if err := s.await(); err != nil {
@@ -333,7 +347,7 @@
 // answered takes over what an answered request changed.
 func (s *session) answered(r *run, at *attempt, ch jacinthtiller.Channel) {
 	s.settings.mark = s.settings.mark.Max(at.result.Position)
-	if at.unit.Key != "" {
+	if at.unit.Key != "" && r.q.key == "" {
 		s.settings.key = ""
 	}
 	s.remember(r.q, at.answer.parses)
--- a/session/settings.go
+++ b/session/settings.go
@@ -101,8 +101,8 @@
 	if cmd == nil {
 		return false
 	}
-	if c.class.command == nil {
-		c.class.command = cmd
+	if c.command == nil {
+		c.command = cmd
 	}
 	return true
 }
--- a/session/startup.go
+++ b/session/startup.go
@@ -53,6 +53,7 @@
 		f.fatal = true
 		e.backend.Send(f.response())
 		_ = e.backend.Flush() // the guest may be gone
+		linger(e.conn)
 		s.events.Emit(event.GuestRefused, event.Fields{"address": conn.RemoteAddr().String(), "code": f.code, "error": f.message})
 	}
 	_ = e.conn.Close()
--- a/session/transaction.go
+++ b/session/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,15 +77,9 @@
 	if commits {
 		s.txn = nil
 	}
-	if e.Code == jacinthtiller.CodeKeyReused {
-		s.note(q, nil, e, "")
-		return fromError(e)
-	}
-	if !commits || e.Outcome == jacinthtiller.OutcomeNotRun {
-		e = &jacinthtiller.Error{
-			Outcome: jacinthtiller.OutcomeNotRun, Code: jacinthtiller.CodeRolledBack,
-			Message: "the transaction was lost and is rolled back: " + e.Message,
-		}
+	known := e.Outcome == jacinthtiller.OutcomeNotRun
+	if (known && strings.HasPrefix(e.Code, "JT") && e.Code != jacinthtiller.CodeKeyReused) || (!known && !commits) {
+		e = jacinthtiller.NotRun(jacinthtiller.CodeRolledBack, e.Reason, "the transaction was lost and is rolled back: %s", e.Message)
 	}
 	s.note(q, nil, e, "")
 	return fromError(e)
