--- a/cmd/jacinth-standin/main.go
+++ b/cmd/jacinth-standin/main.go
@@ -32,13 +32,14 @@
 }
 
 func run(args []string) error {
-	cfg, err := parse(args)
+	logger := logrus.StandardLogger()
+	cfg, err := parse(args, logger)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cfg.Log = event.New(cfg.Name, logrus.StandardLogger())
+	cfg.Log = event.New(cfg.Name, logger)
 	t, err := standin.Start(cfg)
 	if err != nil {
 		return fmt.Errorf("start target %s: %w", cfg.Name, err)
@@ -61,8 +62,8 @@
 	return fmt.Sprintf("--%s=%q is not allowed: it must be %s", e.name, e.value, e.allowed)
 }
 
-// parse reads flags and JACINTH_* environment variables.
-func parse(args []string) (standin.Config, error) {
+// parse reads flags and JACINTH_* environment variables, and sets the logger's format.
+func parse(args []string, logger *logrus.Logger) (standin.Config, error) {
 	var c standin.Config
 	fs := flag.NewFlagSet("jacinth-standin", flag.ContinueOnError)
 	fs.StringVar(&c.Name, "name", "", "name of the target (required)")
@@ -79,6 +80,7 @@
 	service := fs.Duration("service-time", 0, "time added to each statement")
 	connect := fs.Duration("connect-delay", 10*time.Millisecond, "time that a new connection takes")
 	announce := fs.String("announce", "", "URLs of entry hosts, separated by commas")
+	format := fs.String("log-format", "text", "text or json")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("JACINTH")); err != nil {
 		return c, fmt.Errorf("read flags: %w", err)
 	}
@@ -87,6 +89,13 @@
 	if *announce != "" {
 		c.Announce = strings.Split(*announce, ",")
 	}
+	switch *format {
+	case "json":
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	case "text":
+	default:
+		return c, &flagError{name: "log-format", value: *format, allowed: "text or json"}
+	}
 	if fs.NArg() > 0 {
 		return c, fmt.Errorf("unexpected argument %q: jacinth-standin takes only flags", fs.Arg(0))
 	}
--- /dev/null
+++ b/cmd/jacinthd/main.go
@@ -0,0 +1,66 @@
+// Command jacinthd runs the entry role, the control role or both on one host.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller/daemon"
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run returns the exit code: 0 after a graceful stop, 1 after a failure, 2 for bad settings.
+func run(args []string) int {
+	s, err := daemon.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if s.PrintSettings {
+		fmt.Print(s.Printed())
+	}
+	if s.Check || s.PrintSettings {
+		return 0
+	}
+	// The signals are caught before the start, so that an early one still ends the process gracefully.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	p, err := daemon.Start(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.DrainMilliseconds)*time.Millisecond)
+	defer cancel()
+	return stop(ctx, p, signals)
+}
+
+// stop ends the process gracefully, or at once when a second signal comes.
+func stop(ctx context.Context, p *daemon.Process, signals <-chan os.Signal) int {
+	done := make(chan error, 1)
+	var group conc.WaitGroup
+	group.Go(func() { done <- p.Stop(ctx) })
+	select {
+	case err := <-done:
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		return 0
+	case <-signals:
+		return 1
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,455 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/entry"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/link"
+	"github.com/jacinthtiller/jacinthtiller/owner"
+	"github.com/jacinthtiller/jacinthtiller/replica"
+	"github.com/jacinthtiller/jacinthtiller/session"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+// headerTimeout bounds the reading of an HTTP request's header, so that idle
+// connections of strangers do not pile up.
+const headerTimeout = 5 * time.Second
+
+// Process runs the roles of one jacinthd.
+type Process struct {
+	settings *Settings
+	events   *event.Log
+	trace    io.Closer
+	group    conc.WaitGroup
+
+	rpc  net.Listener
+	http *http.Server
+
+	// control is nil without the control role.
+	control *control.Server
+
+	// The fields below are nil without the entry role.
+	guests   net.Listener
+	links    net.Listener
+	host     *entry.Host
+	owner    *owner.Owner
+	sessions *session.Server
+	server   *link.Server
+	opener   *link.Opener
+
+	mu sync.Mutex // guards the fields below
+	// stopping is true from the first Stop or Kill on; the process is then not ready.
+	stopping bool
+	// released is true once what the process holds has been or is being closed.
+	released bool
+}
+
+// Option changes how a process starts.
+type Option func(*options)
+
+type options struct {
+	logger *logrus.Logger
+	rpc    net.Listener
+}
+
+// WithLogger sends logs to l instead of standard error.
+func WithLogger(l *logrus.Logger) Option { return func(o *options) { o.logger = l } }
+
+// WithRPCListener serves on l instead of the address in the settings, for
+// processes whose URL others must know before they start.
+func WithRPCListener(l net.Listener) Option { return func(o *options) { o.rpc = l } }
+
+// NewLogger returns the logger that the settings describe.
+func NewLogger(s *Settings) *logrus.Logger {
+	l := logrus.New()
+	l.SetLevel(s.LogLevel)
+	if s.LogFormat == "json" {
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	} else {
+		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: time.RFC3339Nano, DisableColors: true})
+	}
+	return l
+}
+
+// Start runs the roles that the settings name. A process that fails to start leaves nothing running.
+func Start(s *Settings, opts ...Option) (*Process, error) {
+	var o options
+	for _, f := range opts {
+		f(&o)
+	}
+	if o.logger == nil {
+		o.logger = NewLogger(s)
+	}
+	p := &Process{settings: s, rpc: o.rpc}
+	if err := p.start(o.logger); err != nil {
+		p.Kill()
+		return nil, fmt.Errorf("start %s: %w", s.Name, err)
+	}
+	return p, nil
+}
+
+func (p *Process) start(logger *logrus.Logger) error {
+	// Instruments count nothing before the provider is there.
+	if err := startMetrics(); err != nil {
+		return err
+	}
+	if err := p.openEvents(logger); err != nil {
+		return err
+	}
+	if p.rpc == nil {
+		l, err := net.Listen("tcp", p.settings.RPCListen)
+		if err != nil {
+			return fmt.Errorf("listen for peers: %w", err)
+		}
+		p.rpc = l
+	}
+	mux := http.NewServeMux()
+	client := wire.NewHTTPClient()
+	if p.settings.HasRole(RoleControl) {
+		if err := p.startControl(mux, client); err != nil {
+			return err
+		}
+	}
+	if p.settings.HasRole(RoleEntry) {
+		if err := p.startEntry(mux, client); err != nil {
+			return err
+		}
+	}
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("/readyz", p.serveReady)
+	mux.HandleFunc("/dump", p.serveDump)
+	mux.Handle("/metrics", metricsHandler())
+	p.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	p.group.Go(func() { _ = p.http.Serve(p.rpc) })
+	p.reportStart()
+	return nil
+}
+
+func (p *Process) openEvents(logger *logrus.Logger) error {
+	var opts []event.Option
+	if p.settings.TraceFile != "" {
+		f, err := os.OpenFile(p.settings.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("open trace file: %w", err)
+		}
+		p.trace = f
+		opts = append(opts, event.WithTrace(f))
+	}
+	p.events = event.New(p.settings.Name, logger, opts...)
+	return nil
+}
+
+func (p *Process) startControl(mux *http.ServeMux, client *http.Client) error {
+	var operators *control.Operators
+	if p.settings.OperatorsFile != "" {
+		var err error
+		if operators, err = control.ReadOperators(p.settings.OperatorsFile); err != nil {
+			return fmt.Errorf("read the operators: %w", err)
+		}
+	}
+	c, err := control.Open(control.Config{
+		Name: p.settings.Name, Dir: p.settings.DataDir, Members: p.settings.Control, Bootstrap: p.settings.Bootstrap,
+		Peers: wire.NewHostPeers(client), Events: p.events, Operators: operators, Client: client,
+	})
+	if err != nil {
+		return fmt.Errorf("open the control role: %w", err)
+	}
+	p.control = c
+	mux.Handle("/jacinthtiller.control/", c.Handler())
+	return nil
+}
+
+func (p *Process) startEntry(mux *http.ServeMux, client *http.Client) error {
+	if err := p.listen(); err != nil {
+		return err
+	}
+	password, err := readPassword(p.settings.TargetPasswordFile)
+	if err != nil {
+		return err
+	}
+	self := jacinthtiller.Host{
+		Name: p.settings.Name, Domain: p.settings.Domain, Region: p.settings.Region,
+		RPC: p.RPCURL(), Link: p.links.Addr().String(), Guests: p.guests.Addr().String(),
+		Incarnation: incarnation(),
+	}
+	urls := make([]string, 0, len(p.settings.Control))
+	for _, u := range p.settings.Control {
+		urls = append(urls, u)
+	}
+	group := control.NewClient(urls, client)
+	peers := wire.NewHostPeers(client)
+	views := entry.NewViews()
+	p.owner = owner.New(
+		owner.WithHost(self.Name), owner.WithControl(group), owner.WithPeers(peers), owner.WithEvents(p.events),
+		owner.WithSlots(p.settings.Slots), owner.WithConnections(p.settings.Connections),
+		owner.WithCapacity(p.settings.QueueCapacity),
+		owner.WithUser(p.settings.TargetUser), owner.WithPassword(password),
+		owner.WithWeights(func() map[string]int { return views.Directory().Weights() }),
+	)
+	p.server = link.NewServer(p.owner.Open, link.WithEvents(p.events))
+	p.opener = link.NewOpener(self.Name, p.owner.Open, func(host string) (string, bool) {
+		h, ok := views.View().Hosts[host]
+		return h.Link, ok
+	})
+	p.host = entry.Start(entry.Config{
+		Self: self, Control: group, Peers: peers, PeerURLs: p.settings.Peers,
+		Views: views, Owner: p.owner, Events: p.events,
+	})
+	positions := replica.NewPositions()
+	p.sessions = session.NewServer(
+		session.WithHost(self), session.WithViews(views),
+		session.WithDirectory(func() session.Directory { return views.Directory() }),
+		session.WithOpener(p.opener), session.WithPositions(positions),
+		session.WithMarks(replica.NewMarks(peers, views.View, positions, p.events)),
+		session.WithEvents(p.events),
+	)
+	mux.Handle("/jacinthtiller.host/", wire.NewHostHandler(p.host))
+	p.group.Go(func() { _ = p.server.Serve(p.links) })
+	p.group.Go(func() { _ = p.sessions.Serve(p.guests) })
+	return nil
+}
+
+func (p *Process) listen() error {
+	var err error
+	if p.guests, err = net.Listen("tcp", p.settings.GuestListen); err != nil {
+		return fmt.Errorf("listen for guests: %w", err)
+	}
+	if p.links, err = net.Listen("tcp", p.settings.LinkListen); err != nil {
+		return fmt.Errorf("listen for statements of other hosts: %w", err)
+	}
+	return nil
+}
+
+func readPassword(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read the password for targets: %w", err)
+	}
+	return strings.TrimSpace(string(b)), nil
+}
+
+// incarnation returns a new random name for this start of the process.
+func incarnation() string {
+	b := make([]byte, 8)
+	_, _ = rand.Read(b) // never fails on supported systems
+	return hex.EncodeToString(b)
+}
+
+func (p *Process) reportStart() {
+	f := event.Fields{"rpc": p.RPCURL(), "roles": strings.Join(p.settings.Roles, ",")}
+	if p.guests != nil {
+		f["guests"], f["links"] = p.GuestAddr(), p.links.Addr().String()
+	}
+	p.events.Emit(event.ProcessStarted, f)
+	if p.guests != nil && p.settings.GuestCertFile == "" {
+		p.events.Emit(event.WithoutTLS, event.Fields{"listener": "guests"})
+	}
+	if p.settings.PeerCertFile == "" {
+		p.events.Emit(event.WithoutTLS, event.Fields{"listener": "peers"})
+	}
+}
+
+// Name returns the name of the host.
+func (p *Process) Name() string { return p.settings.Name }
+
+// Domain returns the failure domain of the host.
+func (p *Process) Domain() string { return p.settings.Domain }
+
+// Stopped reports whether the process has been told to stop.
+func (p *Process) Stopped() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopping
+}
+
+// RPCURL returns the URL of the process's service.
+func (p *Process) RPCURL() string { return "http://" + p.rpc.Addr().String() }
+
+// GuestAddr returns the address for guests; the process has the entry role.
+func (p *Process) GuestAddr() string { return p.guests.Addr().String() }
+
+// View returns the view in force; the process has the entry role.
+func (p *Process) View() jacinthtiller.View {
+	v, _ := p.host.View(context.Background())
+	return v
+}
+
+// Ready reports whether the balancer should send guests here.
+func (p *Process) Ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.stopping && (p.host == nil || p.host.Ready())
+}
+
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// Dump is the state of a process, as the dump gives it.
+type Dump struct {
+	Name    string    `json:"name"`
+	Roles   []string  `json:"roles"`
+	Time    time.Time `json:"time"`
+	Ready   bool      `json:"ready"`
+	Entry   any       `json:"entry,omitempty"`
+	Owner   any       `json:"owner,omitempty"`
+	Session any       `json:"session,omitempty"`
+	Control any       `json:"control,omitempty"`
+}
+
+// Dump returns the whole state of the process.
+func (p *Process) Dump() Dump {
+	d := Dump{Name: p.settings.Name, Roles: p.settings.Roles, Time: time.Now(), Ready: p.Ready()}
+	if p.host != nil {
+		d.Entry, d.Owner, d.Session = p.host.Dump(), p.owner.Dump(), p.sessions.Stats()
+	}
+	if p.control != nil {
+		d.Control = p.control.Dump()
+	}
+	return d
+}
+
+func (p *Process) serveDump(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(p.Dump()); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
+
+// markStopping makes the process not ready and reports whether it was the first call.
+func (p *Process) markStopping() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !p.stopping
+	p.stopping = true
+	return first
+}
+
+// markReleased reports whether it was the first call.
+func (p *Process) markReleased() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !p.released
+	p.released = true
+	return first
+}
+
+// Stop ends the process gracefully: guests' statements in flight end, owned
+// targets go to other hosts, and leadership of the control group is handed on.
+// When ctx ends before that, what remains is cut and the error says so.
+func (p *Process) Stop(ctx context.Context) error {
+	if !p.markStopping() {
+		return nil
+	}
+	p.events.Emit(event.ProcessStopping, nil)
+	var errs []error
+	if p.host != nil {
+		errs = append(errs, p.stopEntry(ctx))
+	}
+	if p.control != nil {
+		if err := p.control.Close(); err != nil {
+			errs = append(errs, fmt.Errorf("close the control role: %w", err))
+		}
+	}
+	if err := p.http.Shutdown(ctx); err != nil {
+		errs = append(errs, fmt.Errorf("stop the service: %w", err))
+	}
+	err := errors.Join(errs...)
+	p.events.Emit(event.ProcessStopped, nil)
+	if p.markReleased() {
+		p.release()
+	}
+	return err
+}
+
+// stopEntry first lets other hosts take over the targets, so that the host's own guests
+// find new owners for what they still run.
+func (p *Process) stopEntry(ctx context.Context) error {
+	var errs []error
+	if err := p.owner.Drain(ctx); err != nil {
+		errs = append(errs, fmt.Errorf("drain owned targets: %w", err))
+	}
+	if err := p.host.Release(ctx); err != nil {
+		errs = append(errs, err)
+	}
+	if err := p.sessions.Drain(ctx); err != nil {
+		errs = append(errs, fmt.Errorf("drain guests: %w", err))
+	}
+	if err := p.server.Drain(ctx); err != nil {
+		errs = append(errs, fmt.Errorf("drain statements of other hosts: %w", err))
+	}
+	return errors.Join(errs...)
+}
+
+// Kill ends the process at once, as a crash would, apart from the process's memory and goroutines.
+func (p *Process) Kill() {
+	p.markStopping()
+	if !p.markReleased() {
+		return
+	}
+	if p.http != nil {
+		_ = p.http.Close()
+	}
+	if p.control != nil {
+		_ = p.control.Close()
+	}
+	p.release()
+}
+
+// release closes what is still open and waits for the goroutines.
+func (p *Process) release() {
+	if p.rpc != nil {
+		_ = p.rpc.Close()
+	}
+	for _, l := range []net.Listener{p.guests, p.links} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	if p.sessions != nil {
+		p.sessions.Close()
+	}
+	if p.server != nil {
+		_ = p.server.Close()
+	}
+	if p.opener != nil {
+		_ = p.opener.Close()
+	}
+	if p.host != nil {
+		p.host.Close()
+	}
+	if p.owner != nil {
+		_ = p.owner.Close()
+	}
+	p.group.Wait()
+	if p.trace != nil {
+		_ = p.trace.Close()
+	}
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,282 @@
+// Package daemon is the process jacinthd: its settings, the roles that it runs
+// and the HTTP service for peers, operators and monitoring.
+package daemon
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/sirupsen/logrus"
+)
+
+// EnvPrefix starts the names of environment variables that stand for flags.
+const EnvPrefix = "JACINTH"
+
+// The roles of a process.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+)
+
+// Settings are the checked settings of a process. Parse makes them; all fields hold valid values.
+type Settings struct {
+	// Roles has at least one of RoleEntry and RoleControl, each at most once.
+	Roles  []string
+	Name   string
+	Domain string
+	Region string
+	// RPCListen, GuestListen and LinkListen are ip:port; port 0 takes a free one.
+	RPCListen   string
+	GuestListen string
+	LinkListen  string
+	// Control maps the names of the control processes to their URLs.
+	Control map[string]string
+	// Peers are the URLs of entry hosts of the same failure domain.
+	Peers []string
+	// DataDir is the data folder of the control role.
+	DataDir string
+	// Bootstrap allows an empty data folder to take part in founding a new control group.
+	Bootstrap     bool
+	OperatorsFile string
+	// Slots is how many statements a target runs at once, 1 to 1000.
+	Slots int
+	// Connections is how many connections a target takes, 4 to 1000.
+	Connections int
+	// QueueCapacity bounds the statements that wait for one target, 1 to 1000000.
+	QueueCapacity      int
+	TargetUser         string
+	TargetPasswordFile string
+	LogLevel           logrus.Level
+	// LogFormat is text or json.
+	LogFormat string
+	TraceFile string
+	// DrainMilliseconds bounds a graceful stop, 0 to 600000.
+	DrainMilliseconds int
+	// TLS files; a certificate and its key come together.
+	GuestCertFile, GuestKeyFile       string
+	PeerCertFile, PeerKeyFile, PeerCA string
+	TargetCA                          string
+	Check, PrintSettings              bool
+	printed                           [][2]string
+}
+
+// SettingsError lists every fault of the settings.
+type SettingsError struct {
+	// Faults has at least one entry, each naming the flag, its value and what is allowed.
+	Faults []string
+}
+
+// Error returns all faults, one a line.
+func (e *SettingsError) Error() string { return "settings:\n  " + strings.Join(e.Faults, "\n  ") }
+
+// list is a flag that may be repeated or hold values separated by commas.
+type list []string
+
+// String returns the values separated by commas.
+func (l *list) String() string { return strings.Join(*l, ",") }
+
+// Set adds the values in s.
+func (l *list) Set(s string) error {
+	for v := range strings.SplitSeq(s, ",") {
+		if v = strings.TrimSpace(v); v != "" {
+			*l = append(*l, v)
+		}
+	}
+	return nil
+}
+
+// HasRole reports whether the process runs the role.
+func (s *Settings) HasRole(role string) bool { return slices.Contains(s.Roles, role) }
+
+// Parse reads flags and JACINTH_ environment variables. The error is
+// flag.ErrHelp when help was asked for, or a *SettingsError with every fault.
+func Parse(args []string) (*Settings, error) {
+	s := &Settings{}
+	fs := flag.NewFlagSet("jacinthd", flag.ContinueOnError)
+	var roles, control, peers list
+	var level string
+	fs.Var(&roles, "role", "`role` to run, entry or control; repeatable or separated by commas")
+	fs.StringVar(&s.Name, "name", "", "name of this host, unique in the installation")
+	fs.StringVar(&s.Domain, "failure-domain", "", "failure domain of this host")
+	fs.StringVar(&s.Region, "region", "", "region of this host")
+	fs.StringVar(&s.RPCListen, "rpc-listen", "127.0.0.1:0", "`ip:port` for peers, targets' announcements, operators and monitoring")
+	fs.StringVar(&s.GuestListen, "guest-listen", "127.0.0.1:0", "`ip:port` for guests (entry role)")
+	fs.StringVar(&s.LinkListen, "link-listen", "127.0.0.1:0", "`ip:port` for statements from other hosts (entry role)")
+	fs.Var(&control, "control", "control processes as `name=url`; repeatable or separated by commas")
+	fs.Var(&peers, "peers", "`urls` of entry hosts of the same failure domain")
+	fs.StringVar(&s.DataDir, "data-dir", "", "data folder of the control role")
+	fs.BoolVar(&s.Bootstrap, "bootstrap", false, "let an empty data folder take part in founding a new control group; leave it out later")
+	fs.StringVar(&s.OperatorsFile, "operators-file", "", "YAML file with the operators (control role)")
+	fs.IntVar(&s.Slots, "slots", 5, "statements that one target runs at once, 1 to 1000")
+	fs.IntVar(&s.Connections, "connections", 30, "connections that one target takes, 4 to 1000")
+	fs.IntVar(&s.QueueCapacity, "queue-capacity", 10000, "statements that may wait for one target, 1 to 1000000")
+	fs.StringVar(&s.TargetUser, "target-user", "jacinthtiller", "user for connections to targets")
+	fs.StringVar(&s.TargetPasswordFile, "target-password-file", "", "file with the password for connections to targets")
+	fs.StringVar(&level, "log-level", "info", "trace, debug, info, warn or error")
+	fs.StringVar(&s.LogFormat, "log-format", "text", "text or json")
+	fs.StringVar(&s.TraceFile, "trace-file", "", "file to which every event is written as JSON lines")
+	fs.IntVar(&s.DrainMilliseconds, "drain-milliseconds", 30000, "bound of a graceful stop in milliseconds, 0 to 600000")
+	fs.StringVar(&s.GuestCertFile, "guest-cert-file", "", "certificate for guests")
+	fs.StringVar(&s.GuestKeyFile, "guest-key-file", "", "key of the certificate for guests")
+	fs.StringVar(&s.PeerCertFile, "peer-cert-file", "", "certificate between processes")
+	fs.StringVar(&s.PeerKeyFile, "peer-key-file", "", "key of the certificate between processes")
+	fs.StringVar(&s.PeerCA, "peer-ca-file", "", "authority that signs certificates between processes")
+	fs.StringVar(&s.TargetCA, "target-ca-file", "", "authority that signs targets' certificates; connections to targets then use TLS")
+	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
+	fs.BoolVar(&s.PrintSettings, "print-settings", false, "print the settings in force and exit")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return nil, fmt.Errorf("read settings: %w", err)
+		}
+		return nil, &SettingsError{Faults: []string{err.Error()}}
+	}
+	s.Roles, s.Peers = roles, peers
+	faults := s.check(control, level)
+	if fs.NArg() > 0 {
+		faults = append(faults, fmt.Sprintf("%q is not a flag; settings are flags or %s_ environment variables", fs.Arg(0), EnvPrefix))
+	}
+	if len(faults) > 0 {
+		return nil, &SettingsError{Faults: faults}
+	}
+	fs.VisitAll(func(f *flag.Flag) { s.printed = append(s.printed, [2]string{f.Name, f.Value.String()}) })
+	return s, nil
+}
+
+// Printed returns the settings in force, a line each, in the order of their names.
+// Secrets are only ever named by files, so no value needs a mask.
+func (s *Settings) Printed() string {
+	var b strings.Builder
+	for _, p := range s.printed {
+		fmt.Fprintf(&b, "%s=%s\n", p[0], p[1])
+	}
+	return b.String()
+}
+
+// check returns every fault and fills in the fields that need parsing.
+func (s *Settings) check(control list, level string) []string {
+	var faults []string
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	s.checkRoles(fault)
+	for name, v := range map[string]string{"name": s.Name, "failure-domain": s.Domain} {
+		if v == "" {
+			fault("--%s is empty; give the %s of this host", name, name)
+		}
+	}
+	for name, v := range map[string]string{
+		"rpc-listen": s.RPCListen, "guest-listen": s.GuestListen, "link-listen": s.LinkListen,
+	} {
+		if host, _, err := net.SplitHostPort(v); err != nil || net.ParseIP(host) == nil {
+			fault("--%s=%q is not of the form ip:port", name, v)
+		}
+	}
+	s.checkControl(control, fault)
+	for _, p := range s.Peers {
+		if !isURL(p) {
+			fault("--peers: %q is not a URL such as http://ip:port", p)
+		}
+	}
+	for name, v := range map[string][3]int{
+		"slots": {s.Slots, 1, 1000}, "connections": {s.Connections, 4, 1000},
+		"queue-capacity": {s.QueueCapacity, 1, 1000000}, "drain-milliseconds": {s.DrainMilliseconds, 0, 600000},
+	} {
+		if v[0] < v[1] || v[0] > v[2] {
+			fault("--%s=%d is not between %d and %d", name, v[0], v[1], v[2])
+		}
+	}
+	l, err := logrus.ParseLevel(level)
+	if err != nil || l < logrus.ErrorLevel {
+		fault("--log-level=%q is not trace, debug, info, warn or error", level)
+	}
+	s.LogLevel = l
+	if s.LogFormat != "text" && s.LogFormat != "json" {
+		fault("--log-format=%q is not text or json", s.LogFormat)
+	}
+	s.checkFiles(fault)
+	slices.Sort(faults)
+	return faults
+}
+
+func (s *Settings) checkRoles(fault func(string, ...any)) {
+	if len(s.Roles) == 0 {
+		fault("--role is empty; allowed are %s and %s", RoleEntry, RoleControl)
+	}
+	for i, r := range s.Roles {
+		if r != RoleEntry && r != RoleControl {
+			fault("--role=%q is not %s or %s", r, RoleEntry, RoleControl)
+		}
+		if slices.Contains(s.Roles[:i], r) {
+			fault("--role=%q is given twice", r)
+		}
+	}
+	if s.HasRole(RoleControl) && s.DataDir == "" {
+		fault("--data-dir is empty; the control role needs a folder on a disk")
+	}
+}
+
+func (s *Settings) checkControl(control list, fault func(string, ...any)) {
+	s.Control = map[string]string{}
+	for _, c := range control {
+		name, u, ok := strings.Cut(c, "=")
+		if !ok || name == "" || !isURL(u) {
+			fault("--control: %q is not of the form name=http://ip:port", c)
+			continue
+		}
+		if _, twice := s.Control[name]; twice {
+			fault("--control: %q is named twice", name)
+		}
+		s.Control[name] = u
+	}
+	if len(s.Control) == 0 {
+		fault("--control is empty; name the control processes as name=http://ip:port")
+		return
+	}
+	if _, ok := s.Control[s.Name]; s.HasRole(RoleControl) && !ok {
+		fault("--control does not hold this process, %q, which has the control role", s.Name)
+	}
+}
+
+func (s *Settings) checkFiles(fault func(string, ...any)) {
+	files := map[string]string{
+		"operators-file": s.OperatorsFile, "target-password-file": s.TargetPasswordFile,
+		"guest-cert-file": s.GuestCertFile, "guest-key-file": s.GuestKeyFile,
+		"peer-cert-file": s.PeerCertFile, "peer-key-file": s.PeerKeyFile, "peer-ca-file": s.PeerCA,
+		"target-ca-file": s.TargetCA,
+	}
+	for name, path := range files {
+		if path == "" {
+			continue
+		}
+		if _, err := os.Stat(path); err != nil {
+			fault("--%s=%q cannot be read: %v", name, path, err)
+		}
+	}
+	if (s.GuestCertFile == "") != (s.GuestKeyFile == "") {
+		fault("--guest-cert-file and --guest-key-file come together")
+	}
+	if n := count(s.PeerCertFile, s.PeerKeyFile, s.PeerCA); n != 0 && n != 3 {
+		fault("--peer-cert-file, --peer-key-file and --peer-ca-file come together")
+	}
+}
+
+// count returns how many of the values are not empty.
+func count(values ...string) int {
+	n := 0
+	for _, v := range values {
+		if v != "" {
+			n++
+		}
+	}
+	return n
+}
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.Path == ""
+}
--- /dev/null
+++ b/e2e/processes_test.go
@@ -0,0 +1,385 @@
+// Package e2e_test runs the programs as separate processes and drives them with
+// an ordinary PostgreSQL client.
+package e2e_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/bench"
+	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/daemon"
+	"github.com/jacinthtiller/jacinthtiller/document"
+	"github.com/jacinthtiller/jacinthtiller/quickstart"
+	"github.com/jacinthtiller/jacinthtiller/trace"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+// readyTimeout bounds the start of all processes on a busy machine.
+const readyTimeout = 60 * time.Second
+
+const database = "registru-1"
+
+// process is a running program.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	rpc    string
+	guests string
+	output *lockedBuffer
+	done   chan struct{}
+}
+
+// lockedBuffer keeps a program's output for reports of failures.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// installation is a set of processes: three with the control role, seven with the entry role, three targets.
+type installation struct {
+	t       testing.TB
+	bin     string
+	dir     string
+	group   conc.WaitGroup
+	members map[string]string
+	control map[string]*process
+	hosts   map[string]*process
+	targets map[string]*process
+	client  *control.Client
+}
+
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "jacinthtiller-bin-")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "../cmd/jacinthd", "../cmd/jacinth-standin").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build the programs: %w: %s", err, out)
+	}
+	return dir, nil
+})
+
+func start(t testing.TB) *installation {
+	bin, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &installation{
+		t: t, bin: bin, dir: t.TempDir(), members: map[string]string{},
+		control: map[string]*process{}, hosts: map[string]*process{}, targets: map[string]*process{},
+	}
+	t.Cleanup(n.stop)
+	for i := range 3 {
+		n.members[fmt.Sprintf("control-%d", i+1)] = "http://" + freeAddress(t)
+	}
+	for name := range n.members {
+		n.startControl(name)
+	}
+	var urls []string
+	for _, u := range n.members {
+		urls = append(urls, u)
+	}
+	n.client = control.NewClient(urls, wire.NewHTTPClient())
+	n.applyDocument()
+	for _, p := range quickstart.Places {
+		for i := range p.Hosts {
+			n.startHost(fmt.Sprintf("%s-entry-%d", p.Domain, i+1), p)
+		}
+	}
+	n.startTargets()
+	n.waitReady()
+	return n
+}
+
+// freeAddress returns an address that was free a moment ago; control processes must know each other's before they start.
+func freeAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// run starts a program and reads its output until it says that it has started.
+func (n *installation) run(name, program string, args ...string) *process {
+	p := &process{name: name, output: &lockedBuffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(n.bin, program), args...)
+	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TMPDIR=" + n.dir}
+	r, w := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	if err := p.cmd.Start(); err != nil {
+		n.t.Fatalf("start %s: %v", name, err)
+	}
+	started := make(chan map[string]any, 1)
+	n.group.Go(func() {
+		s := bufio.NewScanner(r)
+		s.Buffer(nil, 1<<20)
+		for s.Scan() {
+			fmt.Fprintln(p.output, s.Text())
+			var fields map[string]any
+			if json.Unmarshal(s.Bytes(), &fields) == nil && strings.HasSuffix(fmt.Sprint(fields["msg"]), "-started") {
+				select {
+				case started <- fields:
+				default:
+				}
+			}
+		}
+	})
+	n.group.Go(func() {
+		_ = p.cmd.Wait()
+		w.Close()
+		close(p.done)
+	})
+	select {
+	case f := <-started:
+		p.rpc, _ = f["rpc"].(string)
+		p.guests, _ = f["guests"].(string)
+		if a, ok := f["address"].(string); ok {
+			p.rpc = a
+		}
+	case <-p.done:
+		n.t.Fatalf("%s ended at its start:\n%s", name, p.output)
+	case <-time.After(readyTimeout):
+		n.t.Fatalf("%s did not start:\n%s", name, p.output)
+	}
+	return p
+}
+
+func (n *installation) flags(name string, p quickstart.Place, args ...string) []string {
+	out := []string{
+		"--name", name, "--failure-domain", p.Domain, "--region", p.Region, "--log-format", "json",
+		"--trace-file", filepath.Join(n.dir, name+".trace"),
+	}
+	for m, u := range n.members {
+		out = append(out, "--control", m+"="+u)
+	}
+	return append(out, args...)
+}
+
+func (n *installation) startControl(name string) {
+	p := quickstart.Places[int(name[len(name)-1]-'1')%len(quickstart.Places)]
+	n.control[name] = n.run(name, "jacinthd", n.flags(name, p, "--role", daemon.RoleControl, "--bootstrap",
+		"--rpc-listen", strings.TrimPrefix(n.members[name], "http://"), "--data-dir", filepath.Join(n.dir, name))...)
+}
+
+func (n *installation) startHost(name string, p quickstart.Place) {
+	n.hosts[name] = n.run(name, "jacinthd", n.flags(name, p, "--role", daemon.RoleEntry)...)
+}
+
+func (n *installation) startTargets() {
+	follow := ""
+	for _, p := range quickstart.Places {
+		var announce []string
+		for name, h := range n.hosts {
+			if strings.HasPrefix(name, p.Domain) {
+				announce = append(announce, h.rpc)
+			}
+		}
+		name := database + "-" + p.Domain
+		args := []string{
+			"--name", name, "--database", database, "--failure-domain", p.Domain, "--group-size", "3",
+			"--announce", strings.Join(announce, ","), "--log-format", "json",
+		}
+		if follow != "" {
+			args = append(args, "--follow", follow)
+		}
+		n.targets[name] = n.run(name, "jacinth-standin", args...)
+		if follow == "" {
+			follow = n.targets[name].rpc
+		}
+	}
+}
+
+func (n *installation) applyDocument() {
+	verifier, err := document.NewVerifier("seeds")
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	text := fmt.Sprintf("databases: [%s]\nroles:\n  - {name: clerk, verifier: %q}\n", database, verifier)
+	if err := quickstart.Apply(ctx, n.client, "intake", text); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+// waitReady waits until a guest can write on every host.
+func (n *installation) waitReady() {
+	for name := range n.hosts {
+		n.eventually(name+" serves writes", func(ctx context.Context) error {
+			c, err := pgx.Connect(ctx, n.url(name))
+			if err != nil {
+				return err
+			}
+			defer c.Close(ctx)
+			_, err = c.Exec(ctx, "CREATE TABLE IF NOT EXISTS accessions (id INTEGER PRIMARY KEY, name TEXT)")
+			return err
+		})
+	}
+}
+
+// eventually repeats f until it succeeds or the deadline for a start passes.
+func (n *installation) eventually(what string, f func(context.Context) error) {
+	n.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for {
+		err := f(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			n.t.Fatalf("%s: %v", what, err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func (n *installation) url(host string) string {
+	return fmt.Sprintf("postgres://clerk:seeds@%s/%s?sslmode=disable", n.hosts[host].guests, database)
+}
+
+// logins returns the login at every host for the load tool.
+func (n *installation) logins(guests int) []bench.Login {
+	var urls []string
+	for name := range n.hosts {
+		urls = append(urls, n.url(name))
+	}
+	return []bench.Login{{Team: "intake", URLs: map[string][]string{database: urls}, Guests: guests}}
+}
+
+// owner returns the process of the host that owns the database's primary.
+func (n *installation) owner() (*process, error) {
+	d, err := n.status()
+	if err != nil {
+		return nil, err
+	}
+	p, ok := n.hosts[d.Targets[d.Primary].Owner]
+	if !ok {
+		return nil, fmt.Errorf("primary %q has no owner", d.Primary)
+	}
+	return p, nil
+}
+
+// primary returns the process of the primary.
+func (n *installation) primary() (*process, error) {
+	d, err := n.status()
+	if err != nil {
+		return nil, err
+	}
+	p, ok := n.targets[d.Primary]
+	if !ok {
+		return nil, fmt.Errorf("there is no primary")
+	}
+	return p, nil
+}
+
+func (n *installation) status() (jacinthtiller.Database, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	r, err := n.client.Status(ctx)
+	if err != nil || len(r.Databases) == 0 {
+		return jacinthtiller.Database{}, fmt.Errorf("status with %d databases: %w", len(r.Databases), err)
+	}
+	return r.Databases[0], nil
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends a process without notice.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// terminate asks a process to stop gracefully and returns its exit code.
+func (p *process) terminate() int {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	<-p.done
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (n *installation) stop() {
+	all := []map[string]*process{n.hosts, n.targets, n.control}
+	for _, m := range all {
+		for _, p := range m {
+			_ = p.cmd.Process.Kill()
+		}
+	}
+	n.group.Wait()
+	if n.t.Failed() {
+		for _, m := range all {
+			for _, p := range m {
+				n.t.Logf("output of %s:\n%s", p.name, tail(p.output.String(), 20))
+			}
+		}
+	}
+}
+
+// tail returns the last lines of s.
+func tail(s string, lines int) string {
+	all := strings.Split(strings.TrimSpace(s), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+// checkTraces judges the traces of all processes.
+func (n *installation) checkTraces() *trace.Violation {
+	paths, err := filepath.Glob(filepath.Join(n.dir, "*.trace"))
+	if err != nil || len(paths) != len(n.hosts)+len(n.control) {
+		n.t.Fatalf("%d traces, error %v", len(paths), err)
+	}
+	records, err := trace.ReadFiles(paths...)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return trace.Check(records)
+}
+
+// get reads a page of a process's service.
+func (p *process) get(path string) (string, error) {
+	r, err := http.Get(p.rpc + path)
+	if err != nil {
+		return "", err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err == nil && r.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", r.Status, b)
+	}
+	return string(b), err
+}
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,410 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/owner"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+const (
+	// renewInterval leaves three tries within one lease of 1.5 s.
+	renewInterval = 400 * time.Millisecond
+	// renewTimeout bounds one try, so that a lost answer leaves time for another.
+	renewTimeout = 450 * time.Millisecond
+	// retryInterval is the pause after a failed call to control.
+	retryInterval = 100 * time.Millisecond
+	// observeTimeout bounds the report of a target; the next announcement repeats it.
+	observeTimeout = time.Second
+	// forwardTimeout bounds passing an announcement on to the owner.
+	forwardTimeout = 400 * time.Millisecond
+	// peerTimeout bounds asking one peer for its view.
+	peerTimeout = 500 * time.Millisecond
+	// observeQueue bounds the reports that wait for control; when it is full the report is dropped,
+	// because the target announces itself again 500 ms later.
+	observeQueue = 256
+)
+
+// Config is what a Host is made of.
+type Config struct {
+	// Self is the host as it registers; its addresses are those the listeners have.
+	Self    jacinthtiller.Host
+	Control jacinthtiller.Control
+	Peers   jacinthtiller.Peers
+	// PeerURLs are the services of other hosts of the failure domain, asked for their view when control is away.
+	PeerURLs []string
+	Views    *Views
+	Owner    *owner.Owner
+	Events   *event.Log
+}
+
+// Host runs the duties of the entry role apart from serving guests. It
+// implements jacinthtiller.Peer.
+type Host struct {
+	config Config
+	cancel context.CancelFunc
+	ctx    context.Context
+	group  conc.WaitGroup
+
+	// observed carries reports to the goroutine that sends them to control.
+	observed chan jacinthtiller.ObserveRequest
+
+	mu sync.Mutex // guards the fields below
+	// lease is the newest lease granted; its deadline never goes back.
+	lease jacinthtiller.Lease
+	// controlSeen is when control last answered.
+	controlSeen time.Time
+	// registered is true once control recorded this incarnation.
+	registered bool
+	released   bool
+}
+
+// Start registers the host and begins its duties.
+func Start(c Config) *Host {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{
+		config: c, ctx: ctx, cancel: cancel,
+		observed: make(chan jacinthtiller.ObserveRequest, observeQueue),
+	}
+	h.group.Go(h.follow)
+	h.group.Go(h.apply)
+	h.group.Go(h.renew)
+	h.group.Go(h.report)
+	return h
+}
+
+// Close ends the duties without releasing the lease.
+func (h *Host) Close() {
+	h.cancel()
+	h.group.Wait()
+}
+
+// Release gives the lease and the ownership of targets back to control. It is called after the owner has drained.
+func (h *Host) Release(ctx context.Context) error {
+	h.mu.Lock()
+	h.released = true
+	h.lease = jacinthtiller.Lease{}
+	h.mu.Unlock()
+	h.config.Owner.SetLease(jacinthtiller.Lease{})
+	r := jacinthtiller.ReleaseRequest{Host: h.config.Self.Name, Incarnation: h.config.Self.Incarnation}
+	if err := h.config.Control.Release(ctx, r); err != nil {
+		return fmt.Errorf("release the host's lease: %w", err)
+	}
+	return nil
+}
+
+// Ready reports whether the host has a view and has registered.
+func (h *Host) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.registered && !h.released
+}
+
+// follow keeps the view in force up to date from control, or from peers while control is away.
+func (h *Host) follow() {
+	lost := false
+	for h.ctx.Err() == nil {
+		err := h.config.Control.Watch(h.ctx, h.config.Views.View().Index, func(d jacinthtiller.Delta) error {
+			if lost {
+				lost = false
+				h.config.Events.Emit(event.ControlFound, event.Fields{"index": d.Index})
+			}
+			h.sawControl()
+			if !h.config.Views.Apply(d) && d.Index > h.config.Views.View().Index {
+				return fmt.Errorf("delta from index %d does not apply", d.From)
+			}
+			return nil
+		})
+		if h.ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			lost = true
+			h.config.Events.Emit(event.ControlLost, event.Fields{
+				"index": h.config.Views.View().Index, "fault": fmt.Sprint(err),
+			})
+		}
+		h.askPeers()
+		h.pause(retryInterval)
+	}
+}
+
+// askPeers takes the newest view that the peers of the domain have.
+func (h *Host) askPeers() {
+	for _, url := range h.config.PeerURLs {
+		ctx, cancel := context.WithTimeout(h.ctx, peerTimeout)
+		view, err := h.config.Peers.Peer(url).View(ctx)
+		cancel()
+		if err == nil && h.config.Views.Offer(view) {
+			h.config.Events.Emit(event.ViewFromPeer, event.Fields{"index": view.Index, "peer": url})
+		}
+	}
+}
+
+// apply passes each new view to the owner.
+func (h *Host) apply() {
+	var seen uint64
+	for {
+		changed := h.config.Views.Changed()
+		view := h.config.Views.View()
+		if view.Index > 0 {
+			if view.Document != seen {
+				seen = view.Document
+				h.reportFaults()
+			}
+			h.config.Owner.Apply(view)
+			h.config.Events.Emit(event.ViewApplied, event.Fields{"index": view.Index, "document": view.Document})
+		}
+		select {
+		case <-changed:
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+// reportFaults names sections that control accepted and this host cannot read, as after an upgrade of control alone.
+func (h *Host) reportFaults() {
+	for team, faults := range h.config.Views.Directory().Faults() {
+		h.config.Events.Emit(event.DocumentInvalid, event.Fields{"team": team, "fault": fmt.Sprint(faults)})
+	}
+}
+
+// renew registers the host and keeps its lease.
+func (h *Host) renew() {
+	for h.ctx.Err() == nil {
+		if !h.isRegistered() {
+			if err := h.register(); err != nil {
+				h.pause(retryInterval)
+				continue
+			}
+		}
+		if err := h.renewOnce(); err != nil {
+			h.noteLease()
+			h.pause(retryInterval)
+			continue
+		}
+		// A tenth of jitter keeps the renewals of hosts that started together apart.
+		h.pause(renewInterval - time.Duration(rand.Int64N(int64(renewInterval/10))))
+	}
+}
+
+func (h *Host) register() error {
+	ctx, cancel := context.WithTimeout(h.ctx, 2*time.Second)
+	defer cancel()
+	r, err := h.config.Control.Register(ctx, h.config.Self)
+	if err != nil {
+		return fmt.Errorf("register host %s: %w", h.config.Self.Name, err)
+	}
+	h.mu.Lock()
+	h.registered = true
+	h.mu.Unlock()
+	h.config.Events.Emit(event.HostRegistered, event.Fields{"index": r.Index, "incarnation": h.config.Self.Incarnation})
+	return nil
+}
+
+// renewOnce asks for the lease once. The deadline counts from before the request, so
+// that it never lies after the one that the leader keeps.
+func (h *Host) renewOnce() error {
+	ctx, cancel := context.WithTimeout(h.ctx, renewTimeout)
+	defer cancel()
+	asked := time.Now()
+	r, err := h.config.Control.Renew(ctx, jacinthtiller.RenewRequest{
+		Host: h.config.Self.Name, Incarnation: h.config.Self.Incarnation, Index: h.config.Views.View().Index,
+	})
+	if err != nil {
+		return fmt.Errorf("renew the host's lease: %w", err)
+	}
+	h.sawControl()
+	if r.Unregistered {
+		h.mu.Lock()
+		h.registered = false
+		h.mu.Unlock()
+		return errors.New("control does not know this start of the host")
+	}
+	h.grant(asked.Add(time.Duration(r.LeaseMicroseconds) * time.Microsecond))
+	return nil
+}
+
+func (h *Host) grant(deadline time.Time) {
+	h.mu.Lock()
+	if h.released || deadline.Before(h.lease.Deadline) {
+		h.mu.Unlock()
+		return
+	}
+	h.lease = jacinthtiller.Lease{
+		Host: h.config.Self.Name, Incarnation: h.config.Self.Incarnation, Deadline: deadline,
+	}
+	lease := h.lease
+	h.mu.Unlock()
+	h.config.Owner.SetLease(lease)
+	if h.config.Events.Tracing() {
+		h.config.Events.Emit(event.LeaseRenewed, event.Fields{"deadline": deadline})
+	}
+}
+
+// noteLease reports the end of a lease once.
+func (h *Host) noteLease() {
+	h.mu.Lock()
+	ended := !h.lease.Deadline.IsZero() && !h.lease.Valid(time.Now())
+	if ended {
+		h.lease = jacinthtiller.Lease{}
+	}
+	h.mu.Unlock()
+	if ended {
+		h.config.Events.Emit(event.LeaseEnded, nil)
+	}
+}
+
+func (h *Host) isRegistered() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.registered
+}
+
+func (h *Host) sawControl() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.controlSeen = time.Now()
+}
+
+// pause waits for d or the end of the host.
+func (h *Host) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-h.ctx.Done():
+	}
+}
+
+// Announce takes a target's announcement: the owner uses it, any other host passes it on.
+func (h *Host) Announce(ctx context.Context, a jacinthtiller.Announcement) (jacinthtiller.AnnounceResponse, error) {
+	if err := a.Validate(); err != nil {
+		h.config.Events.Emit(event.AnnouncementRefused, event.Fields{"target": a.Target, "fault": err.Error()})
+		return jacinthtiller.AnnounceResponse{}, wire.InvalidArgument(err)
+	}
+	if a.Domain != h.config.Self.Domain && !a.Forwarded {
+		err := fmt.Errorf("target %s of failure domain %s announces itself to a host of %s",
+			a.Target, a.Domain, h.config.Self.Domain)
+		h.config.Events.Emit(event.AnnouncementRefused, event.Fields{"target": a.Target, "fault": err.Error()})
+		return jacinthtiller.AnnounceResponse{}, wire.InvalidArgument(err)
+	}
+	view := h.config.Views.View()
+	if h.config.Owner.Announced(a) {
+		h.observe(view, a, false)
+		return jacinthtiller.AnnounceResponse{Owner: h.config.Self.RPC}, nil
+	}
+	o, ok := view.Owner(a.Database, a.Target)
+	if !ok || a.Forwarded || o.Name == h.config.Self.Name {
+		h.observe(view, a, false)
+		return jacinthtiller.AnnounceResponse{}, nil
+	}
+	forwarded := a
+	forwarded.Forwarded = true
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	r, err := h.config.Peers.Peer(o.RPC).Announce(ctx, forwarded)
+	h.observe(view, a, err != nil)
+	return r, nil
+}
+
+// observe reports to control what an announcement adds to the view.
+func (h *Host) observe(view jacinthtiller.View, a jacinthtiller.Announcement, unreachable bool) {
+	if !unreachable && !differs(view, a) {
+		return
+	}
+	select {
+	case h.observed <- jacinthtiller.ObserveRequest{
+		Host: h.config.Self.Name, Announcement: a, OwnerUnreachable: unreachable,
+	}:
+	default:
+	}
+}
+
+// differs reports whether control should hear of the announcement.
+func differs(view jacinthtiller.View, a jacinthtiller.Announcement) bool {
+	d, ok := view.Databases[a.Database]
+	if !ok || d.Primary == "" || a.GroupSize > d.GroupSize {
+		return true
+	}
+	t, ok := d.Targets[a.Target]
+	if !ok || t.Owner == "" || t.Lost || t.State != a.State || t.Address != a.Address || t.Domain != a.Domain {
+		return true
+	}
+	o, ok := view.Hosts[t.Owner]
+	return !ok || o.Gone
+}
+
+// report sends observations to control, one after another.
+func (h *Host) report() {
+	for {
+		select {
+		case r := <-h.observed:
+			ctx, cancel := context.WithTimeout(h.ctx, observeTimeout)
+			if err := h.config.Control.Observe(ctx, r); err != nil && h.ctx.Err() == nil {
+				h.config.Events.Emit(event.ObserveFailed, event.Fields{
+					"target": r.Announcement.Target, "fault": err.Error(),
+				})
+			}
+			cancel()
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+// Fence fences a target that this host owns.
+func (h *Host) Fence(ctx context.Context, r jacinthtiller.FenceRequest) (jacinthtiller.FenceResponse, error) {
+	return h.config.Owner.Fence(ctx, r)
+}
+
+// WaitPosition waits until a replica that this host owns reaches a position.
+func (h *Host) WaitPosition(ctx context.Context, r jacinthtiller.WaitPositionRequest) (jacinthtiller.WaitPositionResponse, error) {
+	return h.config.Owner.WaitPosition(ctx, r)
+}
+
+// Mark gives the marks of guests for a primary that this host owns.
+func (h *Host) Mark(ctx context.Context, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
+	return h.config.Owner.Mark(ctx, r)
+}
+
+// View returns the view in force.
+func (h *Host) View(context.Context) (jacinthtiller.View, error) { return h.config.Views.View(), nil }
+
+// State is a Host's part of a process's dump.
+type State struct {
+	Host          jacinthtiller.Host `json:"host"`
+	Index         uint64             `json:"index"`
+	Document      uint64             `json:"document"`
+	LeaseDeadline time.Time          `json:"lease-deadline"`
+	ControlSeen   time.Time          `json:"control-seen"`
+	Registered    bool               `json:"registered"`
+	View          jacinthtiller.View `json:"view"`
+}
+
+// Dump returns the host's state. The text of sections is left out, because it holds password verifiers.
+func (h *Host) Dump() State {
+	view := h.config.Views.View()
+	sections := map[string]jacinthtiller.Section{}
+	for name, s := range view.Sections {
+		s.Text = ""
+		sections[name] = s
+	}
+	view.Sections = sections
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return State{
+		Host: h.config.Self, Index: view.Index, Document: view.Document, LeaseDeadline: h.lease.Deadline,
+		ControlSeen: h.controlSeen, Registered: h.registered, View: view,
+	}
+}
--- /dev/null
+++ b/entry/views.go
@@ -0,0 +1,85 @@
+// Package entry joins the parts of the entry role: it follows the control
+// group's view, keeps the host's lease, takes targets' announcements and serves
+// the calls of peers.
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/document"
+)
+
+// Views holds the view in force and its document. It is safe for concurrent use.
+type Views struct {
+	// directory is what the sections of the view say; it is read anew only when the document changes.
+	directory atomic.Pointer[document.Directory]
+
+	mu sync.Mutex // guards the fields below
+	// view never goes to a lower index.
+	view jacinthtiller.View
+	// changed is closed and replaced when view is.
+	changed chan struct{}
+}
+
+// NewViews returns Views with an empty view of index 0.
+func NewViews() *Views {
+	v := &Views{changed: make(chan struct{})}
+	v.directory.Store(document.NewDirectory(nil))
+	return v
+}
+
+// Directory returns the roles and teams of the document in force.
+func (v *Views) Directory() *document.Directory { return v.directory.Load() }
+
+// View returns the view in force. Its maps must not be changed.
+func (v *Views) View() jacinthtiller.View {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.view
+}
+
+// Changed returns a channel that is closed when the view is next replaced.
+func (v *Views) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Apply puts the view after d in force. It reports false when d does not apply
+// to the view in force, in which case the caller asks for a full view.
+func (v *Views) Apply(d jacinthtiller.Delta) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next, ok := v.view.With(d)
+	if !ok {
+		return false
+	}
+	v.set(next)
+	return true
+}
+
+// Offer puts a whole view in force if it is newer, and reports whether it was.
+func (v *Views) Offer(view jacinthtiller.View) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if view.Index <= v.view.Index {
+		return false
+	}
+	v.set(view)
+	return true
+}
+
+// set replaces the view; v.mu is held.
+func (v *Views) set(view jacinthtiller.View) {
+	newer := view.Index != v.view.Index
+	if view.Document != v.view.Document {
+		v.directory.Store(document.NewDirectory(view.Sections))
+	}
+	v.view = view
+	if newer {
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+}
--- /dev/null
+++ b/operator/command.go
@@ -0,0 +1,218 @@
+// Package operator is the operators' command line, jacinthctl: its commands,
+// their output and their exit codes.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+// EnvPrefix starts the names of environment variables that stand for flags.
+const EnvPrefix = "JACINTH"
+
+// The exit codes, on which scripts may rely.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command could not be carried out.
+	ExitFailed = 1
+	// ExitUsage means that the command line is wrong.
+	ExitUsage = 2
+	// ExitRefused means that control refused the change: a conflict, an invalid section or missing rights.
+	ExitRefused = 3
+	// ExitUnknown means that it is not known whether the change was made; repeat it with the same request id.
+	ExitUnknown = 4
+	// ExitViolation means that a check found a broken guarantee.
+	ExitViolation = 5
+)
+
+// exitError is an error with the exit code that it stands for.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the text of the error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error below.
+func (e *exitError) Unwrap() error { return e.err }
+
+func usage(format string, args ...any) error {
+	return &exitError{code: ExitUsage, err: fmt.Errorf(format, args...)}
+}
+
+// tool holds what all commands share.
+type tool struct {
+	out, progress io.Writer
+
+	// control are the URLs of control processes, separated by commas.
+	control string
+	// output is table or json.
+	output   string
+	operator string
+	// token proves the operator to control; it comes from the environment or a file, never from an argument that
+	// other users of the machine could see.
+	tokenFile string
+	// timeoutMilliseconds bounds one call.
+	timeoutMilliseconds int
+}
+
+// Run runs one command line and returns its exit code. Results go to out, messages and progress to messages.
+func Run(ctx context.Context, args []string, out, messages io.Writer) int {
+	t := &tool{out: out, progress: messages}
+	root := t.root()
+	err := root.ParseAndRun(ctx, args)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		if errors.Is(err, flag.ErrHelp) && len(args) == 0 {
+			return ExitUsage
+		}
+		return ExitOK
+	}
+	fmt.Fprintf(messages, "jacinthctl: %v\n", err)
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	return ExitFailed
+}
+
+// root builds the tree of commands.
+func (t *tool) root() *ffcli.Command {
+	root := &ffcli.Command{
+		Name:       "jacinthctl",
+		ShortUsage: "jacinthctl <command> [flags] [arguments]",
+		ShortHelp:  "Operate jacinthtiller.",
+		LongHelp: "Flags can be given as environment variables: --control as " + EnvPrefix + "_CONTROL and so on.\n" +
+			"Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused, 4 outcome unknown, 5 a guarantee is broken.",
+		Subcommands: []*ffcli.Command{
+			t.section(), t.document(), t.status(), t.target(), t.primary(), t.members(), t.dump(), t.trace(),
+			t.bench(), t.quickstart(), t.version(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	root.FlagSet = flag.NewFlagSet("jacinthctl", flag.ContinueOnError)
+	root.FlagSet.SetOutput(t.progress)
+	return root
+}
+
+// group makes a command that only holds others.
+func (t *tool) group(name, help string, commands ...*ffcli.Command) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(t.progress)
+	return &ffcli.Command{
+		Name: name, ShortUsage: "jacinthctl " + name + " <command>", ShortHelp: help, FlagSet: fs, Subcommands: commands,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage("%s: there is no command %q", name, args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+// command makes a command with n arguments and the flags that define adds.
+func (t *tool) command(path, arguments, help string, n int, define func(*flag.FlagSet), exec func(context.Context, []string) error) *ffcli.Command {
+	name := path[strings.LastIndex(path, " ")+1:]
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(t.progress)
+	fs.StringVar(&t.output, "output", "table", "form of the output, table or json")
+	if define != nil {
+		define(fs)
+	}
+	return &ffcli.Command{
+		Name: name, ShortUsage: strings.TrimSpace("jacinthctl " + path + " [flags] " + arguments), ShortHelp: help,
+		FlagSet: fs, Options: []ff.Option{ff.WithEnvVarPrefix(EnvPrefix)},
+		Exec: func(ctx context.Context, args []string) error {
+			if n >= 0 && len(args) != n {
+				return usage("%s takes %d arguments (%s), got %d", path, n, arguments, len(args))
+			}
+			if t.output != "table" && t.output != "json" {
+				return usage("--output=%q is not table or json", t.output)
+			}
+			return exec(ctx, args)
+		},
+	}
+}
+
+// online adds the flags of commands that call control.
+func (t *tool) online(fs *flag.FlagSet) {
+	fs.StringVar(&t.control, "control", "", "`urls` of control processes, separated by commas")
+	fs.StringVar(&t.operator, "operator", "", "name of the operator")
+	fs.StringVar(&t.tokenFile, "token-file", "", "file with the operator's token")
+	fs.IntVar(&t.timeoutMilliseconds, "timeout-milliseconds", 10000, "bound of the whole command, 100 to 600000")
+}
+
+// client returns a client of control and a context with the command's deadline.
+func (t *tool) client(ctx context.Context) (context.Context, context.CancelFunc, *control.Client, error) {
+	var urls []string
+	for u := range strings.SplitSeq(t.control, ",") {
+		// The form name=url of jacinthd's flag is taken as well.
+		if _, after, ok := strings.Cut(u, "="); ok {
+			u = after
+		}
+		if u = strings.TrimSpace(u); u != "" {
+			urls = append(urls, u)
+		}
+	}
+	if len(urls) == 0 {
+		return nil, nil, nil, usage("--control is empty; give the URLs of control processes, or set %s_CONTROL", EnvPrefix)
+	}
+	if t.timeoutMilliseconds < 100 || t.timeoutMilliseconds > 600_000 {
+		return nil, nil, nil, usage("--timeout-milliseconds=%d is not between 100 and 600000", t.timeoutMilliseconds)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(t.timeoutMilliseconds)*time.Millisecond)
+	return ctx, cancel, control.NewClient(urls, wire.NewHTTPClient()), nil
+}
+
+// print writes value as JSON, or calls table with aligned columns.
+func (t *tool) print(value any, table func(w io.Writer)) error {
+	if t.output == "json" {
+		e := json.NewEncoder(t.out)
+		e.SetIndent("", "  ")
+		if err := e.Encode(value); err != nil {
+			return fmt.Errorf("write the output: %w", err)
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	table(w)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write the output: %w", err)
+	}
+	return nil
+}
+
+// fetch reads a page of a process's service.
+func fetch(ctx context.Context, url string) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", url, err)
+	}
+	res, err := wire.NewHTTPClient().Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", url, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(res.Body, wire.MaxMessageBytes))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", url, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("ask %s: %s: %s", url, res.Status, strings.TrimSpace(string(b)))
+	}
+	return b, nil
+}
--- /dev/null
+++ b/operator/online.go
@@ -0,0 +1,398 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/control"
+)
+
+// who returns the operator of the command line with the token from its file.
+func (t *tool) who() (control.Operator, error) {
+	o := control.Operator{Name: t.operator}
+	if t.tokenFile == "" {
+		return o, nil
+	}
+	b, err := os.ReadFile(t.tokenFile)
+	if err != nil {
+		return o, fmt.Errorf("read the operator's token: %w", err)
+	}
+	o.Token = strings.TrimSpace(string(b))
+	return o, nil
+}
+
+// call runs f with a client of control and the command's deadline.
+func (t *tool) call(ctx context.Context, f func(context.Context, *control.Client) error) error {
+	ctx, cancel, c, err := t.client(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if err := f(ctx, c); err != nil {
+		return refused(err)
+	}
+	return nil
+}
+
+// section holds the commands for a team's section of the document.
+func (t *tool) section() *ffcli.Command {
+	get := t.command("section get", "TEAM", "Print a team's section.", 1, t.online,
+		func(ctx context.Context, args []string) error { return t.getSection(ctx, args[0]) })
+	var apply applyFlags
+	set := t.command("section apply", "TEAM FILE", "Replace a team's section with a file; - is standard input.", 2,
+		func(fs *flag.FlagSet) {
+			t.online(fs)
+			fs.Int64Var(&apply.revision, "if-revision", -1, "revision that the edit replaces; the current one when negative")
+			fs.StringVar(&apply.request, "request-id", "", "id under which the edit can be resent; a new one when empty")
+			fs.BoolVar(&apply.wait, "wait", false, "wait until all live hosts have the edit in force")
+		},
+		func(ctx context.Context, args []string) error { return t.applySection(ctx, apply, args[0], args[1]) })
+	history := t.command("section history", "TEAM", "List the revisions of a section.", 1, t.online,
+		func(ctx context.Context, args []string) error { return t.sectionHistory(ctx, args[0]) })
+	diff := t.command("section diff", "TEAM FILE", "Show how a file differs from the section in force.", 2, t.online,
+		func(ctx context.Context, args []string) error { return t.diffSection(ctx, args[0], args[1]) })
+	return t.group("section", "Read and edit a team's section of the document.", get, set, history, diff)
+}
+
+func (t *tool) getSection(ctx context.Context, team string) error {
+	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+		r, err := c.SectionGet(ctx, team)
+		if err != nil {
+			return err
+		}
+		if r.Section.Revision == 0 {
+			return fmt.Errorf("team %s has no section", team)
+		}
+		return t.print(r, func(w io.Writer) {
+			fmt.Fprintf(w, "# team %s, revision %d, by %s\n%s", team, r.Section.Revision, r.Section.Author, r.Section.Text)
+		})
+	})
+}
+
+// applyFlags are the settings of an edit.
+type applyFlags struct {
+	revision int64
+	request  string
+	wait     bool
+}
+
+func readSection(path string) (string, error) {
+	if path == "-" {
+		b, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return "", fmt.Errorf("read standard input: %w", err)
+		}
+		return string(b), nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read the section: %w", err)
+	}
+	return string(b), nil
+}
+
+func (t *tool) applySection(ctx context.Context, f applyFlags, team, path string) error {
+	text, err := readSection(path)
+	if err != nil {
+		return err
+	}
+	who, err := t.who()
+	if err != nil {
+		return err
+	}
+	m := control.SectionApplyRequest{Operator: who, Team: team, Text: text, Request: f.request, Replaces: uint64(max(0, f.revision))}
+	if m.Request == "" {
+		m.Request = newRequest()
+	}
+	if f.wait {
+		m.WaitMicroseconds = int64(t.timeoutMilliseconds) * 1000 * 8 / 10
+	}
+	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+		if f.revision < 0 {
+			current, err := c.SectionGet(ctx, team)
+			if err != nil {
+				return err
+			}
+			m.Replaces = current.Section.Revision
+		}
+		fmt.Fprintf(t.progress, "request id %s\n", m.Request)
+		r, err := c.SectionApply(ctx, m)
+		if err != nil {
+			return &exitError{code: ExitUnknown, err: fmt.Errorf("%w; repeat with --request-id %s --if-revision %d", err, m.Request, m.Replaces)}
+		}
+		return t.reportApply(r, f.wait)
+	})
+}
+
+// newRequest returns a random request id.
+func newRequest() string {
+	b := make([]byte, 12)
+	_, _ = rand.Read(b) // never fails on supported systems
+	return hex.EncodeToString(b)
+}
+
+func (t *tool) reportApply(r control.SectionApplyResponse, wait bool) error {
+	err := t.print(r, func(w io.Writer) {
+		switch r.Outcome {
+		case control.SectionAccepted:
+			fmt.Fprintf(w, "accepted as revision %d at index %d\n", r.Revision, r.Index)
+			for _, h := range r.InForce {
+				fmt.Fprintf(w, "%s\tin force\n", h)
+			}
+			for _, h := range r.Waiting {
+				fmt.Fprintf(w, "%s\tnot yet in force\n", h)
+			}
+		case control.SectionConflict:
+			fmt.Fprintf(w, "conflict: the section is at revision %d by %s:\n%s", r.Current.Revision, r.Current.Author, r.Current.Text)
+		case control.SectionInvalid:
+			for _, f := range r.Faults {
+				fmt.Fprintln(w, f)
+			}
+		default:
+			fmt.Fprintln(w, "the request id was used with other content")
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if r.Outcome != control.SectionAccepted {
+		return &exitError{code: ExitRefused, err: fmt.Errorf("the section was refused: %s", r.Outcome)}
+	}
+	if wait && len(r.Waiting) > 0 {
+		return fmt.Errorf("accepted, but %d hosts do not have it in force yet", len(r.Waiting))
+	}
+	return nil
+}
+
+func (t *tool) sectionHistory(ctx context.Context, team string) error {
+	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+		r, err := c.SectionHistory(ctx, team)
+		if err != nil {
+			return err
+		}
+		return t.print(r, func(w io.Writer) {
+			fmt.Fprintln(w, "REVISION\tAUTHOR\tLINES")
+			for _, s := range r.Revisions {
+				fmt.Fprintf(w, "%d\t%s\t%d\n", s.Revision, s.Author, strings.Count(s.Text, "\n"))
+			}
+		})
+	})
+}
+
+func (t *tool) diffSection(ctx context.Context, team, path string) error {
+	text, err := readSection(path)
+	if err != nil {
+		return err
+	}
+	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+		r, err := c.SectionGet(ctx, team)
+		if err != nil {
+			return err
+		}
+		lines := diff(strings.Split(r.Section.Text, "\n"), strings.Split(text, "\n"))
+		return t.print(lines, func(w io.Writer) {
+			for _, l := range lines {
+				fmt.Fprintln(w, l)
+			}
+		})
+	})
+}
+
+// diff returns the lines of both texts, marked with "-" when only in a, "+" when only in b
+// and " " when in both, by the longest common subsequence.
+func diff(a, b []string) []string {
+	length := make([][]int, len(a)+1)
+	for i := range length {
+		length[i] = make([]int, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				length[i][j] = length[i+1][j+1] + 1
+			} else {
+				length[i][j] = max(length[i+1][j], length[i][j+1])
+			}
+		}
+	}
+	var out []string
+	i, j := 0, 0
+	for i < len(a) || j < len(b) {
+		switch {
+		case i < len(a) && j < len(b) && a[i] == b[j]:
+			out = append(out, " "+a[i])
+			i, j = i+1, j+1
+		case j == len(b) || i < len(a) && length[i+1][j] >= length[i][j+1]:
+			out = append(out, "-"+a[i])
+			i++
+		default:
+			out = append(out, "+"+b[j])
+			j++
+		}
+	}
+	return out
+}
+
+// status prints the hosts, leases and targets.
+func (t *tool) status() *ffcli.Command {
+	return t.command("status", "", "Show hosts, leases, targets and the revision in force on each host.", 0, t.online,
+		func(ctx context.Context, _ []string) error {
+			return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+				r, err := c.Status(ctx)
+				if err != nil {
+					return err
+				}
+				return t.print(r, func(w io.Writer) { writeStatus(w, r) })
+			})
+		})
+}
+
+func writeStatus(w io.Writer, r control.StatusResponse) {
+	fmt.Fprintf(w, "leader %s, term %d, index %d, document %d\n\n", r.Leader, r.Term, r.Index, r.Document)
+	fmt.Fprintln(w, "HOST\tDOMAIN\tLEASE\tIN FORCE\tTARGETS\tGUESTS")
+	for _, h := range r.Hosts {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", h.Host.Name, h.Host.Domain, h.Lease, h.InForce, h.Targets, h.Host.Guests)
+	}
+	fmt.Fprintln(w, "\nDATABASE\tTERM\tTARGET\tROLE\tSTATE\tOWNER\tEPOCH\tADDRESS")
+	for _, d := range r.Databases {
+		for _, name := range d.TargetNames() {
+			x := d.Targets[name]
+			fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%d\t%s\n", d.Name, d.Term, name, role(d, name), state(x), x.Owner, x.Epoch, x.Address)
+		}
+	}
+	fmt.Fprintln(w, "\nSECTION\tREVISION")
+	for _, team := range slices.Sorted(maps.Keys(r.Sections)) {
+		fmt.Fprintf(w, "%s\t%d\n", team, r.Sections[team])
+	}
+}
+
+func role(d jacinthtiller.Database, name string) jacinthtiller.Role {
+	if d.Primary == name {
+		return jacinthtiller.RolePrimary
+	}
+	return jacinthtiller.RoleReplica
+}
+
+func state(x jacinthtiller.Target) string {
+	if x.Lost {
+		return "lost"
+	}
+	return string(x.State)
+}
+
+// target holds the commands for targets.
+func (t *tool) target() *ffcli.Command {
+	leave := t.command("target leave", "DATABASE TARGET", "Give a target no new work and move the primary away from it.", 2, t.online,
+		func(ctx context.Context, args []string) error {
+			who, err := t.who()
+			if err != nil {
+				return err
+			}
+			return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+				return c.TargetLeave(ctx, control.TargetLeaveRequest{Operator: who, Database: args[0], Target: args[1]})
+			})
+		})
+	return t.group("target", "Operate targets.", leave)
+}
+
+// primary holds the commands for primaries.
+func (t *tool) primary() *ffcli.Command {
+	move := t.command("primary move", "DATABASE TARGET", "Make another target the primary without an error for guests.", 2, t.online,
+		func(ctx context.Context, args []string) error {
+			who, err := t.who()
+			if err != nil {
+				return err
+			}
+			m := control.MovePrimaryRequest{
+				Operator: who, Database: args[0], Target: args[1], WaitMicroseconds: int64(t.timeoutMilliseconds) * 1000 * 8 / 10,
+			}
+			return t.call(ctx, func(ctx context.Context, c *control.Client) error { return t.movePrimary(ctx, c, m) })
+		})
+	return t.group("primary", "Operate primaries.", move)
+}
+
+func (t *tool) movePrimary(ctx context.Context, c *control.Client, m control.MovePrimaryRequest) error {
+	began := time.Now()
+	r, err := c.MovePrimary(ctx, m)
+	if err != nil {
+		return err
+	}
+	if r.Database.Primary != m.Target {
+		return fmt.Errorf("the primary of %s is %q after %d ms", m.Database, r.Database.Primary, time.Since(began).Milliseconds())
+	}
+	return t.print(r, func(w io.Writer) {
+		fmt.Fprintf(w, "primary of %s is %s in term %d, after %d ms\n",
+			m.Database, m.Target, r.Database.Term, time.Since(began).Milliseconds())
+	})
+}
+
+// members holds the commands for the control group.
+func (t *tool) members() *ffcli.Command {
+	list := t.command("control members", "", "List the members of the control group.", 0, t.online,
+		func(ctx context.Context, _ []string) error {
+			return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+				r, err := c.Members(ctx)
+				if err != nil {
+					return err
+				}
+				return t.print(r, func(w io.Writer) { writeMembers(w, r) })
+			})
+		})
+	change := func(name, help string, actions ...control.MemberAction) *ffcli.Command {
+		return t.command("control "+name, "NAME", help, 1, t.online, func(ctx context.Context, args []string) error {
+			return t.changeMember(ctx, args[0], actions)
+		})
+	}
+	return t.group("control", "Operate the control group.", list,
+		change("add", "Add a member; it votes once it has caught up.", control.MemberAdd, control.MemberPromote),
+		change("remove", "Remove a member.", control.MemberRemove),
+		change("repair", "Readmit a member that returned with an empty data folder.",
+			control.MemberRemove, control.MemberAdd, control.MemberPromote))
+}
+
+func writeMembers(w io.Writer, r control.MembersResponse) {
+	fmt.Fprintf(w, "role %s, leader %s, term %d, commit %d, applied %d\n\n", r.Log.Role, r.Log.Leader, r.Log.Term, r.Log.Commit, r.Log.Applied)
+	fmt.Fprintln(w, "MEMBER\tVOTER\tMATCH\tIDENTITY\tURL")
+	for _, m := range r.Log.Members {
+		fmt.Fprintf(w, "%s\t%t\t%d\t%s\t%s\n", m.Name, m.Voter, m.Match, m.Identity, r.URLs[m.Name])
+	}
+	if r.Log.RepairUnfinished {
+		fmt.Fprintln(w, "\na repair is unfinished: a member is not yet a voter, or its data folder is another one")
+	}
+}
+
+// changeMember runs the actions one after another, each until it succeeds or the command's time is over.
+func (t *tool) changeMember(ctx context.Context, name string, actions []control.MemberAction) error {
+	who, err := t.who()
+	if err != nil {
+		return err
+	}
+	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+		for _, a := range actions {
+			fmt.Fprintf(t.progress, "%s %s\n", a, name)
+			for {
+				_, err := c.MemberChange(ctx, control.MemberChangeRequest{Operator: who, Action: a, Name: name})
+				if err == nil {
+					break
+				}
+				// A learner is promoted only when it has caught up, which takes some time.
+				if a != control.MemberPromote || ctx.Err() != nil {
+					return err
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/quickstart/path_test.go
@@ -0,0 +1,83 @@
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller/standin"
+)
+
+// TestQuickstart guards the README's first command: the demonstration ends and prints what it promises.
+func TestQuickstart(t *testing.T) {
+	convey.Convey("The demonstration runs", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		c, err := Start(ctx, Options{})
+		convey.So(err, convey.ShouldBeNil)
+		defer c.Kill()
+		var out strings.Builder
+		c.Describe(&out)
+		convey.So(c.Demonstrate(ctx, &out), convey.ShouldBeNil)
+		convey.So(strings.Count(out.String(), "\nentry "), convey.ShouldEqual, 7)
+		convey.So(strings.Count(out.String(), "target "), convey.ShouldEqual, 3)
+		convey.So(out.String(), convey.ShouldContainSubstring, "replica share")
+		convey.So(out.String(), convey.ShouldContainSubstring, "failover gap")
+		convey.So(c.Stop(ctx), convey.ShouldBeNil)
+	})
+}
+
+// BenchmarkRoundTrip compares one guest's statements through an entry host with the same
+// statements on a target, which has no replicas to wait for. Run it with -count 5.
+func BenchmarkRoundTrip(b *testing.B) {
+	ctx := context.Background()
+	c, err := Start(ctx, Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Kill()
+	alone, err := standin.Start(standin.Config{Name: "alone", Database: "alone", Domain: "cluj-a"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer alone.Kill()
+	login, database := c.Logins()[0], c.Databases()[0]
+	urls := map[string]string{
+		"direct":             fmt.Sprintf("postgres://u@%s/alone?sslmode=disable", alone.Addr()),
+		"host-of-the-domain": c.URL(c.Hosts[0], login, database),
+		"host-elsewhere":     c.URL(c.Hosts[6], login, database),
+	}
+	for name, url := range urls {
+		conn, err := pgx.Connect(ctx, url)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close(ctx)
+		if _, err := conn.Exec(ctx, "CREATE TABLE IF NOT EXISTS lots (id INTEGER PRIMARY KEY, viability INTEGER)"); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := conn.Exec(ctx, "INSERT INTO lots VALUES (1, 0) ON CONFLICT DO NOTHING"); err != nil {
+			b.Fatal(err)
+		}
+		b.Run("read/"+name, func(b *testing.B) {
+			for b.Loop() {
+				var v int
+				if err := conn.QueryRow(ctx, "SELECT viability FROM lots WHERE id = $1", 1).Scan(&v); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run("write/"+name, func(b *testing.B) {
+			for b.Loop() {
+				if _, err := conn.Exec(ctx, "UPDATE lots SET viability = viability + 1 WHERE id = $1", 1); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,107 @@
+// Package trace merges the trace files of all processes and judges by them the
+// guarantees that concern more than one process.
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// maxLineBytes bounds one record.
+const maxLineBytes = 1 << 20
+
+// Record is an event with the place where it stands.
+type Record struct {
+	event.Record
+	// File and Line say where the record was read; lines count from 1.
+	File string
+	Line int
+}
+
+// Place returns file:line.
+func (r Record) Place() string { return fmt.Sprintf("%s:%d", r.File, r.Line) }
+
+// text returns a field as text, empty when it is absent.
+func (r Record) text(name string) string {
+	s, _ := r.Fields[name].(string)
+	return s
+}
+
+// number returns a field as a number, 0 when it is absent.
+func (r Record) number(name string) uint64 {
+	f, _ := r.Fields[name].(float64)
+	return uint64(max(0, f))
+}
+
+// LineError says which line of a trace cannot be read.
+type LineError struct {
+	File string
+	Line int
+	Err  error
+}
+
+// Error names the place and the fault.
+func (e *LineError) Error() string { return fmt.Sprintf("%s:%d: %v", e.File, e.Line, e.Err) }
+
+// Unwrap returns the fault.
+func (e *LineError) Unwrap() error { return e.Err }
+
+// Read reads one trace. A last line that is cut short, as a killed process leaves it, is passed over.
+func Read(file string, r io.Reader) ([]Record, error) {
+	var out []Record
+	var broken *LineError
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes)
+	for line := 1; s.Scan(); line++ {
+		if broken != nil {
+			return nil, broken
+		}
+		rec := Record{File: file, Line: line}
+		if err := json.Unmarshal(s.Bytes(), &rec.Record); err != nil {
+			broken = &LineError{File: file, Line: line, Err: err}
+			continue
+		}
+		out = append(out, rec)
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("read trace %s: %w", file, err)
+	}
+	return out, nil
+}
+
+// ReadFiles reads and merges the traces.
+func ReadFiles(paths ...string) ([]Record, error) {
+	var all []Record
+	for _, p := range paths {
+		f, err := os.Open(p)
+		if err != nil {
+			return nil, fmt.Errorf("open trace: %w", err)
+		}
+		records, err := Read(p, f)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, records...)
+	}
+	return Merge(all), nil
+}
+
+// Merge orders records by time and, within a host, by sequence. Traces are comparable only when
+// the hosts' clocks are, as those of processes on one machine.
+func Merge(records []Record) []Record {
+	out := slices.Clone(records)
+	slices.SortStableFunc(out, func(a, b Record) int {
+		if a.Host == b.Host && a.File == b.File {
+			return a.Line - b.Line
+		}
+		return a.Time.Compare(b.Time)
+	})
+	return out
+}
