--- a/control/command.go
+++ b/control/command.go
@@ -88,9 +88,13 @@
 	Target   string `cbor:"target"`
 }
 
+// removeCommand takes a target out of its group, after a survey has shown that
+// the rest of the group does without it.
 type removeCommand struct {
 	Database string `cbor:"database"`
 	Target   string `cbor:"target"`
+	// Term is the term in which the survey was made.
+	Term uint64 `cbor:"term"`
 }
 
 // bootstrapCommand records the primary that a new database has announced.
--- a/control/leader.go
+++ b/control/leader.go
@@ -25,6 +25,9 @@
 	bootstrapWait = 2 * time.Second
 	// rebalanceAfter is how long a host must hold its lease before it takes targets from others.
 	rebalanceAfter = 2 * Lease
+	// surveyTimeout bounds a survey, and surveyEvery is the time between two of a database.
+	surveyTimeout = 2 * time.Second
+	surveyEvery   = 5 * time.Second
 	// forgetAfter is how long a host that is gone and owns nothing stays in the view.
 	forgetAfter = time.Hour
 )
@@ -40,6 +43,8 @@
 	moves map[string]time.Time
 	// bootstraps holds when a new group without a primary gets one by promotion.
 	bootstraps map[string]time.Time
+	// surveys holds when a database may be surveyed again.
+	surveys map[string]time.Time
 	// forgets holds when a host that is gone is forgotten.
 	forgets map[string]time.Time
 	// seen is the state that the last scan looked at.
@@ -76,16 +81,30 @@
 	err      error
 }
 
+// surveyCall asks whether a majority of the group without target holds all settled commits of the term.
+type surveyCall struct {
+	database, target string
+	term             uint64
+	// primary is the URL of the primary's owner.
+	primary string
+	// others maps the remaining replicas to the URLs of their owners.
+	others map[string]string
+	// quorum is a majority of the group without target, the primary counted.
+	quorum   int
+	deadline time.Time
+}
+
 // decision is what the leader wants done: commands for the log and fencing calls.
 type decision struct {
 	commands []Command
 	fences   []fenceCall
+	surveys  []surveyCall
 }
 
 func newLeader() *leader {
 	return &leader{
 		leases: map[string]*lease{}, fences: map[string]*fencing{}, moves: map[string]time.Time{},
-		bootstraps: map[string]time.Time{}, forgets: map[string]time.Time{},
+		bootstraps: map[string]time.Time{}, surveys: map[string]time.Time{}, forgets: map[string]time.Time{},
 	}
 }
 
@@ -117,6 +136,7 @@
 		d := s.View.Databases[n]
 		l.lead(s, d, now, &out)
 		l.place(s, d, p, &out)
+		l.survey(s, d, now, &out)
 	}
 	l.balance(s, p, now, &out)
 	l.tidy(s, now, &out)
@@ -206,6 +226,9 @@
 		return
 	}
 	for _, n := range d.TargetNames() {
+		if d.Targets[n].Lost {
+			delete(f.answers, n) // it is fenced again once it is back
+		}
 		owner, ok := s.View.Hosts[d.Targets[n].Owner]
 		if _, answered := f.answers[n]; answered || !ok || owner.Gone || now.Before(f.next[n]) {
 			continue
@@ -394,16 +417,38 @@
 	return primary, primary.Name != ""
 }
 
-// tidy removes targets that have left and hosts that have been gone for long.
-func (l *leader) tidy(s *state, now time.Time, out *decision) {
-	for _, n := range slices.Sorted(maps.Keys(s.View.Databases)) {
-		d := s.View.Databases[n]
-		for _, name := range d.TargetNames() {
-			if t := d.Targets[name]; t.State == jacinthtiller.StateLeaving && t.Lost && d.Primary != name {
-				out.commands = append(out.commands, Command{Remove: &removeCommand{Database: n, Target: name}})
+// survey asks for the survey that allows a target that has left to be removed.
+func (l *leader) survey(s *state, d jacinthtiller.Database, now time.Time, out *decision) {
+	if now.Before(l.surveys[d.Name]) {
+		return
+	}
+	for _, n := range d.TargetNames() {
+		if !removable(d, d.Targets[n]) {
+			continue
+		}
+		c := surveyCall{
+			database: d.Name, target: n, term: d.Term, others: map[string]string{},
+			quorum: max(d.GroupSize, len(d.Targets)-1)/2 + 1, deadline: now.Add(surveyTimeout),
+		}
+		for name, t := range d.Targets {
+			switch owner := s.View.Hosts[t.Owner]; {
+			case name == n || owner.RPC == "" || owner.Gone:
+			case name == d.Primary:
+				c.primary = owner.RPC
+			default:
+				c.others[name] = owner.RPC
 			}
 		}
+		l.surveys[d.Name] = now.Add(surveyEvery)
+		if c.primary != "" {
+			out.surveys = append(out.surveys, c)
+		}
+		return
 	}
+}
+
+// tidy forgets hosts that have been gone for long.
+func (l *leader) tidy(s *state, now time.Time, out *decision) {
 	for _, n := range slices.Sorted(maps.Keys(s.View.Hosts)) {
 		at, ok := l.forgets[n]
 		switch {
@@ -426,5 +471,6 @@
 	})
 	maps.DeleteFunc(l.moves, func(n string, _ time.Time) bool { return s.View.Databases[n].Moving == "" })
 	maps.DeleteFunc(l.bootstraps, func(n string, _ time.Time) bool { return s.View.Databases[n].Term != 0 })
+	maps.DeleteFunc(l.surveys, func(n string, _ time.Time) bool { _, ok := s.View.Databases[n]; return !ok })
 	maps.DeleteFunc(l.forgets, func(n string, _ time.Time) bool { return !s.View.Hosts[n].Gone })
 }
--- /dev/null
+++ b/control/leader_test.go
@@ -0,0 +1,472 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// world is a state with its leader and a clock of its own. Positions are those
+// that targets answer when they are fenced; a target without one does not answer.
+type world struct {
+	s         *state
+	l         *leader
+	index     uint64
+	now       time.Time
+	positions map[string]jacinthtiller.Position
+}
+
+func newWorld() *world {
+	return &world{s: newState(), l: newLeader(), now: time.Unix(1000, 0), positions: map[string]jacinthtiller.Position{}}
+}
+
+func (w *world) do(c Command) answer {
+	w.index++
+	next, a, _ := apply(w.s, w.index, c)
+	w.s = next
+	return a
+}
+
+// settle steps the leader until it has nothing more to record, and answers its fencing calls.
+func (w *world) settle() {
+	for range 20 {
+		d := w.l.step(w.s, w.now)
+		for _, f := range d.fences {
+			r := fenceResult{fenceCall: f, position: w.positions[f.target]}
+			if r.position.IsZero() {
+				r.err = errSilent
+			}
+			w.l.fenced(r, w.now)
+		}
+		if len(d.commands) == 0 && len(d.fences) == 0 {
+			return
+		}
+		if len(d.commands) > 0 {
+			w.do(Command{Batch: d.commands})
+		}
+	}
+}
+
+func (w *world) register(host, domain, incarnation string) answer {
+	return w.do(Command{Register: &registerCommand{Host: jacinthtiller.Host{
+		Name: host, Domain: domain, RPC: "http://" + host, Incarnation: incarnation,
+	}}})
+}
+
+// renew renews the leases of the hosts, which have the newest view in force.
+func (w *world) renew(hosts ...string) (out jacinthtiller.RenewResponse) {
+	for _, h := range hosts {
+		out = w.l.renew(w.s, jacinthtiller.RenewRequest{
+			Host: h, Incarnation: w.s.View.Hosts[h].Incarnation, Index: w.s.View.Index,
+		}, w.now)
+	}
+	return out
+}
+
+// run lets time pass in which the hosts renew.
+func (w *world) run(d time.Duration, hosts ...string) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.renew(hosts...)
+		w.settle()
+		w.now = w.now.Add(100 * time.Millisecond)
+	}
+	w.renew(hosts...)
+	w.settle()
+}
+
+func (w *world) observe(target, domain string, role jacinthtiller.Role) {
+	w.do(Command{Observe: &observeCommand{Announcement: announcement(target, domain, role, "1/5")}})
+}
+
+func (w *world) lose(target string) answer {
+	t := w.target(target)
+	return w.do(Command{Lost: &lostCommand{Host: t.Owner, Database: "db", Target: target, Epoch: t.Epoch}})
+}
+
+func (w *world) db() jacinthtiller.Database              { return w.s.View.Databases["db"] }
+func (w *world) target(name string) jacinthtiller.Target { return w.db().Targets[name] }
+func (w *world) host(name string) jacinthtiller.Host     { return w.s.View.Hosts[name] }
+func (w *world) at(target string, term, index uint64) {
+	w.positions[target] = jacinthtiller.Position{Term: term, Index: index}
+}
+func (w *world) primary() (term uint64, primary string) { return w.db().Term, w.db().Primary }
+func (w *world) move(target string) answer {
+	return w.do(Command{Move: &moveCommand{Database: "db", Term: w.db().Term, Target: target}})
+}
+
+// standard has hosts a1, a2, b1, c1 in domains a, b, c with one target each; t1 in a leads term 1.
+func standard() *world {
+	w := newWorld()
+	for h, d := range map[string]string{"a1": "a", "a2": "a", "b1": "b", "c1": "c"} {
+		w.register(h, d, "1")
+	}
+	w.observe("t1", "a", jacinthtiller.RolePrimary)
+	w.observe("t2", "b", jacinthtiller.RoleReplica)
+	w.observe("t3", "c", jacinthtiller.RoleReplica)
+	w.at("t1", 1, 9)
+	w.at("t2", 1, 7)
+	w.at("t3", 1, 8)
+	w.run(0, "a1", "a2", "b1", "c1")
+	return w
+}
+
+var all = []string{"a1", "a2", "b1", "c1"}
+
+// TestDecisions guards against a leader that breaks one of its rules.
+func TestDecisions(t *testing.T) {
+	so, eq := convey.So, convey.ShouldEqual
+	cases := map[string]func(w *world){
+		"owners are live hosts of the domain with the fewest targets": func(w *world) {
+			so(w.target("t1").Owner, eq, "a1")
+			so(w.target("t2").Owner, eq, "b1")
+			w.observe("t4", "a", jacinthtiller.RoleReplica)
+			w.settle()
+			so(w.target("t4").Owner, eq, "a2")
+		},
+		"a host without a granted lease gets no targets": func(w *world) {
+			w.register("d1", "d", "1")
+			w.observe("t4", "d", jacinthtiller.RoleReplica)
+			w.settle()
+			so(w.target("t4").Owner, eq, "")
+			w.renew("d1")
+			w.settle()
+			so(w.target("t4").Owner, eq, "d1")
+		},
+		"a lease ends only after its length and the rate bound": func(w *world) {
+			w.now = w.now.Add(Lease + ClockRateBound - 1)
+			w.settle()
+			so(w.host("a1").Gone, convey.ShouldBeFalse)
+			w.now = w.now.Add(1)
+			w.settle()
+			so(w.host("a1").Gone, convey.ShouldBeTrue)
+		},
+		"targets of a host that is gone go to another of the domain in the same term": func(w *world) {
+			w.run(2*time.Second, "a2", "b1", "c1")
+			so(w.target("t1").Owner, eq, "a2")
+			so(w.target("t1").Epoch, eq, 2)
+			so(w.db().Term, eq, 1)
+		},
+		"without a host in the domain a replica keeps its owner and a primary is replaced": func(w *world) {
+			w.run(2*time.Second, "a1", "a2", "b1")
+			so(w.target("t3").Owner, eq, "c1")
+			w.positions["t3"] = jacinthtiller.Position{}
+			w.run(2*time.Second, "b1")
+			so(w.db().Term, eq, 2)
+			so(w.db().Primary, eq, "")
+			so(w.target("t1").Owner, eq, "a1")
+			w.register("c1", "c", "1")
+			w.at("t3", 1, 8)
+			w.run(time.Second, "b1", "c1")
+			so(w.db().Primary, eq, "t3")
+		},
+		"a new leader treats no host as gone for a full lease": func(w *world) {
+			w.now = w.now.Add(Lease)
+			w.l = newLeader()
+			w.settle()
+			w.now = w.now.Add(Lease)
+			w.settle()
+			so(w.host("a1").Gone, convey.ShouldBeFalse)
+			w.now = w.now.Add(ClockRateBound)
+			w.settle()
+			so(w.host("a1").Gone, convey.ShouldBeTrue)
+		},
+		"a released host gives up its targets at once": func(w *world) {
+			w.do(Command{Gone: &goneCommand{Host: "a1", Incarnation: "1", Released: true}})
+			w.settle()
+			so(w.target("t1").Owner, eq, "a2")
+			w.do(Command{Gone: &goneCommand{Host: "a2", Incarnation: "1", Released: true}})
+			w.settle()
+			term, primary := w.primary()
+			so(term, eq, 2)
+			so(primary, eq, "t3")
+		},
+		"a lost primary is replaced at once by the greatest position": func(w *world) {
+			so(w.lose("t1").Code, eq, codeDone)
+			so(w.db().Term, eq, 2)
+			w.settle()
+			so(w.db().Primary, eq, "t3")
+			so(w.target("t1").Owner, eq, "")
+			w.observe("t1", "a", jacinthtiller.RolePrimary)
+			w.settle()
+			so(w.target("t1").Owner, eq, "a1")
+		},
+		"a report of a lost target from an earlier epoch changes nothing": func(w *world) {
+			a := w.do(Command{Lost: &lostCommand{Host: "a1", Database: "db", Target: "t1", Epoch: 0}})
+			so(a.Code, eq, codeStale)
+			a = w.do(Command{Lost: &lostCommand{Host: "a2", Database: "db", Target: "t1", Epoch: 1}})
+			so(a.Code, eq, codeStale)
+			so(w.db().Primary, eq, "t1")
+		},
+		"a lost replica keeps its owner and comes back at a new epoch": func(w *world) {
+			before := w.target("t2")
+			w.lose("t2")
+			w.settle()
+			so(w.target("t2").Owner, eq, "b1")
+			so(w.target("t2").Lost, convey.ShouldBeTrue)
+			w.observe("t2", "b", jacinthtiller.RoleReplica)
+			so(w.target("t2").Lost, convey.ShouldBeFalse)
+			so(w.target("t2").Epoch, convey.ShouldBeGreaterThan, before.Epoch)
+		},
+		"a lost target whose owner does not answer goes to the host that reports it": func(w *world) {
+			w.register("b2", "b", "1")
+			w.lose("t2")
+			w.do(Command{Observe: &observeCommand{
+				Host: "b2", OwnerUnreachable: true, Announcement: announcement("t2", "b", jacinthtiller.RoleReplica, "1/5"),
+			}})
+			so(w.target("t2").Owner, eq, "b2")
+		},
+		"no primary is chosen without a majority": func(w *world) {
+			w.positions["t2"] = jacinthtiller.Position{}
+			w.lose("t1")
+			w.run(5*time.Second, all...)
+			so(w.db().Primary, eq, "")
+			w.at("t2", 1, 7)
+			w.run(time.Second, all...)
+			so(w.db().Primary, eq, "t3")
+		},
+		"a target that is lost during a promotion is not chosen": func(w *world) {
+			w.positions["t2"] = jacinthtiller.Position{}
+			w.lose("t1")
+			w.settle()
+			w.lose("t3")
+			w.at("t2", 1, 7)
+			w.run(time.Second, all...)
+			so(w.db().Primary, eq, "")
+			w.observe("t3", "c", jacinthtiller.RoleReplica)
+			w.run(time.Second, all...)
+			so(w.db().Primary, eq, "t3")
+		},
+		"a new leader resumes an open promotion in the same term": func(w *world) {
+			w.lose("t1")
+			w.l = newLeader()
+			w.run(0, all...)
+			term, primary := w.primary()
+			so(term, eq, 2)
+			so(primary, eq, "t3")
+		},
+		"answers of an earlier term do not count": func(w *world) {
+			w.lose("t1")
+			w.l.step(w.s, w.now)
+			w.l.fenced(fenceResult{fenceCall: fenceCall{database: "db", target: "t2", term: 1}, position: w.positions["t2"]}, w.now)
+			so(w.l.fences["db"].answers, convey.ShouldBeEmpty)
+		},
+		"a planned move ends with the successor as primary": func(w *world) {
+			so(w.move("t2").Code, eq, codeDone)
+			so(w.db().Moving, eq, "t2")
+			w.run(time.Second, all...)
+			so(w.db().Primary, eq, "t1")
+			w.at("t2", 1, 9)
+			w.at("t3", 1, 9)
+			w.lose("t1")
+			w.run(0, all...)
+			term, primary := w.primary()
+			so(term, eq, 2)
+			so(primary, eq, "t2")
+			so(w.db().Moving, eq, "")
+			so(w.target("t1").Owner, eq, "a1")
+			so(w.target("t1").Lost, convey.ShouldBeFalse)
+		},
+		"a move never prefers a successor that is behind": func(w *world) {
+			w.move("t2")
+			w.lose("t1")
+			w.run(0, all...)
+			so(w.db().Primary, eq, "t3")
+			so(w.db().Term, eq, 2)
+		},
+		"a move waits a little for the successor's answer": func(w *world) {
+			w.move("t2")
+			w.positions["t2"] = jacinthtiller.Position{}
+			w.lose("t1")
+			w.settle()
+			so(w.db().Primary, eq, "")
+			w.run(preferWait, all...)
+			so(w.db().Primary, eq, "t1")
+		},
+		"a move that does not end in time is cancelled": func(w *world) {
+			w.move("t2")
+			w.run(moveTimeout+2*scanEvery, all...)
+			so(w.db().Moving, eq, "")
+			so(w.db().Primary, eq, "t1")
+		},
+		"a move whose successor is lost is cancelled": func(w *world) {
+			w.move("t2")
+			w.lose("t2")
+			w.settle()
+			so(w.db().Moving, eq, "")
+		},
+		"a leaving primary is moved away": func(w *world) {
+			w.do(Command{Leave: &leaveCommand{Database: "db", Target: "t1"}})
+			w.observe("t1", "a", jacinthtiller.RolePrimary)
+			so(w.target("t1").State, eq, jacinthtiller.StateLeaving)
+			w.settle()
+			so(w.db().Moving, eq, "t2")
+		},
+		"a target that has left is removed only in the term of its survey": func(w *world) {
+			w.do(Command{Leave: &leaveCommand{Database: "db", Target: "t3"}})
+			w.lose("t3")
+			d := w.l.step(w.s, w.now)
+			so(d.surveys, convey.ShouldHaveLength, 1)
+			so(d.surveys[0].others, convey.ShouldResemble, map[string]string{"t2": "http://b1"})
+			so(d.surveys[0].quorum, eq, 2)
+			so(w.do(Command{Remove: &removeCommand{Database: "db", Target: "t3", Term: 0}}).Code, eq, codeStale)
+			so(w.do(Command{Remove: &removeCommand{Database: "db", Target: "t2", Term: 1}}).Code, eq, codeStale)
+			so(w.do(Command{Remove: &removeCommand{Database: "db", Target: "t3", Term: 1}}).Code, eq, codeDone)
+			so(w.db().Targets, convey.ShouldHaveLength, 2)
+			so(w.db().Quorum(), eq, 2)
+		},
+		"a group takes one target more than its size": func(w *world) {
+			w.observe("t4", "a", jacinthtiller.RoleReplica)
+			w.observe("t5", "a", jacinthtiller.RoleReplica)
+			so(w.db().Targets, convey.ShouldHaveLength, 4)
+		},
+		"a handover waits until the former owner has it in force": func(w *world) {
+			w.register("b2", "b", "1")
+			w.do(Command{Observe: &observeCommand{Announcement: jacinthtiller.Announcement{Database: "other", Target: "x", Domain: "b", GroupSize: 1, Term: 1, Role: jacinthtiller.RolePrimary}}})
+			w.run(0, all...)
+			for range 4 { // b2 holds its lease, b1 owns two targets
+				w.run(time.Second, append(all, "b2")...)
+			}
+			so(w.target("t2").Owner, eq, "b2")
+			so(w.s.Handovers, convey.ShouldBeEmpty)
+		},
+		"a host restarted within its lease waits for the lease of its former process": func(w *world) {
+			so(w.register("a1", "a", "2").Code, eq, codeBusy)
+			w.run(2*time.Second, "b1", "c1")
+			so(w.register("a1", "a", "2").Code, eq, codeDone)
+		},
+		"a host that comes back as another process gets its targets at a new epoch": func(w *world) {
+			w.run(2*time.Second, "a1", "a2", "b1")
+			before := w.target("t3").Epoch
+			w.register("c1", "c", "2")
+			so(w.target("t3").Owner, eq, "c1")
+			so(w.target("t3").Epoch, eq, before+1)
+		},
+		"no lease is granted under a view older than the registration": func(w *world) {
+			w.run(2*time.Second, "a2", "b1", "c1")
+			old := w.s.View.Index
+			w.register("a1", "a", "1")
+			so(w.l.renew(w.s, jacinthtiller.RenewRequest{Host: "a1", Incarnation: "1", Index: old}, w.now), convey.ShouldResemble, jacinthtiller.RenewResponse{})
+			so(w.renew("a1").LeaseMicroseconds, eq, Lease.Microseconds())
+		},
+		"no lease is granted once the end of the host is decided": func(w *world) {
+			w.now = w.now.Add(Lease + ClockRateBound)
+			w.l.step(w.s, w.now)
+			so(w.renew("a1").Unregistered, convey.ShouldBeTrue)
+		},
+		"a lease of another incarnation is refused": func(w *world) {
+			r := w.l.renew(w.s, jacinthtiller.RenewRequest{Host: "a1", Incarnation: "0", Index: w.s.View.Index}, w.now)
+			so(r.Unregistered, convey.ShouldBeTrue)
+		},
+		"decisions that a new registration has overtaken change nothing": func(w *world) {
+			w.run(2*time.Second, "a1", "a2", "c1")
+			epoch := w.target("t2").Epoch
+			w.register("b1", "b", "1")
+			so(w.do(Command{Assign: &assignCommand{Database: "db", Target: "t2", Epoch: epoch, Host: "a1"}}).Code, eq, codeStale)
+			so(w.do(Command{Open: &openCommand{Database: "db", From: 1, Term: 2}}).Code, eq, codeStale)
+			so(w.do(Command{Commit: &commitCommand{Database: "db", Term: 1, Target: "t2"}}).Code, eq, codeStale)
+		},
+		"a host that is gone and owns nothing is forgotten after an hour": func(w *world) {
+			w.do(Command{Gone: &goneCommand{Host: "a2", Incarnation: "1", Released: true}})
+			w.settle()
+			w.now = w.now.Add(forgetAfter)
+			w.renew("a1", "b1", "c1")
+			w.settle()
+			so(w.s.View.Hosts, convey.ShouldNotContainKey, "a2")
+			so(w.s.View.Hosts, convey.ShouldContainKey, "a1")
+		},
+	}
+	convey.Convey("Given three domains and a database with a primary", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() { c(standard()) })
+		}
+	})
+}
+
+// TestRebalance guards against a handover that takes a primary while a replica
+// would do, or that gives a target to its next owner too early.
+func TestRebalance(t *testing.T) {
+	convey.Convey("Given one host with three targets and one that joins", t, func() {
+		w := newWorld()
+		w.register("a1", "a", "1")
+		w.observe("t1", "a", jacinthtiller.RolePrimary)
+		w.observe("t2", "a", jacinthtiller.RoleReplica)
+		w.observe("t3", "a", jacinthtiller.RoleReplica)
+		w.run(0, "a1")
+		w.register("a2", "a", "1")
+		w.run(rebalanceAfter-scanEvery, "a1", "a2")
+		convey.So(w.target("t2").Owner, convey.ShouldEqual, "a1")
+		w.now = w.now.Add(scanEvery)
+		w.renew("a1", "a2")
+		d := w.l.step(w.s, w.now)
+		convey.So(d.commands, convey.ShouldHaveLength, 1)
+		old := w.s.View.Index
+		w.do(Command{Batch: d.commands})
+		convey.So(w.target("t2").Owner, convey.ShouldEqual, "")
+
+		convey.Convey("the target waits for the former owner", func() {
+			w.renew("a2")
+			w.l.renew(w.s, jacinthtiller.RenewRequest{Host: "a1", Incarnation: "1", Index: old}, w.now)
+			w.settle()
+			convey.So(w.target("t2").Owner, convey.ShouldEqual, "")
+			convey.So(w.do(Command{Assign: &assignCommand{
+				Database: "db", Target: "t2", Epoch: w.target("t2").Epoch, Host: "a2", InForce: old,
+			}}).Code, convey.ShouldEqual, codeStale)
+			w.renew("a1")
+			w.settle()
+			convey.So(w.target("t2").Owner, convey.ShouldEqual, "a2")
+			convey.So(w.target("t1").Owner, convey.ShouldEqual, "a1")
+			w.run(10*time.Second, "a1", "a2")
+			convey.So(w.target("t3").Owner, convey.ShouldEqual, "a1")
+		})
+		convey.Convey("the end of the former owner's lease frees the target", func() {
+			w.run(2*time.Second, "a2")
+			convey.So(w.target("t2").Owner, convey.ShouldEqual, "a2")
+			convey.So(w.target("t1").Owner, convey.ShouldEqual, "a2")
+		})
+	})
+}
+
+// TestBootstrap guards against a first primary that a majority may have left behind.
+func TestBootstrap(t *testing.T) {
+	primary, replica := jacinthtiller.RolePrimary, jacinthtiller.RoleReplica
+	type target struct {
+		name string
+		role jacinthtiller.Role
+		term uint64
+	}
+	cases := map[string]struct {
+		targets []target
+		wait    time.Duration
+		term    uint64
+		primary string
+	}{
+		"no majority":                  {[]target{{"t1", primary, 1}}, time.Minute, 0, ""},
+		"majority with primary":        {[]target{{"t1", primary, 4}, {"t2", replica, 4}}, 0, 4, "t1"},
+		"greatest term wins":           {[]target{{"t1", primary, 4}, {"t2", primary, 5}}, 0, 5, "t2"},
+		"a replica knows a newer term": {[]target{{"t1", primary, 4}, {"t2", replica, 5}}, 0, 0, ""},
+		"promotion after the wait":     {[]target{{"t1", primary, 4}, {"t2", replica, 5}}, 3 * time.Second, 6, "t2"},
+		"replicas only":                {[]target{{"t1", replica, 4}, {"t2", replica, 4}}, 3 * time.Second, 5, "t2"},
+	}
+	convey.Convey("The first primary is chosen", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				w := newWorld()
+				w.register("a1", "a", "1")
+				w.at("t1", 4, 1)
+				w.at("t2", 4, 2)
+				for _, x := range c.targets {
+					a := announcement(x.name, "a", x.role, "4/1")
+					a.Term = x.term
+					w.do(Command{Observe: &observeCommand{Announcement: a}})
+				}
+				w.run(c.wait, "a1")
+				term, name := w.primary()
+				convey.So(term, convey.ShouldEqual, c.term)
+				convey.So(name, convey.ShouldEqual, c.primary)
+			})
+		}
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -244,6 +245,9 @@
 		for _, c := range d.fences {
 			s.callFence(ctx, wg, c, slots, results)
 		}
+		for _, c := range d.surveys {
+			wg.Go(func() { s.survey(ctx, c) })
+		}
 		if len(d.commands) > 0 && s.record(ctx, d.commands) && s.machine.state().View.Index > st.View.Index {
 			continue
 		}
@@ -323,6 +327,35 @@
 	})
 }
 
+// survey removes a target when a majority of the rest of its group has reached
+// the newest settled position. Commits that are settled later count without the
+// target already, because it is lost.
+func (s *Server) survey(ctx context.Context, c surveyCall) {
+	call, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	m, err := s.peers.Peer(c.primary).Mark(call, jacinthtiller.MarkRequest{Database: c.database})
+	if err != nil || m.Term != c.term {
+		return
+	}
+	var reached atomic.Int64
+	reached.Add(1) // the primary
+	wg := conc.NewWaitGroup()
+	for name, url := range c.others {
+		wg.Go(func() {
+			out, err := s.peers.Peer(url).WaitPosition(call, jacinthtiller.WaitPositionRequest{
+				Database: c.database, Target: name, Position: m.Position, WaitMicroseconds: surveyTimeout.Microseconds() / 2,
+			})
+			if err == nil && out.Position.Covers(m.Position) {
+				reached.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if int(reached.Load()) >= c.quorum {
+		s.record(ctx, []Command{{Remove: &removeCommand{Database: c.database, Target: c.target, Term: c.term}}})
+	}
+}
+
 func (s *Server) reportFence(r fenceResult) {
 	f := event.Fields{"database": r.database, "target": r.target, "term": r.term}
 	if r.err != nil {
--- a/control/state.go
+++ b/control/state.go
@@ -277,6 +277,11 @@
 		d = jacinthtiller.Database{Name: a.Database, Targets: map[string]jacinthtiller.Target{}}
 	}
 	old, seen := d.Targets[a.Target]
+	if !seen && d.Term > 0 && len(d.Targets) > d.GroupSize {
+		// One target may join before the one that it replaces has left. With more, a
+		// majority of the new group need not hold what a majority of the old one settled.
+		return answer{Code: codeStale}
+	}
 	t := old
 	t.Name, t.Database, t.Address, t.Domain, t.State = a.Target, a.Database, a.Address, a.Domain, a.State
 	if e.s.Leaving[key(a.Database, a.Target)] {
@@ -400,9 +405,14 @@
 	return answer{}
 }
 
+// removable reports whether a target has left: it was leaving, has stopped and is no primary.
+func removable(d jacinthtiller.Database, t jacinthtiller.Target) bool {
+	return t.State == jacinthtiller.StateLeaving && t.Lost && d.Primary != "" && d.Primary != t.Name
+}
+
 func (e *editor) remove(c removeCommand) answer {
 	d, t, ok := e.s.target(c.Database, c.Target)
-	if !ok || d.Primary == c.Target || t.State != jacinthtiller.StateLeaving || !t.Lost {
+	if !ok || d.Term != c.Term || !removable(d, t) {
 		return answer{Code: codeStale}
 	}
 	k := key(c.Database, c.Target)
