admission: bounded fair queue and exact slots of one target

A target has few slots and connections, and one team's guests must not shut out another's. The queue is a pure step structure; Gate makes it safe for many goroutines. Teams share by deficit round robin by weight, guests of a team in turn, statements of open transactions go before new work, a full queue drops the newest request of the team with the longest queue relative to its weight, and a request past its deadline does not run.

--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,330 @@
+// Package admission is the bounded fair queue of one target: exact slots for
+// running statements, exact connections, deficit round robin over teams by
+// weight, and round robin over the guests of a team.
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Request asks for a slot.
+type Request struct {
+	Team  string
+	Guest string
+	// Write is true for new work that HoldWrites makes wait.
+	Write bool
+	// Opens is true when the request is known to keep its connection after the statement.
+	Opens bool
+	// Continues is true for a statement of a transaction whose connection is reserved by another grant: it goes before
+	// new work and needs only a slot. Grant.Continue does the same for the grant's own transaction.
+	Continues bool
+	// Deadline is the time by which the statement must have been granted; zero means none.
+	Deadline time.Time
+}
+
+// WaitStats sums up the waits of one team's granted requests.
+type WaitStats struct {
+	Count             uint64
+	TotalMicroseconds int64
+	MaxMicroseconds   int64
+}
+
+// Stats is the state of a gate at one moment.
+type Stats struct {
+	// Waiting maps each team with waiting requests to their number, statements of open transactions included.
+	Waiting map[string]int
+	Running int
+	// Connections counts the connections that are reserved.
+	Connections int
+	Waits       map[string]WaitStats
+	// Dropped counts the requests that a full queue dropped.
+	Dropped uint64
+}
+
+// Gate admits statements to one target. Its methods may be called by any goroutine.
+type Gate struct {
+	log    *event.Log
+	target string
+	wait   metric.Float64Histogram
+
+	mu      sync.Mutex // guards the fields below
+	q       queue
+	dropped uint64
+}
+
+// Option changes a Gate that is being made.
+type Option func(*Gate)
+
+// WithSlots sets how many statements run at once; 5 by default.
+func WithSlots(n int) Option { return func(g *Gate) { g.q.slots = n } }
+
+// WithConnections sets how many connections may be in use, by running statements and open transactions; 30 by default.
+func WithConnections(n int) Option { return func(g *Gate) { g.q.connections = n } }
+
+// WithCapacity bounds the queue of new work; 1,000 requests by default.
+func WithCapacity(n int) Option { return func(g *Gate) { g.q.capacity = n } }
+
+// WithReserve keeps n connections free of requests that open a transaction, so that idle transactions cannot shut out
+// single statements; 0 by default.
+func WithReserve(n int) Option { return func(g *Gate) { g.q.reserve = n } }
+
+// WithTeamLimit bounds the connections that one team may hold; 0, the default, means no limit.
+func WithTeamLimit(n int) Option { return func(g *Gate) { g.q.limit = n } }
+
+// WithLog writes the gate's events with the target's name.
+func WithLog(l *event.Log, target string) Option {
+	return func(g *Gate) { g.log, g.target = l, target }
+}
+
+// NewGate returns a gate for one target.
+func NewGate(opts ...Option) *Gate {
+	g := &Gate{
+		q: queue{slots: 5, connections: 30, capacity: 1000, teams: map[string]*team{}},
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	var err error
+	g.wait, err = otel.Meter("jacinthtiller/admission").Float64Histogram("jacinthtiller.admission.wait",
+		metric.WithUnit("s"), metric.WithDescription("Time that requests waited for a slot of a target, by team."),
+		metric.WithExplicitBucketBoundaries(0, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10))
+	if err != nil {
+		otel.Handle(err) // the instrument that comes with the error records nothing
+	}
+	return g
+}
+
+// Grant is the right to run a statement, and afterwards the reservation of a connection for an open transaction. It is
+// used by one goroutine at a time.
+type Grant struct {
+	g *Gate
+	t ticket
+	// ready is closed at the end of a wait; nil when there was none.
+	ready chan struct{}
+}
+
+// Acquire waits for a slot, and for a connection unless the request continues a transaction. The error is an
+// *jacinthtiller.Error which proves that the request did not run.
+func (g *Gate) Acquire(ctx context.Context, r Request) (*Grant, error) {
+	gr := &Grant{g: g, t: ticket{
+		guest: r.Guest, write: r.Write, opens: r.Opens, continues: r.Continues, deadline: r.Deadline, lane: laneNew,
+	}}
+	if r.Continues {
+		gr.t.lane = laneOpen
+	}
+	now := time.Now()
+	g.mu.Lock()
+	gr.t.team = g.q.team(r.Team)
+	g.q.push(&gr.t, now)
+	if err := gr.await(ctx, now); err != nil {
+		return nil, err
+	}
+	return gr, nil
+}
+
+// Continue waits for a slot for the next statement of the grant's open transaction. After an error the connection is
+// still reserved.
+func (gr *Grant) Continue(ctx context.Context, deadline time.Time) error {
+	now := time.Now()
+	gr.g.mu.Lock()
+	gr.g.q.again(&gr.t, deadline, now)
+	return gr.await(ctx, now)
+}
+
+// await unlocks the gate, which the caller has locked, and waits until the queue has decided.
+func (gr *Grant) await(ctx context.Context, begun time.Time) error {
+	g, t := gr.g, &gr.t
+	gr.ready = nil
+	waits := t.phase == phaseWaiting
+	if waits {
+		gr.ready = make(chan struct{})
+		t.done = gr.ready
+	}
+	g.settle()
+	if waits {
+		g.mu.Unlock()
+		gr.watch(ctx)
+		g.mu.Lock()
+	}
+	granted, reason, team := t.phase == phaseRunning && t.reason == "", t.reason, t.team
+	var waited time.Duration
+	if waits {
+		waited = time.Since(begun)
+	}
+	if granted {
+		team.waits.add(waited)
+	}
+	o := team.recordOptions()
+	g.mu.Unlock()
+	g.wait.Record(context.Background(), waited.Seconds(), o...)
+	if !granted {
+		return refusal(reason, waited)
+	}
+	return nil
+}
+
+// watch waits for the decision, the deadline or the end of ctx. In the last two cases it takes the request out of the
+// queue and gives back what was granted meanwhile.
+func (gr *Grant) watch(ctx context.Context) {
+	var expired <-chan time.Time
+	if !gr.t.deadline.IsZero() {
+		tm := time.NewTimer(time.Until(gr.t.deadline))
+		defer tm.Stop()
+		expired = tm.C
+	}
+	select {
+	case <-gr.ready:
+		return
+	case <-expired:
+	case <-ctx.Done():
+	}
+	g, t := gr.g, &gr.t
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.phase == phaseRunning {
+		// A request that was granted at the same moment did not run, because the caller has not been told.
+		g.q.finish(t, t.lane == laneOpen, time.Now())
+		t.reason = jacinthtiller.ReasonDeadline
+	} else {
+		g.q.refuse(t, jacinthtiller.ReasonDeadline)
+	}
+	g.settle()
+}
+
+// settle tells the goroutines whose requests have been decided. g.mu is held.
+func (g *Gate) settle() {
+	for i, t := range g.q.decided {
+		if t.reason == jacinthtiller.ReasonQueue {
+			g.dropped++
+			if g.log.Tracing() {
+				g.log.Emit(event.AdmissionDropped, event.Fields{"target": g.target, "team": t.team.name, "guest": t.guest})
+			}
+		}
+		if t.done != nil {
+			close(t.done)
+			t.done = nil
+		}
+		g.q.decided[i] = nil
+	}
+	g.q.decided = g.q.decided[:0]
+}
+
+// recordOptions returns the team's attribute for the histogram. g.mu is held.
+func (t *team) recordOptions() []metric.RecordOption {
+	if t.record == nil {
+		t.record = []metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(attribute.String("team", t.name)))}
+	}
+	return t.record
+}
+
+func (w *WaitStats) add(d time.Duration) {
+	w.Count++
+	w.TotalMicroseconds += d.Microseconds()
+	w.MaxMicroseconds = max(w.MaxMicroseconds, d.Microseconds())
+}
+
+// refusal returns the error for a request that did not run.
+func refusal(r jacinthtiller.Reason, waited time.Duration) error {
+	switch r {
+	case jacinthtiller.ReasonQueue:
+		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunQueueFull, r, "the queue of the target is full")
+	case jacinthtiller.ReasonDeadline:
+		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, r, "canceled or past its deadline after waiting %s for a slot", waited)
+	}
+	return jacinthtiller.NotRun(jacinthtiller.CodeNotRunShutdown, jacinthtiller.ReasonDraining, "the target takes no new work")
+}
+
+// Done ends the statement and frees its slot. With keep the transaction stays open and its connection reserved.
+func (gr *Grant) Done(keep bool) {
+	gr.g.change(func(q *queue, now time.Time) { q.finish(&gr.t, keep, now) })
+}
+
+// Release frees all that the grant holds. It may follow Done.
+func (gr *Grant) Release() {
+	gr.g.change(func(q *queue, now time.Time) { q.release(&gr.t, now) })
+}
+
+// change changes the queue and tells those whose wait has ended.
+func (g *Gate) change(f func(q *queue, now time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var now time.Time
+	if !g.q.idle() {
+		now = time.Now() // only waiting requests are compared with it
+	}
+	f(&g.q, now)
+	g.settle()
+}
+
+// SetWeights sets the weights of teams; a team that is not named has weight 1.
+func (g *Gate) SetWeights(w map[string]int) {
+	g.change(func(q *queue, now time.Time) { q.reconfigure(w, q.limits, now) })
+}
+
+// SetLimits bounds the connections that single teams may hold; 0 means no limit.
+func (g *Gate) SetLimits(l map[string]int) {
+	g.change(func(q *queue, now time.Time) { q.reconfigure(q.weights, l, now) })
+}
+
+// HoldWrites makes new writes wait, or lets them go on. Statements of open transactions are not held.
+func (g *Gate) HoldWrites(hold bool) {
+	g.change(func(q *queue, now time.Time) {
+		if q.hold != hold {
+			g.log.Emit(event.AdmissionHeld, event.Fields{"target": g.target, "held": hold})
+		}
+		q.hold = hold
+		q.dispatch(now)
+	})
+}
+
+// Drain refuses all new work, waiting or yet to come. Statements of open transactions run on.
+func (g *Gate) Drain() { g.drain(true) }
+
+// Undrain ends Drain.
+func (g *Gate) Undrain() { g.drain(false) }
+
+func (g *Gate) drain(draining bool) {
+	g.change(func(q *queue, _ time.Time) {
+		if q.draining != draining {
+			g.log.Emit(event.AdmissionDraining, event.Fields{"target": g.target, "draining": draining})
+		}
+		q.draining = draining
+		if draining {
+			q.flush(laneNew, jacinthtiller.ReasonDraining)
+		}
+	})
+}
+
+// Close refuses everything that waits and everything that comes. Grants may still be given back.
+func (g *Gate) Close() {
+	g.change(func(q *queue, _ time.Time) {
+		q.closed = true
+		q.flush(laneOpen, jacinthtiller.ReasonDraining)
+		q.flush(laneNew, jacinthtiller.ReasonDraining)
+	})
+}
+
+// Stats returns the present state.
+func (g *Gate) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := Stats{
+		Waiting: map[string]int{}, Waits: map[string]WaitStats{},
+		Running: g.q.running, Connections: g.q.held, Dropped: g.dropped,
+	}
+	for name, t := range g.q.teams {
+		if n := t.backlogs[laneOpen].order.Len() + t.backlogs[laneNew].order.Len(); n > 0 {
+			s.Waiting[name] = n
+		}
+		s.Waits[name] = t.waits
+	}
+	return s
+}
--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,235 @@
+package admission_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/admission"
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+const (
+	slots   = 5
+	service = 10 * time.Millisecond // mean; slots/service is the capacity, 500 statements a second
+	span    = 10 * time.Second
+	// patience is how long a guest waits for the answer. The deadline for the start is a little earlier.
+	patience = time.Second
+)
+
+// load is one simulated period in virtual time: a big team of 1,000 guests asks at a rate that does not depend on the
+// answers, and a small team of 5 guests asks again a thinking time after each answer.
+type load struct {
+	big   float64 // requests a second
+	think time.Duration
+	// policy is fair, first-come-first-served, or split: a slot and a queue for each of 5 hosts.
+	policy string
+
+	mu     sync.Mutex
+	end    time.Time
+	good   map[string]int // answers within the guests' patience, before the end
+	waits  []time.Duration
+	totals []time.Duration // of the small team, from the request to the answer
+}
+
+// figures are what a load measured: per second, a fraction of the small team's requests, and in milliseconds.
+type figures struct{ goodput, share, answered, wait, total float64 }
+
+func (l *load) run() figures {
+	l.good = map[string]int{}
+	var gates []*admission.Gate
+	n := slots
+	if l.policy == "split" {
+		n = 1
+	}
+	for range slots / n {
+		gates = append(gates, admission.NewGate(admission.WithSlots(n), admission.WithCapacity(2000*n/slots)))
+	}
+	l.end = time.Now().Add(span)
+	var wg conc.WaitGroup
+	for i := range 5 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(i)))
+			for time.Now().Before(l.end) {
+				l.request(gates, "small", i, rng.ExpFloat64())
+				time.Sleep(time.Duration(rng.ExpFloat64() * float64(l.think)))
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(2, 2))
+	for l.big > 0 && time.Now().Before(l.end) {
+		time.Sleep(time.Duration(rng.ExpFloat64() / l.big * float64(time.Second)))
+		guest, work := rng.IntN(1000), rng.ExpFloat64()
+		wg.Go(func() { l.request(gates, "big", guest, work) })
+	}
+	wg.Wait()
+	all := float64(l.good["small"] + l.good["big"])
+	small := float64(l.good["small"])
+	return figures{all / span.Seconds(), small / span.Seconds(), small / float64(len(l.waits)), median(l.waits), median(l.totals)}
+}
+
+// request sends one request and notes what became of it.
+func (l *load) request(gates []*admission.Gate, team string, guest int, work float64) {
+	begun := time.Now()
+	r := admission.Request{Team: team, Guest: fmt.Sprint(guest), Deadline: begun.Add(patience - 5*service)}
+	if l.policy != "fair" {
+		r.Team, r.Guest = "", "" // one queue for all is first come, first served
+	}
+	gr, err := gates[guest%len(gates)].Acquire(context.Background(), r)
+	waited := time.Since(begun)
+	if err == nil {
+		time.Sleep(time.Duration(work * float64(service)))
+		gr.Done(false)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil && time.Since(begun) <= patience && time.Now().Before(l.end) {
+		l.good[team]++
+	}
+	if team == "small" {
+		l.waits, l.totals = append(l.waits, waited), append(l.totals, time.Since(begun))
+	}
+}
+
+func median(ds []time.Duration) float64 {
+	slices.Sort(ds)
+	return float64(ds[len(ds)/2].Microseconds()) / 1000
+}
+
+// TestFairness guards against a small team that is shut out by a big one, and against overload that lowers goodput.
+func TestFairness(t *testing.T) {
+	capacity := slots / service.Seconds()
+	for _, think := range []time.Duration{50 * time.Millisecond, 0} {
+		for _, policy := range []string{"fair", "first-come-first-served", "split"} {
+			measure := func(factor float64) (f figures) {
+				synctest.Test(t, func(*testing.T) {
+					f = (&load{big: factor * capacity, think: think, policy: policy}).run()
+				})
+				t.Logf("think %4v %-24s %2.0fx: goodput %3.0f/s, small team %3.0f/s, %3.0f%% answered, median wait %5.1f ms, to the answer %5.1f ms",
+					think, policy, factor, f.goodput, f.share, 100*f.answered, f.wait, f.total)
+				return f
+			}
+			alone, once := measure(0), measure(1)
+			for _, factor := range []float64{2, 5, 10} {
+				f := measure(factor)
+				if policy != "fair" {
+					continue
+				}
+				convey.Convey(fmt.Sprintf("Think %v: a small team has its share at %gx of the capacity", think, factor), t, func() {
+					convey.So(f.share/capacity, convey.ShouldAlmostEqual, min(alone.share/capacity, 0.5), 0.05)
+					convey.So(f.goodput, convey.ShouldBeGreaterThan, 0.9*once.goodput)
+					if think > 0 {
+						// Guests who ask again at once use all slots on their own. With half of them, a cycle takes twice as
+						// long on average, so twice the median cannot be kept by any fair order.
+						convey.So(f.total, convey.ShouldBeLessThanOrEqualTo, 2*alone.total)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestGate guards against a wait that ends wrongly or keeps what it held: at the deadline, on cancellation at any
+// moment, and while the gate drains.
+func TestGate(t *testing.T) {
+	ctx := context.Background()
+	reason := func(err error) jacinthtiller.Reason { return jacinthtiller.AsError(err).Reason }
+	within := func(name string, f func(g *admission.Gate)) {
+		synctest.Test(t, func(t *testing.T) {
+			convey.Convey(name, t, func() {
+				g := admission.NewGate(admission.WithSlots(2), admission.WithConnections(3))
+				f(g)
+				s := g.Stats()
+				convey.So([]int{s.Running, s.Connections, len(s.Waiting)}, convey.ShouldResemble, []int{0, 0, 0})
+			})
+		})
+	}
+	within("A deadline ends the wait", func(g *admission.Gate) {
+		a, _ := g.Acquire(ctx, admission.Request{})
+		b, _ := g.Acquire(ctx, admission.Request{})
+		begun := time.Now()
+		_, err := g.Acquire(ctx, admission.Request{Deadline: begun.Add(time.Second)})
+		convey.So(reason(err), convey.ShouldEqual, jacinthtiller.ReasonDeadline)
+		convey.So(time.Since(begun), convey.ShouldEqual, time.Second)
+		a.Done(true)
+		convey.So(reason(a.Continue(ctx, time.Now())), convey.ShouldEqual, jacinthtiller.ReasonDeadline)
+		convey.So(a.Continue(ctx, time.Time{}), convey.ShouldBeNil) // the connection was kept
+		a.Done(true)
+		a.Release()
+		b.Done(false)
+		convey.So(a.Continue(ctx, time.Time{}), convey.ShouldNotBeNil)
+	})
+	within("A drain refuses new work and lets open transactions end", func(g *admission.Gate) {
+		a, _ := g.Acquire(ctx, admission.Request{Opens: true})
+		b, _ := g.Acquire(ctx, admission.Request{})
+		var wg conc.WaitGroup
+		var err error
+		wg.Go(func() { _, err = g.Acquire(ctx, admission.Request{}) })
+		synctest.Wait()
+		g.Drain()
+		wg.Wait()
+		convey.So(reason(err), convey.ShouldEqual, jacinthtiller.ReasonDraining)
+		a.Done(true)
+		convey.So(a.Continue(ctx, time.Time{}), convey.ShouldBeNil)
+		a.Done(false)
+		g.Undrain()
+		c, err := g.Acquire(ctx, admission.Request{})
+		convey.So(err, convey.ShouldBeNil)
+		b.Release()
+		c.Release()
+		g.Close()
+		_, err = g.Acquire(ctx, admission.Request{})
+		convey.So(reason(err), convey.ShouldEqual, jacinthtiller.ReasonDraining)
+	})
+	within("Cancellation at any moment frees what was held, and transactions do not block each other", func(g *admission.Gate) {
+		var wg conc.WaitGroup
+		for i := range 3000 {
+			wg.Go(func() {
+				rng := rand.New(rand.NewPCG(3, uint64(i)))
+				time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+				// Whole milliseconds, so that grants, deadlines and cancellations come at the same instants.
+				ctx, cancel := context.WithTimeout(ctx, time.Duration(rng.IntN(20))*time.Millisecond)
+				defer cancel()
+				gr, err := g.Acquire(ctx, admission.Request{
+					Team: fmt.Sprint(i % 3), Guest: fmt.Sprint(i % 7), Deadline: time.Now().Add(time.Duration(rng.IntN(20)) * time.Millisecond),
+				})
+				for err == nil && rng.IntN(3) > 0 {
+					time.Sleep(time.Millisecond)
+					gr.Done(true)
+					err = gr.Continue(ctx, time.Now().Add(time.Duration(rng.IntN(5))*time.Millisecond))
+				}
+				if gr != nil {
+					gr.Release()
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func BenchmarkAcquireDone(b *testing.B) {
+	bench := func(b *testing.B) {
+		g := admission.NewGate()
+		r := admission.Request{Team: "a", Guest: "b", Deadline: time.Now().Add(time.Hour)}
+		b.ReportAllocs()
+		for b.Loop() {
+			gr, err := g.Acquire(context.Background(), r)
+			if err != nil {
+				b.Fatal(err)
+			}
+			gr.Done(false)
+		}
+	}
+	b.Run("without metrics", bench)
+	otel.SetMeterProvider(sdk.NewMeterProvider(sdk.WithReader(sdk.NewManualReader())))
+	b.Run("with metrics", bench)
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,475 @@
+package admission
+
+import (
+	"container/list"
+	"maps"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// maxDebt bounds how far statements of open transactions may put a team's new work behind, in turns.
+const maxDebt = 8
+
+// The lanes of the queue. Statements of open transactions go first: they hold connections, which new work waits for.
+const (
+	laneOpen = iota
+	laneNew
+	lanes
+)
+
+// The classes of requests, which become eligible separately: bits of a mask's index.
+const (
+	classWrite = 1
+	classOpens = 2
+	classes    = 4
+)
+
+// mask says which classes may run.
+type mask [classes]bool
+
+var allClasses = mask{true, true, true, true}
+
+// phase is what a ticket is doing.
+type phase byte
+
+const (
+	phaseNone    phase = iota // not yet in the queue, or refused
+	phaseWaiting              // in the queue
+	phaseRunning              // holds a slot
+	phaseIdle                 // holds only a connection
+	phaseEnded                // holds nothing
+)
+
+// ticket is one request, or one open transaction, in the queue's books.
+type ticket struct {
+	team  *team
+	guest string
+	write bool
+	opens bool
+	// continues is true for a statement whose connection another ticket holds.
+	continues bool
+	deadline  time.Time
+	lane      int
+	phase     phase
+	// connection is true while the ticket holds a connection; it does in the phases running and idle unless continues is set.
+	connection bool
+	// reason is set when a wait ended in refusal.
+	reason jacinthtiller.Reason
+	// arrived counts arrivals at the queue.
+	arrived uint64
+	// own is the ticket's place in its guest's list, and order its place in its team's list of arrivals; nil unless waiting.
+	own, order *list.Element
+	line       *guestLine
+	// done is closed by the gate when a wait has ended; nil when nobody waits for that.
+	done chan struct{}
+}
+
+func (t *ticket) class() int {
+	c := 0
+	if t.write {
+		c |= classWrite
+	}
+	if t.opens {
+		c |= classOpens
+	}
+	return c
+}
+
+// guestLine holds one guest's waiting tickets in one lane, by class in the order of arrival.
+type guestLine struct {
+	name    string
+	tickets [classes]list.List
+	n       int
+	place   *list.Element
+}
+
+// oldest returns the ticket that arrived first among the eligible classes.
+func (l *guestLine) oldest(m mask) *ticket {
+	var out *ticket
+	for c := range l.tickets {
+		e := l.tickets[c].Front()
+		if !m[c] || e == nil {
+			continue
+		}
+		if t := e.Value.(*ticket); out == nil || t.arrived < out.arrived {
+			out = t
+		}
+	}
+	return out
+}
+
+// backlog holds one team's waiting tickets in one lane.
+type backlog struct {
+	team *team
+	// deficit is what the team may still run in its turn; below 0 it is in debt. It is 0 while nothing waits.
+	deficit int
+	// turn is true from the start of the team's turn to its end.
+	turn bool
+	// guests are the lines with waiting tickets; the front one is next.
+	guests list.List
+	byName map[string]*guestLine
+	// order holds the tickets by arrival.
+	order list.List
+	// count is the number of tickets by class.
+	count [classes]int
+	// place is in the lane's ring; nil while nothing waits.
+	place *list.Element
+}
+
+// has reports whether a ticket of an eligible class waits.
+func (b *backlog) has(m mask) bool {
+	for c, n := range b.count {
+		if n > 0 && m[c] {
+			return true
+		}
+	}
+	return false
+}
+
+// endTurn passes the turn on.
+func (b *backlog) endTurn(ring *list.List) {
+	b.turn = false
+	ring.MoveToBack(b.place)
+}
+
+// next returns the ticket whose turn it is: the oldest eligible one of the first guest that has one.
+func (b *backlog) next(m mask) *ticket {
+	for e := b.guests.Front(); e != nil; e = e.Next() {
+		if t := e.Value.(*guestLine).oldest(m); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
+// team is what the queue knows of a team.
+type team struct {
+	name string
+	// weight is at least 1.
+	weight int
+	// limit bounds held; 0 means no limit.
+	limit int
+	// held counts the connections that the team's tickets hold.
+	held     int
+	backlogs [lanes]backlog
+	waits    WaitStats
+	// record holds the team's attribute for the gate's histogram; nil until used.
+	record []metric.RecordOption
+}
+
+// queue decides which request runs next on one target. It has no clock and starts nothing: each method takes the time
+// where it needs it, and appends the tickets whose wait has ended to decided.
+type queue struct {
+	slots, connections, capacity int
+	// reserve is the number of connections that requests which open a transaction must leave free.
+	reserve int
+	// running is between 0 and slots.
+	running int
+	// held counts connections and is between 0 and connections.
+	held int
+	// waiting counts the tickets in the lane for new work and is at most capacity between calls.
+	waiting  int
+	hold     bool
+	draining bool
+	closed   bool
+	weights  map[string]int
+	limits   map[string]int
+	// limit is for teams that limits does not name.
+	limit   int
+	teams   map[string]*team
+	rings   [lanes]list.List
+	arrived uint64
+	decided []*ticket
+}
+
+// team finds a team or makes it.
+func (q *queue) team(name string) *team {
+	if t, ok := q.teams[name]; ok {
+		return t
+	}
+	t := &team{name: name}
+	for i := range t.backlogs {
+		t.backlogs[i] = backlog{team: t, byName: map[string]*guestLine{}}
+	}
+	q.teams[name] = t
+	q.configure(t)
+	return t
+}
+
+// configure applies weights and limits to a team.
+func (q *queue) configure(t *team) {
+	t.weight = max(1, q.weights[t.name])
+	t.limit = q.limit
+	if n, ok := q.limits[t.name]; ok {
+		t.limit = n
+	}
+}
+
+// reconfigure changes weights and limits.
+func (q *queue) reconfigure(weights, limits map[string]int, now time.Time) {
+	q.weights, q.limits = maps.Clone(weights), maps.Clone(limits)
+	for _, t := range q.teams {
+		q.configure(t)
+	}
+	q.dispatch(now)
+}
+
+// push takes a request. Afterwards it runs, waits, or was refused.
+func (q *queue) push(t *ticket, now time.Time) {
+	t.reason = ""
+	switch {
+	case q.closed, q.draining && t.lane == laneNew:
+		q.decide(t, phaseNone, jacinthtiller.ReasonDraining)
+		return
+	case t.expired(now):
+		q.decide(t, phaseNone, jacinthtiller.ReasonDeadline)
+		return
+	case q.idle() && q.mayRun(t):
+		q.grant(t)
+		return
+	}
+	q.enqueue(t)
+	q.dispatch(now)
+	if q.waiting > q.capacity {
+		q.dropNewest()
+	}
+}
+
+func (t *ticket) expired(now time.Time) bool { return !t.deadline.IsZero() && !now.Before(t.deadline) }
+
+// idle reports whether nothing waits.
+func (q *queue) idle() bool { return q.rings[laneOpen].Len() == 0 && q.rings[laneNew].Len() == 0 }
+
+// mayRun reports whether nothing but the turn of others keeps t from running.
+func (q *queue) mayRun(t *ticket) bool {
+	return q.running < q.slots && (t.lane == laneOpen || q.eligible()[t.class()] && !t.team.full())
+}
+
+// full reports whether the team holds as many connections as it may.
+func (t *team) full() bool { return t.limit > 0 && t.held >= t.limit }
+
+// eligible returns which classes of new work may take a connection.
+func (q *queue) eligible() mask {
+	m := allClasses
+	for c := range m {
+		free := q.connections - q.held
+		if c&classOpens != 0 {
+			free -= q.reserve
+		}
+		m[c] = free > 0 && (!q.hold || c&classWrite == 0)
+	}
+	return m
+}
+
+// enqueue puts the ticket in its guest's line.
+func (q *queue) enqueue(t *ticket) {
+	b := &t.team.backlogs[t.lane]
+	l := b.byName[t.guest]
+	if l == nil {
+		l = &guestLine{name: t.guest}
+		l.place = b.guests.PushBack(l)
+		b.byName[t.guest] = l
+	}
+	if b.place == nil {
+		b.place = q.rings[t.lane].PushBack(b)
+	}
+	q.arrived++
+	t.arrived, t.line, t.phase = q.arrived, l, phaseWaiting
+	t.own, t.order = l.tickets[t.class()].PushBack(t), b.order.PushBack(t)
+	l.n++
+	b.count[t.class()]++
+	if t.lane == laneNew {
+		q.waiting++
+	}
+}
+
+// remove takes a waiting ticket out of all lists.
+func (q *queue) remove(t *ticket) {
+	b, l := &t.team.backlogs[t.lane], t.line
+	l.tickets[t.class()].Remove(t.own)
+	b.order.Remove(t.order)
+	b.count[t.class()]--
+	t.own, t.order, t.line = nil, nil, nil
+	if l.n--; l.n == 0 {
+		b.guests.Remove(l.place)
+		delete(b.byName, l.name)
+	}
+	if b.order.Len() == 0 {
+		q.rings[t.lane].Remove(b.place)
+		b.place, b.deficit, b.turn = nil, 0, false
+	}
+	if t.lane == laneNew {
+		q.waiting--
+	}
+}
+
+// decide notes the end of a ticket's wait.
+func (q *queue) decide(t *ticket, p phase, r jacinthtiller.Reason) {
+	t.phase, t.reason = p, r
+	q.decided = append(q.decided, t)
+}
+
+// refuse ends the wait of a ticket that will not run. An open transaction keeps its connection.
+func (q *queue) refuse(t *ticket, r jacinthtiller.Reason) {
+	if t.phase != phaseWaiting {
+		return
+	}
+	q.remove(t)
+	p := phaseNone
+	if t.connection {
+		p = phaseIdle
+	}
+	q.decide(t, p, r)
+}
+
+// grant gives the ticket a slot, and a connection unless it has one.
+func (q *queue) grant(t *ticket) {
+	q.running++
+	if t.lane == laneNew {
+		q.held++
+		t.team.held++
+		t.connection = true
+	}
+	q.decide(t, phaseRunning, "")
+}
+
+// dispatch fills the free slots.
+func (q *queue) dispatch(now time.Time) {
+	for q.running < q.slots {
+		t := q.pick(laneOpen, allClasses, now)
+		if t == nil {
+			t = q.pick(laneNew, q.eligible(), now)
+		}
+		if t == nil {
+			return
+		}
+		q.grant(t)
+	}
+}
+
+// first finds the backlog that is next in turn and has a ticket that may run.
+func (q *queue) first(lane int, m mask) *backlog {
+	for e := q.rings[lane].Front(); e != nil; e = e.Next() {
+		if b := e.Value.(*backlog); b.has(m) && (lane == laneOpen || !b.team.full()) {
+			return b
+		}
+	}
+	return nil
+}
+
+// pick takes the next ticket of a lane by deficit round robin: each turn of a team adds its weight to its deficit, and
+// each statement costs 1. A team that cannot use its turn loses it to one that can.
+func (q *queue) pick(lane int, m mask, now time.Time) *ticket {
+	ring := &q.rings[lane]
+	for b := q.first(lane, m); b != nil; b = q.first(lane, m) {
+		for ring.Front() != b.place {
+			f := ring.Front().Value.(*backlog)
+			f.deficit = min(f.deficit, 0)
+			f.endTurn(ring)
+		}
+		if !b.turn {
+			b.turn = true
+			b.deficit += b.team.weight
+		}
+		if b.deficit < 1 {
+			b.endTurn(ring)
+			continue
+		}
+		t := b.next(m)
+		if !t.expired(now) {
+			q.take(t)
+			return t
+		}
+		q.refuse(t, jacinthtiller.ReasonDeadline)
+	}
+	return nil
+}
+
+// take removes the ticket and charges its team.
+func (q *queue) take(t *ticket) {
+	b := &t.team.backlogs[t.lane]
+	b.deficit--
+	b.guests.MoveToBack(t.line.place)
+	q.remove(t)
+	if b.place != nil && b.deficit < 1 {
+		b.endTurn(&q.rings[t.lane])
+	}
+	if n := &t.team.backlogs[laneNew]; t.lane == laneOpen && n.place != nil {
+		n.deficit = max(n.deficit-1, -maxDebt*t.team.weight)
+	}
+}
+
+// dropNewest refuses the newest request of the team that has the longest queue relative to its weight.
+func (q *queue) dropNewest() {
+	var longest *backlog
+	for e := q.rings[laneNew].Front(); e != nil; e = e.Next() {
+		b := e.Value.(*backlog)
+		if longest == nil || b.order.Len()*longest.team.weight > longest.order.Len()*b.team.weight {
+			longest = b
+		}
+	}
+	q.refuse(longest.order.Back().Value.(*ticket), jacinthtiller.ReasonQueue)
+}
+
+// again asks for a slot for the next statement of an open transaction.
+func (q *queue) again(t *ticket, deadline, now time.Time) {
+	t.lane, t.deadline = laneOpen, deadline
+	if t.phase != phaseIdle {
+		t.reason = jacinthtiller.ReasonDraining
+		return
+	}
+	q.push(t, now)
+	if t.phase == phaseNone {
+		t.phase = phaseIdle
+	}
+}
+
+// finish ends a statement: it frees the slot, and the connection unless keep is set.
+func (q *queue) finish(t *ticket, keep bool, now time.Time) {
+	if t.phase != phaseRunning {
+		return
+	}
+	q.running--
+	t.phase = phaseIdle
+	if !keep || t.continues {
+		q.end(t)
+	}
+	if !q.idle() {
+		q.dispatch(now)
+	}
+}
+
+// release ends a ticket in any phase.
+func (q *queue) release(t *ticket, now time.Time) {
+	switch t.phase {
+	case phaseRunning:
+		q.finish(t, false, now)
+		return
+	case phaseWaiting:
+		q.remove(t)
+	}
+	q.end(t)
+	if !q.idle() {
+		q.dispatch(now)
+	}
+}
+
+// end frees the connection.
+func (q *queue) end(t *ticket) {
+	t.phase = phaseEnded
+	if t.connection {
+		t.connection = false
+		t.team.held--
+		q.held--
+	}
+}
+
+// flush refuses everything that waits in a lane.
+func (q *queue) flush(lane int, r jacinthtiller.Reason) {
+	for q.rings[lane].Len() > 0 {
+		b := q.rings[lane].Front().Value.(*backlog)
+		q.refuse(b.order.Front().Value.(*ticket), r)
+	}
+}
