--- /dev/null
+++ b/session/bench_test.go
@@ -0,0 +1,162 @@
+package session
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strconv"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// echo is an opener and channel that answers every unit at once.
+type echo struct{ answer []byte }
+
+func (e echo) Open(context.Context, string) (jacinthtiller.Channel, error) { return e, nil }
+func (e echo) Cancel(context.Context) error                                { return nil }
+func (e echo) Close() error                                                { return nil }
+
+func (e echo) Run(_ context.Context, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
+	err := sink(e.answer)
+	return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.OutcomeDone, Position: u.Mark, Status: 'I'}, err
+}
+
+// idleGuests connects guests that run one statement each.
+func idleGuests(b *testing.B, h *host, n int) []net.Conn {
+	out := make([]net.Conn, 0, n)
+	for range n {
+		c, err := pgconn.Connect(context.Background(), h.url("reader"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := c.Exec(context.Background(), "select a").ReadAll(); err != nil {
+			b.Fatal(err)
+		}
+		k, err := c.Hijack()
+		if err != nil {
+			b.Fatal(err)
+		}
+		out = append(out, k.Conn)
+	}
+	return out
+}
+
+// used returns the memory for heap and stacks in use after a collection.
+func used() (heap, stacks uint64) {
+	for range 6 { // the second collection empties the pools; each one halves a stack that is mostly unused
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc, m.StackInuse
+}
+
+// BenchmarkIdle measures the memory per idle guest that has run a statement. The
+// guests are in this process too; the part of their own is measured with bare connections and taken off.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{1000, 5000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			for range b.N {
+				w := newWorld()
+				h := w.enter(b)
+				own := clientMemory(b, n)
+				heap, stacks := used()
+				conns := idleGuests(b, h, n)
+				w.set(func() { w.units = nil })
+				heap2, stacks2 := used()
+				b.ReportMetric((float64(heap2)-float64(heap))/float64(n)-own, "heap-B/guest")
+				b.ReportMetric((float64(stacks2)-float64(stacks))/float64(n), "stack-B/guest")
+				b.ReportMetric((float64(heap2+stacks2)-float64(heap+stacks))/float64(n)-own, "B/guest")
+				runtime.KeepAlive(conns)
+				for _, c := range conns {
+					_ = c.Close()
+				}
+				h.Close()
+			}
+		})
+	}
+}
+
+// clientMemory returns the memory of the client's end of one connection.
+func clientMemory(b *testing.B, n int) float64 {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	heap, _ := used()
+	var all []net.Conn
+	for range n {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		s, err := l.Accept()
+		if err != nil {
+			b.Fatal(err)
+		}
+		all = append(all, c, s)
+	}
+	heap2, _ := used()
+	for _, c := range all {
+		_ = c.Close()
+	}
+	return (float64(heap2) - float64(heap)) / float64(n) / 2
+}
+
+// BenchmarkRoundTrip measures a statement through a session with a target that answers at once.
+func BenchmarkRoundTrip(b *testing.B) {
+	e := echo{}
+	for _, m := range []pgproto3.Message{
+		&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: textType}}},
+		&pgproto3.DataRow{Values: [][]byte{[]byte("a")}}, complete, ready,
+	} {
+		e.answer = encode(e.answer, m)
+	}
+	for _, role := range []string{"reader", "writer"} {
+		for _, guests := range []int{1, 64} {
+			b.Run(fmt.Sprintf("%s/%d", role, guests), func(b *testing.B) {
+				w := newWorld()
+				w.view.Hosts["h"] = jacinthtiller.Host{Name: "h"}
+				h := w.enter(b, WithOpener(e))
+				b.ReportAllocs()
+				b.SetParallelism(max(1, guests/runtime.GOMAXPROCS(0)))
+				q := encode(nil, &pgproto3.Query{String: "select a"})
+				run := func(c net.Conn, buf []byte) {
+					if _, err := c.Write(q); err != nil {
+						b.Error(err)
+					}
+					for got := 0; ; {
+						n, err := c.Read(buf[got:])
+						if err != nil {
+							b.Error(err)
+							return
+						}
+						if got += n; got >= 6 && buf[got-6] == 'Z' {
+							return
+						}
+					}
+				}
+				if guests == 1 {
+					c := h.raw(b, role)
+					buf := make([]byte, 4096)
+					for b.Loop() {
+						run(c.conn, buf)
+					}
+					return
+				}
+				b.RunParallel(func(pb *testing.PB) {
+					c, buf := h.raw(b, role), make([]byte, 4096)
+					for pb.Next() {
+						run(c.conn, buf)
+					}
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/session/classify_test.go
@@ -0,0 +1,117 @@
+package session
+
+import (
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestClassify guards against writes that are sent to replicas or repeated, and
+// against session state that leaks through pooled connections.
+func TestClassify(t *testing.T) {
+	cases := map[string]string{
+		"select 1": "read plain",
+		" (SELECT count(*), max(a) from t where b in (1)) union all (values (2));": "read plain",
+		"with x as (select 1) table x":                                             "read plain",
+		"show server_version":                                                      "read plain",
+		"show transaction_read_only":                                               "write",
+		"select book(1)":                                                           "read",
+		`select "Book"(1)`:                                                         "read",
+		"select 'insert' as a, $$delete$$, $a$x;$$y$a$, E'\\';', \"update\" from t": "read plain",
+		"select 1 -- ; insert":                                             "read plain",
+		"/* a /* ; */ insert */ select 1":                                  "read plain",
+		"with x as (insert into t values (1) returning a) select * from x": "write",
+		"select * from t for update":                                       "write",
+		"select * from t for share":                                        "write",
+		"select 1; select 2":                                               "write many",
+		"select 'a' ; ; ":                                                  "read plain",
+		"insert into t values (1)":                                         "write",
+		"explain analyze insert into t values (1)":                         "write",
+		"begin": "write begin",
+		"start transaction isolation level serializable, read only": "read plain begin",
+		"begin; insert into t values (1); commit":                   "write many begin commits",
+		"end":                                             "write commits",
+		"prepare transaction 'x'":                         "write commits",
+		"rollback to savepoint a":                         "write",
+		"set local search_path = x":                       "write",
+		"set transaction read only":                       "write",
+		"set jacinthtiller.idempotency-key = 'a''b'":      "local",
+		"SET SESSION jacinthtiller.read_class TO DEFAULT": "local",
+		"show jacinthtiller.mark":                         "local",
+		"discard all":                                     "local",
+		"":                                                "empty",
+		" -- nothing":                                     "empty",
+		"/* idempotency-key: k */ /* read-class: c */ select 1": "read plain key=k class=c",
+		"select /* idempotency-key: k */ 1":                     "read plain",
+		"listen a":                                              "write refused",
+		"copy t from stdin":                                     "write refused",
+		"select 1; copy t to stdout":                            "write many refused",
+		"create temp table t (a int)":                           "write refused",
+		"create table temp (a int)":                             "write",
+		"select 1 into temporary t":                             "write refused",
+		"select pg_try_advisory_lock(1)":                        "read refused",
+		"select pg_advisory_xact_lock(1)":                       "read",
+		"declare c cursor with hold for select 1":               "write refused",
+		"declare c cursor for select 1":                         "write",
+		"prepare a as select 1":                                 "write refused",
+		"set search_path = x":                                   "local refused",
+		"set jacinthtiller.mark = '1/1'; select 1":              "local many refused",
+	}
+	convey.Convey("Class of", t, func() {
+		for sql, want := range cases {
+			convey.Convey(sql+" ", func() { convey.So(describeClass(classify(sql)), convey.ShouldEqual, want) })
+		}
+	})
+}
+
+// describeClass names what a class says.
+func describeClass(c class) string {
+	out := []string{string(c.access)}
+	switch c.verb {
+	case verbEmpty:
+		return "empty"
+	case verbLocal:
+		out[0] = "local"
+	}
+	for _, part := range []struct {
+		set  bool
+		name string
+	}{
+		{c.plain && c.verb != verbLocal, "plain"},
+		{c.count > 1, "many"},
+		{c.begins, "begin"},
+		{c.commits, "commits"},
+		{c.refusal != nil, "refused"},
+		{c.key != "", "key=" + c.key},
+		{c.readClass != "", "class=" + c.readClass},
+	} {
+		if part.set {
+			out = append(out, part.name)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// FuzzClassify guards against SQL that makes the lexer panic or hang, that loses
+// characters of the text, or whose write counts as a read.
+func FuzzClassify(f *testing.F) {
+	for _, s := range []string{"select 1", "e'\\", "$a$", "/*/*", "U&\"", "/* read-class: ä */x", "'a''"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, sql string) {
+		c := classify(sql)
+		if utf8.ValidString(sql) && utf8.RuneCountInString(c.sql) != utf8.RuneCountInString(sql) {
+			t.Fatalf("%q became %q", sql, c.sql)
+		}
+		if c.plain && c.access != jacinthtiller.AccessRead {
+			t.Fatal("a write counts as repeatable")
+		}
+		if d := classify("insert into t values (1);" + sql); d.count != c.count+1 || d.access != jacinthtiller.AccessWrite {
+			t.Fatalf("%q has %d statements, and %d after an insert", sql, c.count, d.count)
+		}
+	})
+}
--- a/session/fake_test.go
+++ b/session/fake_test.go
@@ -3,8 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
 	"fmt"
 	"maps"
+	"math/big"
 	"net"
 	"strconv"
 	"strings"
@@ -294,7 +300,7 @@
 }
 
 func describe(out []byte, sql string) []byte {
-	if !strings.HasPrefix(sql, "select") {
+	if !strings.HasPrefix(strings.TrimSpace(sql), "select") {
 		return encode(out, &pgproto3.NoData{})
 	}
 	return encode(out, &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: textType, DataTypeSize: -1}}})
@@ -396,3 +402,21 @@
 )
 
 func pos(index uint64) jacinthtiller.Position { return jacinthtiller.Position{Term: 1, Index: index} }
+
+// testCertificate returns a certificate and its key in PEM.
+func testCertificate() (cert, key []byte) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		panic(err)
+	}
+	x := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	c, err := x509.CreateCertificate(rand.Reader, x, x, k.Public(), k)
+	if err != nil {
+		panic(err)
+	}
+	b, err := x509.MarshalPKCS8PrivateKey(k)
+	if err != nil {
+		panic(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: b})
+}
--- a/session/server.go
+++ b/session/server.go
@@ -13,11 +13,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/panics"
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/event"
@@ -128,29 +128,43 @@
 // start takes a connection through its login and hands it to a new goroutine,
 // whose stack has not grown.
 func (s *Server) start(conn net.Conn) {
-	var next *session
-	s.guarded(func() {
-		defer func() { <-s.starting }()
-		if !s.addConn(conn) {
-			_ = conn.Close()
-			return
-		}
-		defer s.removeConn(conn)
-		next = s.login(conn)
-	})
-	if next == nil {
+	g := s.enter(conn)
+	if g == nil {
 		return
 	}
 	s.group.Go(func() {
-		defer s.remove(next)
-		s.guarded(next.serve)
+		defer s.leave(g)
+		g.serve()
 	})
 }
 
-// guarded keeps a fault of the program to one guest.
-func (s *Server) guarded(f func()) {
-	if p := panics.Try(f); p != nil {
-		s.events.Emit(event.GuestPanicked, event.Fields{"panic": p.String()})
+// enter returns the session of a connection, nil when the login failed.
+func (s *Server) enter(conn net.Conn) *session {
+	defer func() {
+		s.recovered(recover())
+		<-s.starting
+		s.removeConn(conn)
+	}()
+	if !s.addConn(conn) {
+		_ = conn.Close()
+		return nil
+	}
+	return s.login(conn)
+}
+
+// leave frees what an ended session held. It recovers itself instead of through
+// package panics, because idle guests wait in stacks of 4 KB only if these have few frames.
+func (s *Server) leave(g *session) {
+	s.recovered(recover())
+	g.lose()
+	_ = g.conn.Close() // everything was flushed
+	s.remove(g)
+}
+
+// recovered keeps a fault of the program to one guest.
+func (s *Server) recovered(p any) {
+	if p != nil {
+		s.events.Emit(event.GuestPanicked, event.Fields{"panic": fmt.Sprint(p), "stack": string(debug.Stack())})
 	}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -62,12 +62,11 @@
 // errTerminated means that the guest said good-bye.
 var errTerminated = errors.New("the guest has terminated the connection")
 
-// serve answers requests until the guest goes or an error ends the connection.
+// serve answers requests until the guest goes or an error ends the connection,
+// which the caller closes.
 func (s *session) serve() {
 	err := s.loop()
-	if s.txn != nil && s.txn.channel != nil {
-		s.closeChannel(s.txn.channel)
-	}
+	s.lose()
 	if f, ok := asFault(err); ok {
 		f.fatal = true
 		s.send(f.response())
@@ -77,7 +76,6 @@
 	if !errors.Is(err, errTerminated) && !errors.Is(err, io.EOF) {
 		s.server.events.Emit(event.GuestClosed, event.Fields{"session": s.id, "role": s.role, "error": err.Error()})
 	}
-	_ = s.conn.Close() // nothing is lost: everything was flushed
 }
 
 // lingerTime is how long a connection that was ended by the host waits for the guest to close it.
--- a/session/startup.go
+++ b/session/startup.go
@@ -70,10 +70,13 @@
 // login returns a session, or nil without an error when the connection asked for nothing more.
 func (e *entrance) login() (*session, error) {
 	parameters, err := e.startup()
-	if err != nil || parameters == nil {
-		_ = e.conn.Close()
+	if err != nil {
 		return nil, err
 	}
+	if parameters == nil {
+		_ = e.conn.Close()
+		return nil, nil
+	}
 	g := &session{server: e.server, conn: e.conn, r: e.r, role: parameters["user"], database: parameters["database"]}
 	if g.database == "" {
 		g.database = g.role
