e2e: measure the slopes of control, guests, statements and announcements on separate processes

Cause: the capacity page needs slopes per role that the kernel accounts for, not figures of in-process tests. Change: benchmarks that read processor time and memory of each process from /proc and count the bytes of each host's connections, with registered, renewing and watching hosts.

--- /dev/null
+++ b/e2e/capacity_test.go
@@ -0,0 +1,399 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/bench"
+	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/quickstart"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+// The benchmarks of this file measure the slopes of docs/CAPACITY.md on separate processes, by the processor
+// time and the memory that the kernel accounts for each of them.
+
+const (
+	// ticksPerSecond is the unit of processor times in /proc, which Linux fixes at 100 for user space.
+	ticksPerSecond = 100
+	// measureFor is how long a steady state is measured; processor time has a grain of 10 ms.
+	measureFor = 10 * time.Second
+	// settleFor lets start-up work end before a measurement.
+	settleFor = 2 * time.Second
+)
+
+// usage is what the kernel accounts for a process.
+type usage struct {
+	// cpu is in seconds, memory in bytes.
+	cpu, memory float64
+}
+
+func (p *process) usage(b testing.TB) usage {
+	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
+	stat, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	// The name in parentheses may hold spaces; utime and stime are the 12th and 13th fields after it.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	status, err := os.ReadFile(filepath.Join(dir, "status"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var kb float64
+	for line := range strings.Lines(string(status)) {
+		if strings.HasPrefix(line, "VmRSS:") {
+			kb, _ = strconv.ParseFloat(strings.Fields(line)[1], 64)
+		}
+	}
+	return usage{cpu: (user + system) / ticksPerSecond, memory: kb * 1024}
+}
+
+// countingConn adds up what crosses a connection.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func countingClient(bytes *atomic.Int64) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countingConn{Conn: c, bytes: bytes}, nil
+		},
+	}}
+}
+
+// fakeHost registers, renews and watches as an entry host does, without the rest of one.
+type fakeHost struct {
+	self   jacinthtiller.Host
+	client *control.Client
+	// index is the newest index applied.
+	index atomic.Uint64
+	// document is the newest document applied, appliedAt when that was, in nanoseconds.
+	document  atomic.Uint64
+	appliedAt atomic.Int64
+}
+
+func (h *fakeHost) run(ctx context.Context, group *conc.WaitGroup) {
+	group.Go(func() {
+		for ctx.Err() == nil {
+			_ = h.client.Watch(ctx, h.index.Load(), func(d jacinthtiller.Delta) error {
+				h.index.Store(d.Index)
+				if d.Document != h.document.Load() {
+					h.document.Store(d.Document)
+					h.appliedAt.Store(time.Now().UnixNano())
+				}
+				return nil
+			})
+		}
+	})
+	group.Go(func() {
+		for ctx.Err() == nil {
+			if _, err := h.client.Register(ctx, h.self); err == nil {
+				break
+			}
+		}
+		t := time.NewTicker(400 * time.Millisecond)
+		defer t.Stop()
+		for ctx.Err() == nil {
+			_, _ = h.client.Renew(ctx, jacinthtiller.RenewRequest{
+				Host: h.self.Name, Incarnation: h.self.Incarnation, Index: h.index.Load(),
+			})
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+			}
+		}
+	})
+}
+
+// startControlOnly starts the control processes alone.
+func startControlOnly(b testing.TB) *installation {
+	bin, err := build()
+	if err != nil {
+		b.Fatal(err)
+	}
+	n := &installation{
+		t: b, bin: bin, dir: b.TempDir(), members: map[string]string{},
+		control: map[string]*process{}, hosts: map[string]*process{}, targets: map[string]*process{},
+	}
+	b.Cleanup(n.stop)
+	var urls []string
+	for i := range 3 {
+		u := "http://" + freeAddress(b)
+		n.members[fmt.Sprintf("control-%d", i+1)] = u
+		urls = append(urls, u)
+	}
+	for name := range n.members {
+		n.startControl(name)
+	}
+	n.client = control.NewClient(urls, wire.NewHTTPClient())
+	n.applyDocument()
+	return n
+}
+
+// BenchmarkControl measures the control processes under registered, renewing and watching hosts: processor time
+// and memory of the leader and of a follower, bytes for each host, and the time until an accepted edit has reached all hosts.
+func BenchmarkControl(b *testing.B) {
+	for _, hosts := range []int{10, 100, 300, 580} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for range b.N {
+				measureControl(b, hosts)
+			}
+		})
+	}
+}
+
+func measureControl(b *testing.B, hosts int) {
+	n := startControlOnly(b)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	var bytes atomic.Int64
+	var urls []string
+	for _, u := range n.members {
+		urls = append(urls, u)
+	}
+	all := make([]*fakeHost, hosts)
+	for i := range all {
+		h := &fakeHost{
+			self: jacinthtiller.Host{
+				Name: fmt.Sprintf("host-%d", i), Domain: fmt.Sprintf("domain-%d", i%6), Region: fmt.Sprintf("region-%d", i%2),
+				RPC: "http://127.0.0.1:1", Link: "127.0.0.1:1", Guests: "127.0.0.1:1", Incarnation: fmt.Sprintf("%016x", i),
+			},
+			client: control.NewClient(urls, countingClient(&bytes)),
+		}
+		all[i] = h
+		h.run(ctx, &group)
+	}
+	n.eventually("all hosts hold a lease", func(ctx context.Context) error {
+		s, err := n.client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		held := 0
+		for _, h := range s.Hosts {
+			if h.Lease == control.LeaseHeld {
+				held++
+			}
+		}
+		if held < hosts {
+			return fmt.Errorf("%d of %d", held, hosts)
+		}
+		return nil
+	})
+	time.Sleep(settleFor)
+	s, err := n.client.Status(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	leader := n.control[s.Leader]
+	var follower *process
+	for name, p := range n.control {
+		if name != s.Leader {
+			follower = p
+		}
+	}
+	l, f, sent := leader.usage(b), follower.usage(b), bytes.Load()
+	time.Sleep(measureFor)
+	seconds := measureFor.Seconds()
+	b.ReportMetric(100*(leader.usage(b).cpu-l.cpu)/seconds, "leader-%core")
+	b.ReportMetric(100*(follower.usage(b).cpu-f.cpu)/seconds, "follower-%core")
+	b.ReportMetric(float64(bytes.Load()-sent)/seconds/float64(hosts), "B/s/host")
+	spread, perEdit := editAndWait(b, n, all, &bytes)
+	b.ReportMetric(spread, "edit-ms-median")
+	b.ReportMetric(perEdit, "B/edit/host")
+	b.ReportMetric(leader.usage(b).memory/1e6, "leader-MB")
+	b.ReportMetric(follower.usage(b).memory/1e6, "follower-MB")
+	cancel()
+	group.Wait()
+	n.stop()
+}
+
+// editAndWait applies edits and returns the median time in milliseconds until all hosts have one, and the bytes
+// that one edit costs a host beyond its renewals.
+func editAndWait(b *testing.B, n *installation, all []*fakeHost, bytes *atomic.Int64) (float64, float64) {
+	const edits = 11
+	var times []float64
+	var spent int64
+	for i := range edits {
+		before := bytes.Load()
+		began := time.Now()
+		text := fmt.Sprintf("weight: %d\ndatabases: [%s]\n", i+1, database)
+		if err := quickstart.Apply(context.Background(), n.client, fmt.Sprintf("team-%d", i), text); err != nil {
+			b.Fatal(err)
+		}
+		s, err := n.client.Status(context.Background())
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, h := range all {
+			for h.document.Load() < s.Document {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		var last int64
+		for _, h := range all {
+			last = max(last, h.appliedAt.Load())
+		}
+		times = append(times, float64(last-began.UnixNano())/1e6)
+		spent += bytes.Load() - before
+	}
+	slices.Sort(times)
+	return times[len(times)/2], float64(spent) / edits / float64(len(all))
+}
+
+// BenchmarkGuests measures the memory of an entry process by the number of idle guest connections.
+func BenchmarkGuests(b *testing.B) {
+	for range b.N {
+		n := start(b)
+		host := n.hosts["iasi-a-entry-1"]
+		var conns []*pgx.Conn
+		base := host.usage(b)
+		for _, count := range []int{100, 1000, 5000, 10000} {
+			workers := pool.New().WithMaxGoroutines(16).WithErrors()
+			var mu sync.Mutex
+			for range count - len(conns) {
+				workers.Go(func() error {
+					c, err := pgx.Connect(context.Background(), n.url("iasi-a-entry-1"))
+					if err == nil {
+						mu.Lock()
+						conns = append(conns, c)
+						mu.Unlock()
+					}
+					return err
+				})
+			}
+			if err := workers.Wait(); err != nil {
+				b.Fatal(err)
+			}
+			time.Sleep(settleFor)
+			now := host.usage(b)
+			b.ReportMetric((now.memory-base.memory)/float64(count)/1024, fmt.Sprintf("KB/guest-%d", count))
+			idle := host.usage(b)
+			time.Sleep(measureFor / 2)
+			b.ReportMetric(100*(host.usage(b).cpu-idle.cpu)/(measureFor/2).Seconds(), fmt.Sprintf("%%core-idle-%d", count))
+		}
+		for _, c := range conns {
+			_ = c.Close(context.Background())
+		}
+		n.stop()
+	}
+}
+
+// BenchmarkStatements measures the processor time of the processes for each statement, at several rates.
+func BenchmarkStatements(b *testing.B) {
+	for _, rate := range []float64{500, 1000, 2000} {
+		for name, share := range map[string]float64{"reads": 1, "mixed": 0.8, "writes": 0} {
+			b.Run(fmt.Sprintf("%s/rate=%.0f", name, rate), func(b *testing.B) {
+				for range b.N {
+					measureStatements(b, rate, share)
+				}
+			})
+		}
+	}
+}
+
+func measureStatements(b *testing.B, rate, reads float64) {
+	n := start(b)
+	before := map[string]usage{}
+	all := map[string]*process{}
+	for _, m := range []map[string]*process{n.hosts, n.control} {
+		for name, p := range m {
+			all[name], before[name] = p, p.usage(b)
+		}
+	}
+	r, err := bench.Run(context.Background(), bench.Plan{
+		Logins: n.logins(40), Milliseconds: measureFor.Milliseconds(), Rate: rate, ReadShare: reads, Roam: 0.05, Seed: 1,
+	}, &lockedBuffer{})
+	if err != nil || r.ViolationCount > 0 {
+		b.Fatalf("%d violations, error %v", r.ViolationCount, err)
+	}
+	operations := float64(r.Reads.Count + r.Writes.Count)
+	owner, err := n.owner()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var hosts, controls float64
+	for name, p := range all {
+		spent := p.usage(b).cpu - before[name].cpu
+		if _, ok := n.hosts[name]; ok {
+			hosts += spent
+		} else {
+			controls += spent
+		}
+	}
+	b.ReportMetric(1e6*hosts/operations, "cpu-us/statement-all-hosts")
+	b.ReportMetric(1e6*(owner.usage(b).cpu-before[owner.name].cpu)/operations, "cpu-us/statement-primary-owner")
+	b.ReportMetric(1e6*controls/operations, "cpu-us/statement-control")
+	b.ReportMetric(float64(r.Reads.Median), "read-us-median")
+	b.ReportMetric(float64(r.Writes.Median), "write-us-median")
+	n.stop()
+}
+
+// BenchmarkAnnouncements measures the processor time of an entry process for each announcement that it takes.
+func BenchmarkAnnouncements(b *testing.B) {
+	for range b.N {
+		n := start(b)
+		d, err := n.status()
+		if err != nil {
+			b.Fatal(err)
+		}
+		t := d.Targets[d.Primary]
+		owner := n.hosts[t.Owner]
+		client := wire.NewHostClient(wire.NewHTTPClient(), owner.rpc)
+		a := jacinthtiller.Announcement{
+			Database: d.Name, Target: t.Name, Address: t.Address, Domain: t.Domain, GroupSize: 3,
+			Position: fmt.Sprintf("%d/1", d.Term), Term: d.Term, Role: jacinthtiller.RolePrimary, State: jacinthtiller.StateServing,
+		}
+		const count = 5000
+		before := owner.usage(b)
+		idle := time.Now()
+		for range count {
+			if _, err := client.Announce(context.Background(), a); err != nil {
+				b.Fatal(err)
+			}
+		}
+		took := time.Since(idle)
+		spent := owner.usage(b).cpu - before.cpu
+		base := owner.usage(b)
+		time.Sleep(took)
+		spent -= owner.usage(b).cpu - base.cpu
+		b.ReportMetric(1e6*spent/count, "cpu-us/announcement")
+		n.stop()
+	}
+}
