quorum: detect damaged folders, avoid split votes, test losses on disk

bbolt falls back to its older meta page when the newer one is damaged and faults on a file that is cut off, either of which could undo a vote. The file is now loaded read-only and under a guard before it is opened for writing: both meta pages must be valid, the file must be as long as its pages, and every value must match its checksum.

Benchmarks measure proposals, read confirmations, heartbeat bytes and the time without a leader.

--- /dev/null
+++ b/quorum/bench_test.go
@@ -0,0 +1,106 @@
+package quorum_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller/quorum"
+)
+
+// BenchmarkPropose measures committed proposals a second with three members on disk.
+func BenchmarkPropose(b *testing.B) {
+	for name, callers := range map[string]int{"1 caller": 1, "64 callers": 64, "512 callers": 512} {
+		b.Run(name, func(b *testing.B) {
+			c := newCluster(b, nil, "a", "b", "c")
+			c.start("a", "b", "c")
+			c.propose(0)
+			leader := c.nodes[c.leader()]
+			var next atomic.Int64
+			var g conc.WaitGroup
+			b.ResetTimer()
+			for range callers {
+				g.Go(func() {
+					for next.Add(1) <= int64(b.N) {
+						if _, _, err := leader.Propose(context.Background(), number(1)); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			g.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+		})
+	}
+}
+
+// BenchmarkConfirm measures confirmations of the leadership, which write nothing.
+func BenchmarkConfirm(b *testing.B) {
+	c := newCluster(b, nil, "a", "b", "c")
+	c.start("a", "b", "c")
+	c.propose(0)
+	leader := c.nodes[c.leader()]
+	b.SetParallelism(64)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			if err := leader.ConfirmLeader(context.Background()); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+// BenchmarkHeartbeat measures the encoded size of a heartbeat and its answer.
+func BenchmarkHeartbeat(b *testing.B) {
+	c := newCluster(b, nil, "a", "b", "c")
+	var mu sync.Mutex
+	bytes, messages := map[quorum.Kind]int{}, map[quorum.Kind]int{}
+	c.start("a", "b", "c")
+	for range 1000 {
+		c.propose(0)
+	}
+	c.hub.mu.Lock()
+	c.hub.sent = func(m quorum.Message) {
+		data, err := cbor.Marshal(m)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			b.Error(err)
+		}
+		bytes[m.Kind] += len(data)
+		messages[m.Kind]++
+	}
+	c.hub.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	for k, n := range messages {
+		b.ReportMetric(float64(bytes[k])/float64(n), string(k)+"-bytes")
+		b.ReportMetric(float64(n)/2, string(k)+"/s")
+	}
+}
+
+// BenchmarkFailover measures the time from the isolation of a leader to its successor.
+func BenchmarkFailover(b *testing.B) {
+	c := newCluster(b, nil, "a", "b", "c")
+	c.start("a", "b", "c")
+	var gaps []time.Duration
+	for range 20 {
+		c.propose(1)
+		old := c.leader()
+		c.hub.isolate(old, true)
+		lost := time.Now()
+		c.leader(old)
+		gaps = append(gaps, time.Since(lost))
+		c.hub.isolate(old, false)
+	}
+	slices.Sort(gaps)
+	b.ReportMetric(float64(gaps[10].Milliseconds()), "median-ms")
+	b.ReportMetric(float64(gaps[19].Milliseconds()), "worst-ms")
+}
--- a/quorum/check.go
+++ b/quorum/check.go
@@ -23,35 +23,40 @@
 	greatestPageSize = 1 << 16
 )
 
-// checkFile refuses a file that is cut off or damaged before it is opened for
-// writing. bbolt itself falls back to the older of its two meta pages when the newer
-// one is damaged, which would undo a vote or an acknowledgement, and it fails with
-// a memory fault on a file that is too short. A meta page fits into one sector, so
-// a crash during its write leaves it old or new but not damaged.
-func checkFile(path string) (err error) {
-	damaged := func(err error) error {
-		return &FolderError{File: path, Advice: adviceRepair, Err: fmt.Errorf("the file is damaged: %w", err)}
-	}
-	// The lock is taken first: the pages change while another process writes them.
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, ReadOnly: true})
-	if err != nil {
-		return openFault(path, err)
-	}
+// readFile loads a file before it is opened for writing and refuses one that is
+// cut off or damaged. bbolt itself falls back to the older of its two meta pages when
+// the newer one is damaged, which would undo a vote or an acknowledgement, and it
+// fails with a memory fault on a file that is too short. A meta page fits into one
+// sector, so a crash during its write leaves it old or new but not damaged.
+func readFile(path string, load func(tx *bbolt.Tx) error) error {
+	return guard(path, func() (err error) {
+		// The lock is taken first: the pages change while another process writes them.
+		db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, ReadOnly: true})
+		if err != nil {
+			return openFault(path, err)
+		}
+		defer func() { err = errors.Join(err, db.Close()) }()
+		if err := checkMeta(path); err != nil {
+			return damaged(path, err)
+		}
+		return db.View(load)
+	})
+}
+
+// guard turns the panics and memory faults of bbolt on a damaged file into errors.
+func guard(path string, f func() error) (err error) {
 	old := debug.SetPanicOnFault(true)
 	defer func() {
 		debug.SetPanicOnFault(old)
 		if r := recover(); r != nil {
-			err = damaged(fmt.Errorf("page check: %v", r))
+			err = damaged(path, fmt.Errorf("reading: %v", r))
 		}
-		err = errors.Join(err, db.Close())
 	}()
-	if err := checkMeta(path); err != nil {
-		return damaged(err)
-	}
-	if err := walk(db); err != nil {
-		return damaged(err)
-	}
-	return nil
+	return f()
+}
+
+func damaged(path string, err error) error {
+	return &FolderError{File: path, Advice: adviceRepair, Err: fmt.Errorf("the file is damaged: %w", err)}
 }
 
 func checkMeta(path string) (err error) {
@@ -100,17 +105,3 @@
 	}
 	return int64(size), binary.NativeEndian.Uint64(b[metaHighestAt:]), nil
 }
-
-// walk reads every key and value of every bucket.
-func walk(db *bbolt.DB) error {
-	return db.View(func(tx *bbolt.Tx) error {
-		return tx.ForEach(func(name []byte, b *bbolt.Bucket) error {
-			return b.ForEach(func(k, v []byte) error {
-				if v == nil {
-					return fmt.Errorf("bucket %q holds an unexpected bucket %q", name, k)
-				}
-				return nil
-			})
-		})
-	})
-}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -53,11 +53,19 @@
 // mayVote reports whether the folder belongs to a group and the candidate knows it under its identity.
 func (c *Core) mayVote(m Message) bool { return !c.blank() && m.PeerIdentity == c.settings.Identity }
 
+// precedes reports whether this member is about to ask for votes with the same log
+// and its name sorts first. Of two that start at once only one becomes a candidate,
+// so that their votes do not split.
+func (c *Core) precedes(m Message) bool {
+	return c.role == RolePreCandidate && c.settings.Name < m.From &&
+		m.Index == c.log.last() && m.LogTerm == c.log.lastTerm()
+}
+
 func (c *Core) receivePreVote(m Message) {
 	if !c.mayVote(m) {
 		return
 	}
-	if c.leaderAlive() || m.Term <= c.state.Term || !c.upToDate(m) {
+	if c.leaderAlive() || m.Term <= c.state.Term || !c.upToDate(m) || c.precedes(m) {
 		c.send(Message{Kind: KindPreVoteResponse, To: m.From, Reject: true})
 		return
 	}
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -5,8 +5,11 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,7 +179,7 @@
 	var found string
 	c.until("leader", func() bool {
 		for name, n := range c.nodes {
-			if _, _, leads := n.Leadership(); leads && !contains(not, name) && !c.hub.cut[name] {
+			if _, _, leads := n.Leadership(); leads && !slices.Contains(not, name) && !c.hub.cut[name] {
 				found = name
 				return true
 			}
@@ -186,15 +189,6 @@
 	return found
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // propose sends a number to the leader until it is known to be applied.
 func (c *cluster) propose(n uint64) uint64 {
 	c.t.Helper()
@@ -265,3 +259,146 @@
 		})
 	})
 }
+
+// TestSyncBeforeSend guards against a vote or an acknowledgement that leaves before its write.
+func TestSyncBeforeSend(t *testing.T) {
+	convey.Convey("The file holds what a message promises", t, func() {
+		c := newCluster(t, nil, "a", "b", "c")
+		var mu sync.Mutex
+		votes, acks := 0, 0
+		c.hub.sent = func(m quorum.Message) {
+			ack := m.Kind == quorum.KindAppendResponse
+			if m.Reject || (!ack && m.Kind != quorum.KindVoteResponse) {
+				return
+			}
+			c.hub.mu.Lock()
+			n := c.hub.nodes[m.From]
+			c.hub.mu.Unlock()
+			if n == nil {
+				return
+			}
+			state, last, err := n.Stored()
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				t.Error(err)
+			case ack && last < m.Index:
+				t.Errorf("%s acknowledges %d but stores up to %d", m.From, m.Index, last)
+			case ack:
+				acks++
+			case state.Term != m.Term || state.Vote != m.To:
+				t.Errorf("%s votes for %s in term %d but stores %+v", m.From, m.To, m.Term, state)
+			default:
+				votes++
+			}
+		}
+		c.start("a", "b", "c")
+		for i := range uint64(50) {
+			c.propose(i)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		convey.So(votes, convey.ShouldBeGreaterThan, 0)
+		convey.So(acks, convey.ShouldBeGreaterThan, 50)
+	})
+}
+
+// TestReturn guards against a member that deposes the leader, or gets stuck, when it
+// returns after the entries it lacks were compacted.
+func TestReturn(t *testing.T) {
+	convey.Convey("A follower that was isolated for hundreds of entries", t, func() {
+		c := newCluster(t, func(x *quorum.Config) { x.SnapshotEvery, x.Trailing = 50, 5 }, "a", "b", "c")
+		c.start("a", "b", "c")
+		c.propose(0)
+		leader := c.leader()
+		away := map[string]string{"a": "b", "b": "c", "c": "a"}[leader]
+		c.hub.isolate(away, true)
+		var sum uint64
+		for i := range uint64(400) {
+			c.propose(i)
+			sum += i
+		}
+		c.until("campaign", func() bool { return c.nodes[away].Status().Role == quorum.RolePreCandidate })
+		_, term, leads := c.nodes[leader].Leadership()
+		convey.So(leads, convey.ShouldBeTrue)
+		c.hub.isolate(away, false)
+		c.until("catching up", func() bool { return c.machines[away].total() == sum })
+		_, after, leads := c.nodes[leader].Leadership()
+		convey.So(leads, convey.ShouldBeTrue)
+		convey.So(after, convey.ShouldEqual, term)
+		convey.So(c.nodes[away].Status().Snapshot, convey.ShouldBeGreaterThan, 300)
+	})
+}
+
+// TestLostFolders guards against an empty folder that votes, a second history, and
+// a group that does not survive the loss of another host right after a repair.
+func TestLostFolders(t *testing.T) {
+	convey.Convey("Three members with a history", t, func() {
+		c := newCluster(t, nil, "a", "b", "c")
+		c.start("a", "b", "c")
+		for range 10 {
+			c.propose(1)
+		}
+		lose := func(name string) {
+			c.stop(name)
+			convey.So(os.RemoveAll(c.folder(name)), convey.ShouldBeNil)
+			c.start(name)
+		}
+		convey.Convey("a lost folder is repaired and then the leader is lost", func() {
+			leader := c.leader()
+			lost := map[string]string{"a": "b", "b": "c", "c": "a"}[leader]
+			lose(lost)
+			c.until("repair", func() bool {
+				s := c.nodes[leader].Status()
+				for _, m := range s.Members {
+					if m.Name == lost && (!m.Voter || m.Identity != c.nodes[lost].Status().Identity) {
+						return false
+					}
+				}
+				return !s.RepairUnfinished
+			})
+			c.stop(leader)
+			c.propose(1)
+			c.until("sum", func() bool { return c.machines[lost].total() == 11 })
+		})
+		convey.Convey("two empty folders found no second group beside the third member", func() {
+			group := c.nodes["c"].Status().Group
+			for _, n := range []string{"a", "b"} {
+				c.stop(n)
+				convey.So(os.RemoveAll(c.folder(n)), convey.ShouldBeNil)
+			}
+			c.stop("c")
+			var voted atomic.Bool
+			c.hub.sent = func(m quorum.Message) {
+				if m.Kind == quorum.KindVoteResponse || m.Kind == quorum.KindVote {
+					voted.Store(true)
+				}
+			}
+			c.start("a", "b")
+			time.Sleep(1500 * time.Millisecond)
+			convey.So(c.nodes["a"].Status().Group, convey.ShouldBeEmpty)
+			c.start("c")
+			time.Sleep(1500 * time.Millisecond)
+			for _, n := range c.nodes {
+				convey.So(n.Status().Role, convey.ShouldNotEqual, quorum.RoleLeader)
+			}
+			convey.So(c.nodes["c"].Status().Group, convey.ShouldEqual, group)
+			for _, n := range c.names {
+				c.stop(n)
+			}
+			convey.So(voted.Load(), convey.ShouldBeFalse)
+		})
+		convey.Convey("a new member is added, promoted and removed", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			c.start("d")
+			l := c.nodes[c.leader()]
+			convey.So(l.AddMember(ctx, "d"), convey.ShouldBeNil)
+			convey.So(l.PromoteMember(ctx, "d"), convey.ShouldBeNil)
+			convey.So(l.Status().Members, convey.ShouldHaveLength, 4)
+			convey.So(l.RemoveMember(ctx, "d"), convey.ShouldBeNil)
+			convey.So(l.Status().Members, convey.ShouldHaveLength, 3)
+		})
+	})
+}
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -104,10 +104,9 @@
 }
 
 func (w *world) restart(m *member) {
-	w.ids++
 	m.core = quorum.NewCore(w.now, quorum.Settings{
 		Name: m.name, Identity: m.disk.identity, Members: w.initial, Bootstrap: slices.Contains(w.initial, m.name),
-		Seed: w.ids, Trailing: 3,
+		Seed: uint64(w.choose(1 << 30)), Trailing: 3,
 	}, m.disk.state, m.disk.snapshot, slices.Clone(m.disk.entries))
 	m.applied = m.disk.snapshot.Index
 	m.hash = w.hashes[m.applied]
@@ -391,6 +390,11 @@
 			w.restart(m)
 		}
 	}
+	w.run(d)
+}
+
+// run lets time pass; each message takes 5 ms.
+func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.tick(5 * time.Millisecond)
 		for n := len(w.wire); n > 0; n-- {
@@ -486,3 +490,34 @@
 		})
 	})
 }
+
+// TestFailover guards against a lost leader that is not replaced within a second
+// and against an isolated leader that goes on leading.
+func TestFailover(t *testing.T) {
+	convey.Convey("With 5 ms one way a lost leader is replaced in under 1 s", t, func() {
+		var gaps []time.Duration
+		for seed := range uint64(1000) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			w := newWorld(r.IntN, t.Fatalf, "a", "b", "c")
+			w.settle(3*time.Second + time.Duration(r.IntN(100))*time.Millisecond)
+			old, lost := w.leader(), w.now
+			for _, m := range w.members {
+				w.cut[old.name+">"+m.name], w.cut[m.name+">"+old.name] = true, true
+			}
+			for w.leader() == old {
+				w.run(5 * time.Millisecond)
+			}
+			for w.leader() == nil {
+				w.run(5 * time.Millisecond)
+			}
+			gaps = append(gaps, w.now.Sub(lost))
+			w.run(600 * time.Millisecond)
+			if old.core.Status().Role == quorum.RoleLeader {
+				t.Fatalf("seed %d: the isolated leader has not stepped down", seed)
+			}
+		}
+		slices.Sort(gaps)
+		t.Logf("time without a leader: median %v, 99%% %v, worst %v", gaps[500], gaps[990], gaps[999])
+		convey.So(gaps[999], convey.ShouldBeLessThan, time.Second)
+	})
+}
--- a/quorum/store.go
+++ b/quorum/store.go
@@ -61,6 +61,8 @@
 	state    State
 	snapshot Snapshot
 	entries  []Entry
+	// transaction is the number of the last transaction.
+	transaction int
 }
 
 // openStore opens the file in dir and creates it when dir is empty.
@@ -69,23 +71,37 @@
 	if err := prepareFolder(dir, path, name); err != nil {
 		return nil, stored{}, err
 	}
-	if err := checkFile(path); err != nil {
+	s := &store{path: path}
+	var out stored
+	if err := readFile(path, func(tx *bbolt.Tx) error { return s.load(tx, name, &out) }); err != nil {
 		return nil, stored{}, err
 	}
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{
-		Timeout: lockWait, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+	err := guard(path, func() (err error) {
+		s.db, err = bbolt.Open(path, 0o600, &bbolt.Options{
+			Timeout: lockWait, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+		})
+		return err
 	})
 	if err != nil {
 		return nil, stored{}, openFault(path, err)
 	}
-	s := &store{path: path, db: db}
-	out, err := s.load(name)
-	if err != nil {
-		return nil, stored{}, errors.Join(err, db.Close())
+	if err := s.unchanged(out); err != nil {
+		return nil, stored{}, errors.Join(err, s.db.Close())
 	}
 	return s, out, nil
 }
 
+// unchanged reports whether another process wrote the file after it was loaded and before it was locked.
+func (s *store) unchanged(out stored) error {
+	return s.db.View(func(tx *bbolt.Tx) error {
+		if tx.ID() != out.transaction {
+			err := errors.New("another process wrote the file during the start")
+			return &FolderError{File: s.path, Advice: adviceBusy, Err: err}
+		}
+		return nil
+	})
+}
+
 func openFault(path string, err error) error {
 	if errors.Is(err, berrors.ErrTimeout) {
 		return &FolderError{File: path, Advice: adviceBusy, Err: err}
@@ -169,30 +185,27 @@
 }
 
 // load reads everything and checks that it fits together.
-func (s *store) load(name string) (stored, error) {
-	var out stored
-	err := s.db.View(func(tx *bbolt.Tx) error {
-		meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketEntries)
-		if meta == nil || entries == nil || meta.Get(keyHead) == nil {
-			err := errors.New("the file is not a quorum file")
-			return &FolderError{File: s.path, Advice: adviceFolder, Err: err}
-		}
-		if err := get(meta, keyHead, &s.head); err != nil {
-			return s.damaged(err)
-		}
-		if s.head.Format != formatName || s.head.Number != formatNumber || s.head.Name != name {
-			err := fmt.Errorf("the file is of member %q and format %s %d, not of member %q and format %s %d",
-				s.head.Name, s.head.Format, s.head.Number, name, formatName, formatNumber)
-			return &FolderError{File: s.path, Advice: adviceFolder, Err: err}
-		}
-		return s.loadLog(meta, entries, &out)
-	})
-	return out, err
+func (s *store) load(tx *bbolt.Tx, name string, out *stored) error {
+	out.transaction = tx.ID()
+	meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketEntries)
+	if meta == nil || entries == nil || meta.Get(keyHead) == nil {
+		err := errors.New("the file is not a quorum file")
+		return &FolderError{File: s.path, Advice: adviceFolder, Err: err}
+	}
+	if err := get(meta, keyHead, &s.head); err != nil {
+		return damaged(s.path, err)
+	}
+	if s.head.Format != formatName || s.head.Number != formatNumber || s.head.Name != name {
+		err := fmt.Errorf("the file is of member %q and format %s %d, not of member %q and format %s %d",
+			s.head.Name, s.head.Format, s.head.Number, name, formatName, formatNumber)
+		return &FolderError{File: s.path, Advice: adviceFolder, Err: err}
+	}
+	return s.loadLog(meta, entries, out)
 }
 
 func (s *store) loadLog(meta, entries *bbolt.Bucket, out *stored) error {
 	if err := errors.Join(get(meta, keyState, &out.state), get(meta, keySnapshot, &out.snapshot)); err != nil {
-		return s.damaged(err)
+		return damaged(s.path, err)
 	}
 	err := entries.ForEach(func(k, v []byte) error {
 		var e Entry
@@ -206,10 +219,10 @@
 		return nil
 	})
 	if err != nil {
-		return s.damaged(err)
+		return damaged(s.path, err)
 	}
 	if err := out.check(); err != nil {
-		return s.damaged(err)
+		return damaged(s.path, err)
 	}
 	return nil
 }
@@ -244,10 +257,6 @@
 	return nil
 }
 
-func (s *store) damaged(err error) error {
-	return &FolderError{File: s.path, Advice: adviceRepair, Err: fmt.Errorf("the file is damaged: %w", err)}
-}
-
 // save writes the durable part of effects in one synced transaction.
 func (s *store) save(e Effects) error {
 	err := s.db.Update(func(tx *bbolt.Tx) error {
