--- /dev/null
+++ b/event/owner.go
@@ -0,0 +1,41 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// The events of the owner of targets, 4000 to 4999.
+var (
+	TargetTaken = register(4000, "target-taken", logrus.InfoLevel,
+		"The host has become the owner of a target and opens connections to it.")
+	TargetGivenUp = register(4001, "target-given-up", logrus.InfoLevel,
+		"The host no longer owns a target at the epoch named; running units end without acknowledgement of writes.")
+	TargetLost = register(4002, "target-lost", logrus.WarnLevel,
+		"The target does not answer its owner; nothing runs on it and the control group is told.")
+	LostReportFailed = register(4003, "lost-report-failed", logrus.WarnLevel,
+		"The control group did not accept the report of a lost target; the report is repeated.")
+	TargetLeaving = register(4004, "target-leaving", logrus.InfoLevel,
+		"A target is leaving; it gets no new work and running work ends.")
+	LeadBegun = register(4010, "lead-begun", logrus.InfoLevel,
+		"A target is the primary of the term named and takes writes; the position is the floor of guests' marks.")
+	LeadEnded = register(4011, "lead-ended", logrus.InfoLevel,
+		"A target is no longer served as the primary of the term named.")
+	OrderFailed = register(4012, "order-failed", logrus.WarnLevel,
+		"A target did not carry out a promote, follow or table order; the order is repeated.")
+	TargetFenced = register(4013, "target-fenced", logrus.InfoLevel,
+		"A target refuses entries of terms below the term named.")
+	FollowOrdered = register(4014, "follow-ordered", logrus.InfoLevel,
+		"A target has been ordered to replicate from the primary of the term named.")
+	WritesHeld = register(4020, "writes-held", logrus.WarnLevel,
+		"Commits wait too long for a majority; new writes wait in the queue until commits settle again.")
+	WritesResumed = register(4021, "writes-resumed", logrus.InfoLevel,
+		"Commits settle again and writes run.")
+	UnitUnknown = register(4030, "unit-unknown", logrus.WarnLevel,
+		"A unit was sent to the target and its outcome could not be established.")
+	UnitAcknowledged = register(4031, "unit-acknowledged", logrus.DebugLevel,
+		"A unit's answer was passed on after its position settled and the lease was checked.")
+	UnitSent = register(4032, "unit-sent", logrus.DebugLevel,
+		"A unit was written to a target's connection.")
+	MarkAnswered = register(4033, "mark-answered", logrus.DebugLevel,
+		"The marks of guests were read and the lease was valid after that.")
+	KeyRepeated = register(4034, "key-repeated", logrus.InfoLevel,
+		"A request with a known idempotency key got the recorded answer.")
+)
--- /dev/null
+++ b/link/frame.go
@@ -0,0 +1,207 @@
+// Package link carries units from entry hosts to the hosts that own targets,
+// over framed TCP.
+//
+// A frame is a type byte, a length of four bytes that counts itself, and a
+// payload. The entry host sends hello once, then for each unit a header in CBOR
+// and the guest's PostgreSQL messages; the owner's host answers with PostgreSQL
+// messages and a result in CBOR. A unit runs only after both of its frames have
+// arrived whole, so a failed write proves that it did not run.
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+// The types of frames.
+const (
+	frameHello    = 'H' // entry host -> owner: CBOR hello
+	frameUnit     = 'U' // entry host -> owner: CBOR header of a unit
+	frameMessages = 'M' // both ways: the unit's number, then PostgreSQL messages
+	frameCancel   = 'C' // entry host -> owner: the number of the unit to cancel
+	frameResult   = 'R' // owner -> entry host: CBOR result
+	frameBeat     = 'B' // owner -> entry host: the unit is still running
+	frameGoing    = 'G' // owner -> entry host: use another connection for the next channel
+)
+
+const (
+	version        = 1
+	headBytes      = 5
+	numberBytes    = 8
+	maxHeaderBytes = 4 << 20
+	bufferBytes    = 32 << 10
+	// keepBytes is the largest buffer that a connection keeps between units.
+	keepBytes = 256 << 10
+	// beatEvery is the time between signs of life while a unit runs.
+	beatEvery = time.Second
+	// silenceLimit is the silence after which the other host counts as gone; it outlasts three beats.
+	silenceLimit = 4 * time.Second
+	dialLimit    = 2 * time.Second
+)
+
+// maxBytes bounds the payload of each type of frame; other types are refused.
+var maxBytes = map[byte]int{
+	frameHello: 4 << 10, frameUnit: maxHeaderBytes, frameMessages: wire.MaxMessageBytes,
+	frameCancel: numberBytes, frameResult: maxHeaderBytes, frameBeat: 0, frameGoing: 0,
+}
+
+// hello is the first frame of a connection.
+type hello struct {
+	Version int    `cbor:"version"`
+	Host    string `cbor:"host"`
+}
+
+// header is a unit without its messages. Deadlines cross as the time that
+// remains, since clocks of hosts are not compared; zero means none.
+type header struct {
+	jacinthtiller.Unit
+	DeadlineMicroseconds int64 `cbor:"deadline-microseconds,omitempty"`
+	WaitMicroseconds     int64 `cbor:"wait-microseconds,omitempty"`
+}
+
+func newHeader(u jacinthtiller.Unit, now time.Time) header {
+	return header{Unit: u, DeadlineMicroseconds: remaining(u.Deadline, now), WaitMicroseconds: remaining(u.WaitUntil, now)}
+}
+
+// unit returns the unit with deadlines on this host's clock.
+func (h header) unit(now time.Time) jacinthtiller.Unit {
+	u := h.Unit
+	u.Deadline, u.WaitUntil = instant(h.DeadlineMicroseconds, now), instant(h.WaitMicroseconds, now)
+	return u
+}
+
+// remaining never returns 0 for a time that is set: a passed deadline must not become no deadline.
+func remaining(t, now time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	if left := t.Sub(now).Microseconds(); left != 0 {
+		return left
+	}
+	return -1
+}
+
+func instant(microseconds int64, now time.Time) time.Time {
+	if microseconds == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(microseconds) * time.Microsecond)
+}
+
+// appendFrame adds a frame with a payload in CBOR.
+func appendFrame(b []byte, typ byte, v any) ([]byte, error) {
+	p, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	if len(p) > maxBytes[typ] {
+		return nil, fmt.Errorf("frame %q of %d bytes is longer than %d", typ, len(p), maxBytes[typ])
+	}
+	return append(appendHead(b, typ, len(p)), p...), nil
+}
+
+func appendHead(b []byte, typ byte, n int) []byte {
+	return binary.BigEndian.AppendUint32(append(b, typ), uint32(n+4))
+}
+
+// appendMessages adds a frame of PostgreSQL messages.
+func appendMessages(b []byte, number uint64, messages []byte) ([]byte, error) {
+	n := numberBytes + len(messages)
+	if n > maxBytes[frameMessages] {
+		return nil, fmt.Errorf("messages of %d bytes are longer than %d", n, maxBytes[frameMessages])
+	}
+	return append(binary.BigEndian.AppendUint64(appendHead(b, frameMessages, n), number), messages...), nil
+}
+
+// reader reads frames. The payload is valid until the next read.
+type reader struct {
+	br  *bufio.Reader
+	buf []byte
+}
+
+func newReader(r io.Reader) *reader { return &reader{br: bufio.NewReaderSize(r, bufferBytes)} }
+
+func (r *reader) read() (byte, []byte, error) {
+	h, err := r.br.Peek(headBytes)
+	if err != nil {
+		if errors.Is(err, io.EOF) && len(h) == 0 {
+			return 0, nil, io.EOF
+		}
+		return 0, nil, fmt.Errorf("read frame: %w", err)
+	}
+	typ, n := h[0], int(binary.BigEndian.Uint32(h[1:]))-4
+	limit, ok := maxBytes[typ]
+	if !ok || n < 0 || n > limit {
+		return 0, nil, fmt.Errorf("frame %q of %d bytes is not allowed", typ, n)
+	}
+	if _, err := r.br.Discard(headBytes); err != nil {
+		return 0, nil, fmt.Errorf("read frame: %w", err)
+	}
+	if cap(r.buf) < n || cap(r.buf) > keepBytes {
+		r.buf = make([]byte, max(n, 512))
+	}
+	r.buf = r.buf[:n]
+	if _, err := io.ReadFull(r.br, r.buf); err != nil {
+		return 0, nil, fmt.Errorf("read frame %q: %w", typ, err)
+	}
+	return typ, r.buf, nil
+}
+
+// messages splits the payload of a frame of messages.
+func messages(p []byte) (uint64, []byte, error) {
+	if len(p) < numberBytes {
+		return 0, nil, errors.New("frame of messages without a number")
+	}
+	return binary.BigEndian.Uint64(p), p[numberBytes:], nil
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
+const tcpUserTimeout = 18
+
+// tune makes the system notice within seconds that the other host is gone.
+func tune(c net.Conn) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3})
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceLimit.Milliseconds()))
+	})
+}
+
+// disturbed reports whether an idle connection is closed or has something to
+// read, which makes it unfit for another unit.
+func disturbed(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peek := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(peek, syscall.EAGAIN)
+		return true
+	})
+	return err != nil || !quiet
+}
--- /dev/null
+++ b/link/opener.go
@@ -0,0 +1,344 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// maxIdle bounds the unused connections kept per host.
+const maxIdle = 256
+
+// Opener opens channels to owner hosts. It implements jacinthtiller.Opener.
+type Opener struct {
+	self    string
+	local   func(ctx context.Context) (jacinthtiller.Channel, error)
+	resolve func(host string) (address string, ok bool)
+	tls     *tls.Config
+
+	mu sync.Mutex // guards the fields below
+	// idle holds, by address, connections whose last unit ended outside a transaction; the newest is last.
+	idle   map[string][]*peerConn
+	closed bool
+}
+
+var _ jacinthtiller.Opener = (*Opener)(nil)
+
+// OpenerOption changes an Opener that is being made.
+type OpenerOption func(*Opener)
+
+// WithTLS makes connections to other hosts encrypted.
+func WithTLS(c *tls.Config) OpenerOption { return func(o *Opener) { o.tls = c } }
+
+// NewOpener returns an Opener for the host self. The function local opens channels
+// to targets of this host; resolve finds the link address of another host.
+func NewOpener(
+	self string,
+	local func(ctx context.Context) (jacinthtiller.Channel, error),
+	resolve func(host string) (address string, ok bool),
+	opts ...OpenerOption,
+) *Opener {
+	o := &Opener{self: self, local: local, resolve: resolve, idle: map[string][]*peerConn{}}
+	for _, f := range opts {
+		f(o)
+	}
+	return o
+}
+
+// Open returns a channel to the host. Errors say that nothing ran.
+func (o *Opener) Open(ctx context.Context, host string) (jacinthtiller.Channel, error) {
+	if host == o.self {
+		c, err := o.local(ctx)
+		if err != nil {
+			return nil, fmt.Errorf("open local channel: %w", err)
+		}
+		return c, nil
+	}
+	address, ok := o.resolve(host)
+	if !ok || address == "" {
+		return nil, fmt.Errorf("open channel: %w", unreachable("host %q has no link address", host))
+	}
+	c := o.take(address)
+	if c == nil {
+		var err error
+		if c, err = o.dial(ctx, address); err != nil {
+			return nil, fmt.Errorf("open channel: %w", unreachable("host %s at %s: %v", host, address, err))
+		}
+	}
+	return &channel{o: o, c: c, status: 'I'}, nil
+}
+
+func unreachable(format string, args ...any) *jacinthtiller.Error {
+	return jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, jacinthtiller.ReasonTarget, format, args...)
+}
+
+// Close closes the unused connections; later channels keep none.
+func (o *Opener) Close() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	for _, l := range o.idle {
+		for _, c := range l {
+			c.close()
+		}
+	}
+	clear(o.idle)
+	return nil
+}
+
+func (o *Opener) take(address string) *peerConn {
+	for {
+		o.mu.Lock()
+		l := o.idle[address]
+		if len(l) == 0 {
+			o.mu.Unlock()
+			return nil
+		}
+		c := l[len(l)-1]
+		o.idle[address] = l[:len(l)-1]
+		o.mu.Unlock()
+		if !disturbed(c.raw) {
+			return c
+		}
+		c.close()
+	}
+}
+
+func (o *Opener) put(c *peerConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed || len(o.idle[c.address]) >= maxIdle {
+		c.close()
+		return
+	}
+	o.idle[c.address] = append(o.idle[c.address], c)
+}
+
+func (o *Opener) dial(ctx context.Context, address string) (*peerConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect: %w", err)
+	}
+	tune(raw)
+	c := &peerConn{raw: raw, nc: raw, address: address}
+	if o.tls != nil {
+		t := tls.Client(raw, o.tls)
+		if err := t.HandshakeContext(ctx); err != nil {
+			c.close()
+			return nil, fmt.Errorf("TLS handshake: %w", err)
+		}
+		c.nc = t
+	}
+	c.r = newReader(c.nc)
+	if c.out, err = appendFrame(nil, frameHello, hello{Version: version, Host: o.self}); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// peerConn is one connection to an owner host.
+type peerConn struct {
+	// raw is the TCP connection and nc what frames are written to: raw or TLS over it.
+	raw, nc net.Conn
+	address string
+	r       *reader
+	// out collects what the next write sends; it begins with hello on a new connection.
+	out []byte
+	// number is the last number used on the connection; numbers of channels are mapped to it,
+	// so that a late answer to an earlier channel is never taken for one of this channel.
+	number uint64
+
+	mu sync.Mutex // guards writes
+	// running is true while a unit runs, so that a cancel can be sent.
+	running bool
+}
+
+func (c *peerConn) close() { _ = c.raw.Close() }
+
+// channel runs the units of one guest on one connection.
+type channel struct {
+	o *Opener
+	c *peerConn
+
+	mu sync.Mutex // guards the fields below
+	// status is the transaction status after the last unit.
+	status byte
+	// broken is true when the connection must not be used again; going when the owner's host asked for that.
+	broken, going, closed bool
+}
+
+// Run sends the unit and passes the answer on.
+func (h *channel) Run(ctx context.Context, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
+	h.mu.Lock()
+	unusable := h.broken || h.closed
+	h.mu.Unlock()
+	if unusable {
+		return jacinthtiller.Result{}, fmt.Errorf("run unit %d: %w", u.Number, unreachable("the channel is closed"))
+	}
+	stop := context.AfterFunc(ctx, h.c.close)
+	res, err := h.run(u, sink)
+	if !stop() && err == nil {
+		h.breakOff() // the answer came whole, but the connection is closed
+	}
+	if err != nil {
+		h.breakOff()
+		return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.AsError(err).Outcome, Status: 'I', Err: jacinthtiller.AsError(err)},
+			fmt.Errorf("run unit %d: %w", u.Number, err)
+	}
+	h.mu.Lock()
+	h.status = res.Status
+	h.mu.Unlock()
+	return res, nil
+}
+
+func (h *channel) breakOff() {
+	h.mu.Lock()
+	h.broken = true
+	h.mu.Unlock()
+	h.c.close()
+}
+
+func (h *channel) run(u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
+	guests := u.Number
+	h.c.number++
+	u.Number = h.c.number
+	if err := h.c.send(u); err != nil {
+		return jacinthtiller.Result{}, err
+	}
+	defer h.c.stopped()
+	for {
+		_ = h.c.nc.SetReadDeadline(time.Now().Add(silenceLimit))
+		typ, p, err := h.c.r.read()
+		if err != nil {
+			return jacinthtiller.Result{}, jacinthtiller.Unknown("the connection to the owner's host broke: %v", err)
+		}
+		res, done, err := h.take(u.Number, typ, p, sink)
+		if err != nil {
+			return jacinthtiller.Result{}, err
+		}
+		if done {
+			res.Number = guests
+			return res, nil
+		}
+	}
+}
+
+// take handles one frame of the answer to the unit with the number.
+func (h *channel) take(number uint64, typ byte, p []byte, sink jacinthtiller.Sink) (res jacinthtiller.Result, done bool, err error) {
+	switch typ {
+	case frameMessages:
+		n, m, err := messages(p)
+		if err != nil {
+			return res, false, jacinthtiller.Unknown("%v", err)
+		}
+		if n != number {
+			return res, false, crossed(n, number)
+		}
+		if err := sink(m); err != nil {
+			return res, false, jacinthtiller.Unknown("the guest took no more of the answer: %v", err)
+		}
+	case frameResult:
+		if err := cbor.Unmarshal(p, &res); err != nil {
+			return res, false, jacinthtiller.Unknown("decode result: %v", err)
+		}
+		if res.Number != number {
+			return res, false, crossed(res.Number, number)
+		}
+		return res, true, nil
+	case frameBeat:
+	case frameGoing:
+		h.mu.Lock()
+		h.going = true
+		h.mu.Unlock()
+	default:
+		return res, false, jacinthtiller.Unknown("unexpected frame %q from the owner's host", typ)
+	}
+	return res, false, nil
+}
+
+func crossed(got, want uint64) error {
+	return jacinthtiller.Unknown("an answer to unit %d came for unit %d", got, want)
+}
+
+// send writes the unit in one write. An error proves that the unit did not run,
+// because a unit that arrives in part is never run.
+func (c *peerConn) send(u jacinthtiller.Unit) error {
+	b, err := appendFrame(c.out, frameUnit, newHeader(u, time.Now()))
+	if err == nil {
+		b, err = appendMessages(b, u.Number, u.Frames)
+	}
+	if err != nil {
+		return jacinthtiller.NotRun(jacinthtiller.CodeNotSupported, "", "the unit cannot be sent: %v", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.nc.SetWriteDeadline(time.Now().Add(silenceLimit))
+	if _, err := c.nc.Write(b); err != nil {
+		return unreachable("the unit was not sent whole: %v", err)
+	}
+	c.running = true
+	if c.out = b[:0]; cap(b) > keepBytes {
+		c.out = nil
+	}
+	return nil
+}
+
+func (c *peerConn) stopped() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running = false
+}
+
+// Cancel asks the owner's host to cancel the unit that is running.
+func (h *channel) Cancel(ctx context.Context) error {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	if !h.c.running {
+		return nil
+	}
+	limit, ok := ctx.Deadline()
+	if !ok {
+		limit = time.Now().Add(dialLimit)
+	}
+	_ = h.c.nc.SetWriteDeadline(limit)
+	b := binary.BigEndian.AppendUint64(appendHead(nil, frameCancel, numberBytes), h.c.number)
+	if _, err := h.c.nc.Write(b); err != nil {
+		return fmt.Errorf("send cancel: %w", err)
+	}
+	return nil
+}
+
+// Close keeps the connection for later channels when no transaction is open, and
+// closes it otherwise, which makes the owner's host roll back.
+func (h *channel) Close() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return nil
+	}
+	h.closed = true
+	h.c.mu.Lock()
+	running := h.c.running
+	h.c.mu.Unlock()
+	if h.broken || h.going || running || h.status != 'I' {
+		if err := h.c.raw.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("close channel: %w", err)
+		}
+		return nil
+	}
+	h.o.put(h.c)
+	return nil
+}
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,506 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+const (
+	// flushAfter is how long a part of an answer may wait for more before it is sent.
+	flushAfter = 2 * time.Millisecond
+	// lingerFor is how long a draining server still takes units that were on the way when it said that it is going.
+	lingerFor = 200 * time.Millisecond
+	// helloLimit bounds the wait for the first frame of a connection.
+	helloLimit = 30 * time.Second
+)
+
+// Server takes units of other hosts and runs them on channels of this host.
+type Server struct {
+	open   func(ctx context.Context) (jacinthtiller.Channel, error)
+	tls    *tls.Config
+	events *event.Log
+
+	ctx   context.Context
+	stop  context.CancelFunc
+	group conc.WaitGroup
+
+	mu sync.Mutex // guards the fields below
+	// listeners and conns are those that are open.
+	listeners map[net.Listener]struct{}
+	conns     map[*serverConn]struct{}
+	// changed is closed and replaced when a connection ends or becomes idle.
+	changed          chan struct{}
+	draining, closed bool
+}
+
+// ServerOption changes a Server that is being made.
+type ServerOption func(*Server)
+
+// WithServerTLS makes the server accept only TLS.
+func WithServerTLS(c *tls.Config) ServerOption { return func(s *Server) { s.tls = c } }
+
+// WithEvents sets the log of events.
+func WithEvents(l *event.Log) ServerOption { return func(s *Server) { s.events = l } }
+
+// NewServer returns a server that opens a channel for each connection.
+func NewServer(open func(ctx context.Context) (jacinthtiller.Channel, error), opts ...ServerOption) *Server {
+	s := &Server{
+		open: open, listeners: map[net.Listener]struct{}{}, conns: map[*serverConn]struct{}{},
+		changed: make(chan struct{}),
+	}
+	for _, f := range opts {
+		f(s)
+	}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	return s
+}
+
+// Serve accepts connections until the listener fails, Drain or Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.draining || s.closed {
+		s.mu.Unlock()
+		return fmt.Errorf("serve link: %w", errors.Join(net.ErrClosed, l.Close()))
+	}
+	s.listeners[l] = struct{}{}
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if s.ending() {
+				return nil
+			}
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() || !errors.Is(err, net.ErrClosed) {
+				s.events.Emit(event.LinkAcceptFailed, event.Fields{"error": err.Error()})
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			return fmt.Errorf("serve link: %w", err)
+		}
+		tune(c)
+		s.start(c)
+	}
+}
+
+func (s *Server) ending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining || s.closed
+}
+
+func (s *Server) start(raw net.Conn) {
+	nc := raw
+	if s.tls != nil {
+		nc = tls.Server(raw, s.tls)
+	}
+	c := &serverConn{s: s, nc: nc, r: newReader(nc), w: bufio.NewWriterSize(nc, bufferBytes), work: make(chan jacinthtiller.Unit, 1)}
+	c.ctx, c.cancel = context.WithCancel(s.ctx)
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = raw.Close()
+		return
+	}
+	s.conns[c] = struct{}{}
+	s.group.Go(c.receive)
+	s.group.Go(c.run)
+	s.mu.Unlock()
+}
+
+// Drain stops accepting connections, waits until no unit runs and no transaction is
+// open, tells the other hosts and closes the connections.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	conns := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		if err := c.write(func() error { return c.frame(frameGoing) }); err != nil {
+			c.shut()
+		}
+	}
+	linger := time.NewTimer(lingerFor)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	for {
+		busy, changed := s.busy()
+		if !busy {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("drain link: %w", ctx.Err())
+		}
+	}
+}
+
+// busy closes the idle connections and reports whether others remain.
+func (s *Server) busy() (bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	busy := false
+	for c := range s.conns {
+		if c.idle() {
+			c.shut()
+		} else {
+			busy = true
+		}
+	}
+	return busy, s.changed
+}
+
+func (s *Server) signal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Close ends all connections; open transactions are rolled back.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	for c := range s.conns {
+		c.shut()
+	}
+	s.mu.Unlock()
+	s.stop()
+	s.group.Wait()
+	return nil
+}
+
+// serverConn is a connection from another host.
+type serverConn struct {
+	s      *Server
+	nc     net.Conn
+	r      *reader
+	ctx    context.Context
+	cancel context.CancelFunc
+	// work takes the unit to run. Its capacity is 1; a unit that finds it full breaks the
+	// protocol, which allows one unit at a time, and ends the connection.
+	work chan jacinthtiller.Unit
+
+	wmu sync.Mutex // guards w
+	w   *bufio.Writer
+
+	mu sync.Mutex // guards the fields below
+	// channel is opened by the first unit.
+	channel jacinthtiller.Channel
+	// running is the number of the unit that runs or waits in work; 0 for none.
+	running uint64
+	// status is the transaction status after the last unit; 0 before the first.
+	status byte
+}
+
+func (c *serverConn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running == 0 && (c.status == 0 || c.status == 'I')
+}
+
+func (c *serverConn) shut() {
+	c.cancel()
+	_ = c.nc.Close()
+}
+
+// receive reads frames until the other host is gone, also while a unit runs.
+func (c *serverConn) receive() {
+	defer close(c.work)
+	defer c.shut()
+	_ = c.nc.SetReadDeadline(time.Now().Add(helloLimit))
+	err := c.greet()
+	_ = c.nc.SetReadDeadline(time.Time{})
+	for err == nil {
+		err = c.next()
+	}
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		c.s.events.Emit(event.LinkChannelBroken, event.Fields{"error": err.Error(), "from": c.nc.RemoteAddr().String()})
+	}
+}
+
+func (c *serverConn) greet() error {
+	typ, p, err := c.r.read()
+	if err != nil {
+		return err
+	}
+	var h hello
+	if typ != frameHello {
+		return fmt.Errorf("frame %q in place of hello", typ)
+	}
+	if err := cbor.Unmarshal(p, &h); err != nil {
+		return fmt.Errorf("decode hello: %w", err)
+	}
+	if h.Version != version {
+		return fmt.Errorf("host %s speaks version %d of the link, not %d", h.Host, h.Version, version)
+	}
+	return nil
+}
+
+func (c *serverConn) next() error {
+	typ, p, err := c.r.read()
+	if err != nil {
+		return err
+	}
+	switch typ {
+	case frameUnit:
+		return c.unit(p)
+	case frameCancel:
+		if len(p) != numberBytes {
+			return errors.New("cancel without a number")
+		}
+		c.cancelUnit(binary.BigEndian.Uint64(p))
+		return nil
+	default:
+		return fmt.Errorf("unexpected frame %q", typ)
+	}
+}
+
+// unit reads the rest of a unit and hands it to run.
+func (c *serverConn) unit(p []byte) error {
+	var h header
+	if err := cbor.Unmarshal(p, &h); err != nil {
+		return fmt.Errorf("decode unit: %w", err)
+	}
+	typ, p, err := c.r.read()
+	if err != nil {
+		return err
+	}
+	if typ != frameMessages {
+		return fmt.Errorf("frame %q in place of a unit's messages", typ)
+	}
+	number, m, err := messages(p)
+	if err != nil {
+		return err
+	}
+	u := h.unit(time.Now())
+	if number != u.Number || number == 0 {
+		return fmt.Errorf("messages of unit %d follow the header of unit %d", number, u.Number)
+	}
+	u.Frames = append([]byte(nil), m...)
+	c.mu.Lock()
+	again := c.running != 0
+	c.running = number
+	c.mu.Unlock()
+	if again {
+		return fmt.Errorf("unit %d came before the one before it had ended", number)
+	}
+	c.work <- u
+	return nil
+}
+
+// cancelUnit cancels the unit if it still runs. The other host may send it when the unit has just ended.
+func (c *serverConn) cancelUnit(number uint64) {
+	c.mu.Lock()
+	ch := c.channel
+	if c.running != number {
+		ch = nil
+	}
+	c.mu.Unlock()
+	if ch == nil {
+		return
+	}
+	c.s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, dialLimit)
+		defer cancel()
+		_ = ch.Cancel(ctx) // the guest's unit simply goes on when its cancellation fails
+	})
+}
+
+// run runs the units one after the other.
+func (c *serverConn) run() {
+	for u := range c.work {
+		if err := c.one(u); err != nil {
+			c.shut()
+		}
+		c.s.signal()
+	}
+	c.shut()
+	c.mu.Lock()
+	ch := c.channel
+	c.mu.Unlock()
+	if ch != nil {
+		_ = ch.Close() // the connections that it held are closed in any case
+	}
+	c.s.mu.Lock()
+	delete(c.s.conns, c)
+	c.s.mu.Unlock()
+	c.s.signal()
+}
+
+// one runs a unit and writes its answer. An error breaks the connection, which
+// leaves the unit's outcome unknown to the other host.
+func (c *serverConn) one(u jacinthtiller.Unit) error {
+	ch, err := c.openChannel()
+	if err != nil {
+		e := jacinthtiller.AsError(err)
+		c.s.events.Emit(event.LinkRefused, event.Fields{"error": err.Error()})
+		return c.answer(jacinthtiller.Result{Number: u.Number, Outcome: e.Outcome, Status: 'I', Err: e})
+	}
+	a := &answer{c: c, number: u.Number}
+	a.mu.Lock()
+	a.timer = time.AfterFunc(beatEvery, a.tick)
+	a.mu.Unlock()
+	res, err := ch.Run(c.ctx, u, a.sink)
+	a.end()
+	if err != nil {
+		c.setStatus(0)
+		return fmt.Errorf("run unit %d: %w", u.Number, err)
+	}
+	return c.answer(res)
+}
+
+func (c *serverConn) openChannel() (jacinthtiller.Channel, error) {
+	c.mu.Lock()
+	ch := c.channel
+	c.mu.Unlock()
+	if ch != nil {
+		return ch, nil
+	}
+	ch, err := c.s.open(c.ctx)
+	if err != nil {
+		return nil, fmt.Errorf("open channel for another host: %w", err)
+	}
+	c.mu.Lock()
+	c.channel = ch
+	c.mu.Unlock()
+	return ch, nil
+}
+
+// answer writes the result and sends all that is buffered. The unit counts as ended
+// before the other host can learn of it, since that host may send the next one at once.
+func (c *serverConn) answer(res jacinthtiller.Result) error {
+	c.setStatus(res.Status)
+	b, err := appendFrame(nil, frameResult, res)
+	if err != nil {
+		return err
+	}
+	return c.write(func() error {
+		if _, err := c.w.Write(b); err != nil {
+			return fmt.Errorf("write result: %w", err)
+		}
+		return c.flush()
+	})
+}
+
+func (c *serverConn) setStatus(status byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running, c.status = 0, status
+}
+
+// write runs f with the writer to itself.
+func (c *serverConn) write(f func() error) error {
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	return f()
+}
+
+func (c *serverConn) frame(typ byte) error {
+	if _, err := c.w.Write(appendHead(nil, typ, 0)); err != nil {
+		return fmt.Errorf("write frame %q: %w", typ, err)
+	}
+	return c.flush()
+}
+
+func (c *serverConn) flush() error {
+	if err := c.w.Flush(); err != nil {
+		return fmt.Errorf("send answer: %w", err)
+	}
+	return nil
+}
+
+// answer is the way of one unit's frames to the other host.
+type answer struct {
+	c      *serverConn
+	number uint64
+
+	timer *time.Timer
+	mu    sync.Mutex // guards the fields below
+	// waiting is true while frames wait in the writer's buffer.
+	waiting bool
+	over    bool
+}
+
+// sink buffers frames; they are sent with the result, when the buffer is full, or after flushAfter.
+func (a *answer) sink(frames []byte) error {
+	err := a.c.write(func() error {
+		head := binary.BigEndian.AppendUint64(appendHead(nil, frameMessages, numberBytes+len(frames)), a.number)
+		if numberBytes+len(frames) > maxBytes[frameMessages] {
+			return fmt.Errorf("an answer of %d bytes at once is too long", len(frames))
+		}
+		if _, err := a.c.w.Write(head); err != nil {
+			return fmt.Errorf("write answer: %w", err)
+		}
+		if _, err := a.c.w.Write(frames); err != nil {
+			return fmt.Errorf("write answer: %w", err)
+		}
+		return nil
+	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err == nil && !a.waiting && !a.over {
+		a.waiting = true
+		a.timer.Reset(flushAfter)
+	}
+	return err
+}
+
+// tick sends what waits, or a sign of life when nothing does.
+func (a *answer) tick() {
+	a.mu.Lock()
+	over, waiting := a.over, a.waiting
+	a.waiting = false
+	a.mu.Unlock()
+	if over {
+		return
+	}
+	err := a.c.write(func() error {
+		if waiting {
+			return a.c.flush()
+		}
+		return a.c.frame(frameBeat)
+	})
+	if err != nil {
+		a.c.shut()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.over && !a.waiting {
+		a.timer.Reset(beatEvery)
+	}
+}
+
+func (a *answer) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.over = true
+	a.timer.Stop()
+}
--- /dev/null
+++ b/owner/channel.go
@@ -0,0 +1,376 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/admission"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// defaultDeadline applies to units that carry none.
+const defaultDeadline = 30 * time.Second
+
+// errSink marks failures to pass frames on to the guest.
+var errSink = errors.New("the guest's side took no more frames")
+
+// channel runs the units of one guest's session on the targets of this host.
+type channel struct {
+	o *Owner
+	// plan and out are reused by the units of the channel.
+	plan plan
+	out  []byte
+
+	mu sync.Mutex // guards the fields below
+	// conn, t and grant are set together while a transaction is open.
+	conn  *conn
+	t     *target
+	grant *admission.Grant
+	// running is the connection that runs a unit now, on the target runningOn.
+	running   *conn
+	runningOn *target
+	// busy is true while Run is at work; an idle transaction is rolled back only when it is false.
+	busy   bool
+	closed bool
+	// pending is the idempotency key that the open transaction inserts before COMMIT.
+	pending pendingKey
+}
+
+var _ jacinthtiller.Channel = (*channel)(nil)
+
+// Run runs one unit on the target that it names.
+func (h *channel) Run(ctx context.Context, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
+	if u.Deadline.IsZero() {
+		u.Deadline = time.Now().Add(defaultDeadline)
+	}
+	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		return jacinthtiller.Result{}, fmt.Errorf("run unit %d: %w", u.Number,
+			jacinthtiller.NotRun(jacinthtiller.CodeNotRunShutdown, jacinthtiller.ReasonDraining, "the channel is closed"))
+	}
+	h.busy = true
+	open := h.conn != nil
+	h.mu.Unlock()
+	if !h.o.enter() {
+		h.idle()
+		return failed(u, jacinthtiller.NotRun(jacinthtiller.CodeNotRunShutdown, jacinthtiller.ReasonDraining, "the host has stopped")), nil
+	}
+	defer h.o.leave()
+	defer h.idle()
+	r := &run{h: h, u: u, ctx: ctx, sink: sink, open: open}
+	res, err := r.do()
+	res.Number = u.Number
+	if err != nil {
+		return res, fmt.Errorf("run unit %d: %w", u.Number, err)
+	}
+	return res, nil
+}
+
+// idle ends the busy state and rolls back a transaction whose target was given up meanwhile.
+func (h *channel) idle() {
+	h.mu.Lock()
+	h.busy = false
+	t := h.t
+	h.mu.Unlock()
+	if t != nil && t.ctx.Err() != nil {
+		h.rollBackIdle(t)
+	}
+}
+
+// Cancel asks the target to cancel the unit that runs on this channel.
+func (h *channel) Cancel(ctx context.Context) error {
+	h.mu.Lock()
+	c, t := h.running, h.runningOn
+	if c != nil {
+		c.cancelled.Store(true)
+	}
+	h.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	b, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode CancelRequest: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	if err := cancelRequest(ctx, c.address, t.pool.login, b); err != nil {
+		return fmt.Errorf("cancel on %s: %w", t.name, err)
+	}
+	return nil
+}
+
+// Close rolls back an open transaction by closing its connection.
+func (h *channel) Close() error {
+	h.mu.Lock()
+	h.closed = true
+	c, t := h.conn, h.t
+	if c == nil {
+		c, t = h.running, h.runningOn
+	}
+	h.mu.Unlock()
+	if c != nil {
+		c.close()
+	}
+	if t != nil {
+		h.rollBackIdle(t)
+	}
+	h.o.forget(h)
+	return nil
+}
+
+// rollBackIdle closes the connection of a transaction that is open on t while no unit runs.
+func (h *channel) rollBackIdle(t *target) {
+	h.mu.Lock()
+	if h.busy || h.t != t || h.conn == nil {
+		h.mu.Unlock()
+		return
+	}
+	c, g := h.conn, h.grant
+	h.conn, h.t, h.grant = nil, nil, nil
+	h.pending = pendingKey{}
+	h.mu.Unlock()
+	t.pool.drop(c)
+	t.forget(h)
+	g.Release()
+}
+
+func (t *target) forget(h *channel) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.channels, h)
+}
+
+func (t *target) remember(h *channel) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.channels[h] = struct{}{}
+}
+
+func failed(u jacinthtiller.Unit, err *jacinthtiller.Error) jacinthtiller.Result {
+	return jacinthtiller.Result{Number: u.Number, Outcome: err.Outcome, Status: 'I', Err: err}
+}
+
+// run is one unit on its way through a channel.
+type run struct {
+	h    *channel
+	u    jacinthtiller.Unit
+	ctx  context.Context
+	sink jacinthtiller.Sink
+	// open is true when the unit continues a transaction that is open on the channel.
+	open bool
+
+	t *target
+	// lead is nil for work on a replica.
+	lead  *lead
+	conn  *conn
+	grant *admission.Grant
+	// before is the newest position known when the unit was sent; a later one may be the unit's own commit.
+	before jacinthtiller.Position
+	// passed is true once frames went to the sink.
+	passed bool
+	// held is true once frames are kept back until the position has settled.
+	held bool
+	// rows is true once out holds an answer that the guest may wait for.
+	rows bool
+	// wrapped is true when the unit runs in a transaction of ours with its key.
+	wrapped bool
+	// commands counts the commands that have completed.
+	commands int
+}
+
+func (r *run) do() (jacinthtiller.Result, error) {
+	if r.open {
+		return r.resume()
+	}
+	t := r.h.o.find(r.u.Database, r.u.Target)
+	if t == nil {
+		return failed(r.u, refuse(jacinthtiller.ReasonNotOwner, "host %s does not own target %s", r.h.o.host, r.u.Target)), nil
+	}
+	r.t = t
+	if err := r.admit(); err != nil {
+		return failed(r.u, err), nil
+	}
+	return r.onTarget()
+}
+
+// resume runs a unit of the open transaction.
+func (r *run) resume() (jacinthtiller.Result, error) {
+	r.h.mu.Lock()
+	r.t, r.conn, r.grant = r.h.t, r.h.conn, r.h.grant
+	r.h.mu.Unlock()
+	if r.conn == nil {
+		return failed(r.u, r.rolledBack("its connection is closed")), nil
+	}
+	if r.t.database != r.u.Database || r.t.name != r.u.Target {
+		return r.abandon(fmt.Errorf("a transaction cannot go on at target %s", r.u.Target))
+	}
+	if _, err := r.t.check(r.u, true); err != nil {
+		return r.abandon(err)
+	}
+	if err := r.grant.Continue(r.ctx, r.u.Deadline); err != nil {
+		return r.abandon(err)
+	}
+	lead, err := r.t.check(r.u, true)
+	if err != nil {
+		r.grant.Done(true)
+		return r.abandon(err)
+	}
+	r.lead = lead
+	if res, goOn, err := r.keyAtEnd(); !goOn {
+		return res, err
+	}
+	return r.exchange()
+}
+
+// abandon rolls back the open transaction because its next unit cannot run.
+func (r *run) abandon(cause error) (jacinthtiller.Result, error) {
+	r.end()
+	return failed(r.u, r.rolledBack(jacinthtiller.AsError(cause).Message)), nil
+}
+
+func (r *run) rolledBack(cause string) *jacinthtiller.Error {
+	return jacinthtiller.NotRun(jacinthtiller.CodeRolledBack, "", "the transaction was rolled back: %s", cause)
+}
+
+// admit waits for the lead, for the position and for a slot, and checks the state again after each.
+func (r *run) admit() *jacinthtiller.Error {
+	lead, err := r.t.check(r.u, false)
+	if err != nil {
+		return err
+	}
+	if lead != nil {
+		if err := r.awaitLead(lead); err != nil {
+			return err
+		}
+	} else if !r.u.Mark.IsZero() {
+		until := r.u.WaitUntil
+		if until.After(r.u.Deadline) {
+			until = r.u.Deadline
+		}
+		if p := r.t.waitFor(r.ctx, r.u.Mark, until); !p.Covers(r.u.Mark) {
+			return refuse(jacinthtiller.ReasonBehind, "target %s is at %v, before %v", r.t.name, p, r.u.Mark)
+		}
+	}
+	g, aerr := r.t.gate.Acquire(r.ctx, admission.Request{
+		Team: r.u.Team, Guest: r.u.Guest, Deadline: r.u.Deadline,
+		Write: lead != nil && r.u.Access == jacinthtiller.AccessWrite, Opens: opensBlock(r.u),
+	})
+	if aerr != nil {
+		return jacinthtiller.AsError(aerr)
+	}
+	r.grant = g
+	r.lead, err = r.t.check(r.u, false)
+	if err == nil && r.lead != lead {
+		err = refuse(jacinthtiller.ReasonNotOwner, "target %s changed its role", r.t.name)
+	}
+	if err == nil && r.lead == nil && !r.t.position().Covers(r.u.Mark) {
+		err = refuse(jacinthtiller.ReasonBehind, "target %s is before %v", r.t.name, r.u.Mark)
+	}
+	if err != nil {
+		g.Done(false)
+	}
+	return err
+}
+
+// awaitLead waits until the target has become primary, which the view may say earlier.
+func (r *run) awaitLead(l *lead) *jacinthtiller.Error {
+	select {
+	case <-l.ready:
+		return nil
+	default:
+	}
+	limit := time.NewTimer(time.Until(r.u.Deadline))
+	defer limit.Stop()
+	select {
+	case <-l.ready:
+		return nil
+	case <-l.ctx.Done():
+		return refuse(jacinthtiller.ReasonNotOwner, "target %s no longer leads term %d", r.t.name, l.term)
+	case <-r.ctx.Done():
+		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, jacinthtiller.ReasonDeadline, "the request was given up")
+	case <-limit.C:
+		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, jacinthtiller.ReasonDeadline,
+			"target %s did not become primary before the deadline", r.t.name)
+	}
+}
+
+// onTarget takes a connection and runs the unit on it.
+func (r *run) onTarget() (jacinthtiller.Result, error) {
+	ctx, cancel := context.WithDeadline(r.ctx, r.u.Deadline)
+	c, err := r.t.pool.get(ctx, r.u.Session)
+	cancel()
+	if err != nil {
+		r.grant.Done(false)
+		var e *jacinthtiller.Error
+		if !errors.As(err, &e) {
+			e = refuse(jacinthtiller.ReasonTarget, "no connection to target %s: %v", r.t.name, err)
+		}
+		return failed(r.u, e), nil
+	}
+	r.conn = c
+	lead, cerr := r.t.check(r.u, false)
+	if cerr == nil && lead != r.lead {
+		cerr = refuse(jacinthtiller.ReasonNotOwner, "target %s changed its role", r.t.name)
+	}
+	if cerr == nil && !time.Now().Before(r.u.Deadline) {
+		cerr = jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, jacinthtiller.ReasonDeadline, "the deadline passed before the unit was sent")
+	}
+	if cerr != nil {
+		r.t.pool.put(c)
+		r.grant.Done(false)
+		return failed(r.u, cerr), nil
+	}
+	if r.u.Key != "" && r.lead != nil {
+		return r.keyed()
+	}
+	return r.exchange()
+}
+
+// end closes the connection, which rolls back what is open on it, and gives the grant back.
+func (r *run) end() {
+	r.t.pool.drop(r.conn)
+	r.unhold()
+	r.grant.Release()
+}
+
+// hold keeps the connection for the open transaction.
+func (r *run) hold() {
+	r.h.mu.Lock()
+	r.h.conn, r.h.t, r.h.grant = r.conn, r.t, r.grant
+	r.h.mu.Unlock()
+	r.t.remember(r.h)
+}
+
+func (r *run) unhold() {
+	r.h.mu.Lock()
+	had := r.h.conn != nil
+	r.h.conn, r.h.t, r.h.grant = nil, nil, nil
+	r.h.pending = pendingKey{}
+	r.h.mu.Unlock()
+	if had {
+		r.t.forget(r.h)
+	}
+}
+
+// setRunning makes the connection the one that Cancel and Close act on.
+func (r *run) setRunning(c *conn) bool {
+	r.h.mu.Lock()
+	defer r.h.mu.Unlock()
+	r.h.running, r.h.runningOn = c, r.t
+	return !r.h.closed
+}
+
+func (r *run) trace(k event.Kind, f event.Fields) {
+	if r.h.o.events.Tracing() {
+		f["session"], f["guest"], f["number"] = r.u.Session, r.u.Guest, r.u.Number
+		r.t.emit(k, f)
+	}
+}
--- /dev/null
+++ b/owner/conn.go
@@ -0,0 +1,381 @@
+package owner
+
+import (
+	"bufio"
+	"context"
+	"crypto/md5"
+	"crypto/tls"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+const (
+	// readBufferBytes holds a few small answers; larger frames are read past the buffer.
+	readBufferBytes = 16 << 10
+	// maxFrameBytes is the largest message that PostgreSQL itself sends.
+	maxFrameBytes = 1 << 30
+	// idleCheckAge is the idle time after which a connection is checked for a close by the target before use.
+	idleCheckAge = 20 * time.Millisecond
+)
+
+// login is what a target asks for at the start of a connection.
+type login struct {
+	user, password, database string
+	// tls is nil when connections to targets are not encrypted.
+	tls *tls.Config
+}
+
+// conn is one connection to a target. It is used by one goroutine at a time;
+// only close, expire and the cancellation key may be used by others.
+type conn struct {
+	nc      net.Conn
+	br      *bufio.Reader
+	address string
+	pid     uint32
+	secret  []byte
+
+	// consumed is the length of the frame that next returned from br and that is discarded by the following call.
+	consumed int
+	// statements are the named statements that the target has parsed and still holds.
+	statements map[string]struct{}
+	// session is the guest's session that used the connection last.
+	session string
+	// dirty is true when the target's state may differ from statements, so that a reset must come before other work.
+	dirty bool
+	// position is the newest log position reported on this connection.
+	position jacinthtiller.Position
+	// idleSince is when the connection was last returned to the pool.
+	idleSince time.Time
+	// cancelled is true once a CancelRequest may have been sent: it could strike late, so the
+	// connection is not given to another session.
+	cancelled atomic.Bool
+	closed    atomic.Bool
+}
+
+// dial opens a connection and logs in before the deadline of ctx.
+func dial(ctx context.Context, address string, l login) (*conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to target: %w", err)
+	}
+	c := &conn{nc: nc, address: address, statements: map[string]struct{}{}}
+	stop := context.AfterFunc(ctx, c.expire)
+	err = c.start(ctx, l)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		c.close()
+		return nil, fmt.Errorf("log in to target at %s: %w", address, err)
+	}
+	return c, nil
+}
+
+func (c *conn) start(ctx context.Context, l login) error {
+	if l.tls != nil {
+		if err := c.encrypt(ctx, l.tls); err != nil {
+			return err
+		}
+	}
+	c.br = bufio.NewReaderSize(c.nc, readBufferBytes)
+	hello := &pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": l.user, "database": l.database, "application_name": "jacinthtiller"},
+	}
+	if err := c.send(hello); err != nil {
+		return err
+	}
+	for {
+		typ, f, err := c.next()
+		if err != nil {
+			return err
+		}
+		switch typ {
+		case 'R':
+			err = c.authenticate(f[5:], l)
+		case 'S':
+			_, err = c.parameter(f)
+		case 'K':
+			if len(f) < 13 {
+				return errors.New("short cancellation key")
+			}
+			c.pid = binary.BigEndian.Uint32(f[5:])
+			c.secret = append([]byte(nil), f[9:]...)
+		case 'E':
+			return targetError(f)
+		case 'Z':
+			return nil
+		case 'N', 'v':
+		default:
+			return fmt.Errorf("unexpected message %q at login", typ)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) encrypt(ctx context.Context, cfg *tls.Config) error {
+	if err := c.send(&pgproto3.SSLRequest{}); err != nil {
+		return err
+	}
+	var b [1]byte
+	if _, err := io.ReadFull(c.nc, b[:]); err != nil {
+		return fmt.Errorf("read answer to SSLRequest: %w", err)
+	}
+	if b[0] != 'S' {
+		return errors.New("target refuses TLS")
+	}
+	t := tls.Client(c.nc, cfg)
+	if err := t.HandshakeContext(ctx); err != nil {
+		return fmt.Errorf("TLS handshake: %w", err)
+	}
+	c.nc = t
+	return nil
+}
+
+func (c *conn) authenticate(body []byte, l login) error {
+	if len(body) < 4 {
+		return errors.New("short authentication request")
+	}
+	switch kind := binary.BigEndian.Uint32(body); kind {
+	case pgproto3.AuthTypeOk:
+		return nil
+	case pgproto3.AuthTypeCleartextPassword:
+		return c.send(&pgproto3.PasswordMessage{Password: l.password})
+	case pgproto3.AuthTypeMD5Password:
+		inner := md5.Sum([]byte(l.password + l.user))
+		salted := append([]byte(hex.EncodeToString(inner[:])), body[4:]...)
+		outer := md5.Sum(salted)
+		return c.send(&pgproto3.PasswordMessage{Password: "md5" + hex.EncodeToString(outer[:])})
+	case pgproto3.AuthTypeSASL:
+		return c.scram(l)
+	default:
+		return fmt.Errorf("authentication method %d is not supported", kind)
+	}
+}
+
+func (c *conn) scram(l login) error {
+	client, err := scram.SHA256.NewClient(l.user, l.password, "")
+	if err != nil {
+		return fmt.Errorf("prepare SCRAM: %w", err)
+	}
+	talk := client.NewConversation()
+	first, err := talk.Step("")
+	if err != nil {
+		return fmt.Errorf("begin SCRAM: %w", err)
+	}
+	err = c.send(&pgproto3.SASLInitialResponse{AuthMechanism: "SCRAM-SHA-256", Data: []byte(first)})
+	for err == nil {
+		var typ byte
+		var f []byte
+		if typ, f, err = c.next(); err != nil {
+			break
+		}
+		if typ == 'E' {
+			return targetError(f)
+		}
+		if typ != 'R' || len(f) < 9 {
+			return fmt.Errorf("unexpected message %q during SCRAM", typ)
+		}
+		var answer string
+		if answer, err = talk.Step(string(f[9:])); err != nil {
+			return fmt.Errorf("SCRAM: %w", err)
+		}
+		if binary.BigEndian.Uint32(f[5:]) == pgproto3.AuthTypeSASLFinal {
+			return nil
+		}
+		err = c.send(&pgproto3.SASLResponse{Data: []byte(answer)})
+	}
+	return err
+}
+
+func (c *conn) send(m pgproto3.FrontendMessage) error {
+	b, err := m.Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode %T: %w", m, err)
+	}
+	if _, err := c.nc.Write(b); err != nil {
+		return fmt.Errorf("write %T: %w", m, err)
+	}
+	return nil
+}
+
+// next returns the next frame with its header. It is valid until the following call.
+func (c *conn) next() (byte, []byte, error) {
+	if c.consumed > 0 {
+		if _, err := c.br.Discard(c.consumed); err != nil {
+			return 0, nil, fmt.Errorf("discard frame: %w", err)
+		}
+		c.consumed = 0
+	}
+	h, err := c.br.Peek(5)
+	if err != nil {
+		return 0, nil, fmt.Errorf("read frame from target: %w", err)
+	}
+	n := int(binary.BigEndian.Uint32(h[1:])) + 1
+	if n < 5 || n > maxFrameBytes {
+		return 0, nil, fmt.Errorf("frame %q of %d bytes from target", h[0], n)
+	}
+	if n <= c.br.Size() {
+		f, err := c.br.Peek(n)
+		if err != nil {
+			return 0, nil, fmt.Errorf("read frame from target: %w", err)
+		}
+		c.consumed = n
+		return f[0], f, nil
+	}
+	f := make([]byte, n)
+	if _, err := io.ReadFull(c.br, f); err != nil {
+		return 0, nil, fmt.Errorf("read frame from target: %w", err)
+	}
+	return f[0], f, nil
+}
+
+// waiting reports whether the next call of next would have to wait for the target.
+func (c *conn) waiting() bool { return c.br.Buffered() <= c.consumed }
+
+// parameter takes note of a ParameterStatus and reports whether guests may see it.
+func (c *conn) parameter(f []byte) (bool, error) {
+	var m pgproto3.ParameterStatus
+	if err := m.Decode(f[5:]); err != nil {
+		return false, fmt.Errorf("decode ParameterStatus: %w", err)
+	}
+	if m.Name != "log_position" {
+		return true, nil
+	}
+	p, err := jacinthtiller.ParsePosition(m.Value)
+	if err != nil {
+		return false, fmt.Errorf("log position from target: %w", err)
+	}
+	c.position = p
+	return false, nil
+}
+
+// expire makes reads and writes in progress fail.
+func (c *conn) expire() { _ = c.nc.SetDeadline(time.Unix(1, 0)) }
+
+func (c *conn) close() {
+	if c.closed.CompareAndSwap(false, true) {
+		_ = c.nc.Close()
+	}
+}
+
+// hungUp reports whether the target has closed the connection while it was idle.
+func (c *conn) hungUp() bool {
+	s, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var n int
+	var peek error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, peek = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	if err != nil {
+		return true
+	}
+	return peek == nil && n == 0 || peek != nil && !errors.Is(peek, syscall.EAGAIN)
+}
+
+// query runs one simple query and returns the first column of the first row. After
+// an error that is no *pgproto3.ErrorResponse the connection must be closed.
+func (c *conn) query(ctx context.Context, sql string) (string, error) {
+	stop := context.AfterFunc(ctx, c.expire)
+	defer stop()
+	if err := c.send(&pgproto3.Query{String: sql}); err != nil {
+		return "", err
+	}
+	value, failed := "", error(nil)
+	first := true
+	for {
+		typ, f, err := c.next()
+		if err != nil {
+			return "", err
+		}
+		switch typ {
+		case 'S':
+			if _, err := c.parameter(f); err != nil {
+				return "", err
+			}
+		case 'D':
+			var row pgproto3.DataRow
+			if err := row.Decode(f[5:]); err != nil {
+				return "", fmt.Errorf("decode row: %w", err)
+			}
+			if first && len(row.Values) > 0 {
+				value, first = string(row.Values[0]), false
+			}
+		case 'E':
+			failed = targetError(f)
+		case 'Z':
+			return value, failed
+		}
+	}
+}
+
+// refusal is an ErrorResponse of a target.
+type refusal struct{ code, message string }
+
+func (e *refusal) Error() string { return fmt.Sprintf("target: %s (%s)", e.message, e.code) }
+
+func targetError(f []byte) error {
+	var m pgproto3.ErrorResponse
+	if err := m.Decode(f[5:]); err != nil {
+		return fmt.Errorf("decode ErrorResponse: %w", err)
+	}
+	return &refusal{code: m.Code, message: m.Message}
+}
+
+// asRefusal finds the target's own refusal in the chain of err.
+func asRefusal(err error) *refusal {
+	var r *refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return nil
+}
+
+// cancelRequest sends a CancelRequest on a connection of its own and waits until the target has taken it.
+func cancelRequest(ctx context.Context, address string, l login, request []byte) error {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("connect to target: %w", err)
+	}
+	c := &conn{nc: nc, address: address}
+	defer c.close()
+	defer context.AfterFunc(ctx, c.expire)()
+	if l.tls != nil {
+		if err := c.encrypt(ctx, l.tls); err != nil {
+			return err
+		}
+	}
+	if _, err := c.nc.Write(request); err != nil {
+		return fmt.Errorf("write CancelRequest: %w", err)
+	}
+	var b [1]byte
+	if _, err := c.nc.Read(b[:]); err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("wait for the target to take the CancelRequest: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/owner/exchange.go
@@ -0,0 +1,252 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+const (
+	// passBytes is how much of an answer is collected before it is passed on.
+	passBytes = 32 << 10
+	// maxHeldBytes bounds the frames that wait for the commit to settle.
+	maxHeldBytes = 16 << 20
+	// keepBytes is the largest buffer that a channel keeps for its next unit.
+	keepBytes = 64 << 10
+)
+
+// exchange sends the unit and reads the answer, then settles it.
+func (r *run) exchange() (jacinthtiller.Result, error) {
+	if err := r.h.plan.lay(r.conn, r.u, r.needsReset()); err != nil {
+		return r.refuseUnsent(err)
+	}
+	r.conn.session = r.u.Session
+	r.before = r.t.position()
+	x, sent, err := r.talk()
+	if err != nil {
+		return r.lostConnection(sent, err)
+	}
+	return r.finish(x)
+}
+
+// needsReset reports whether the connection may hold the state of another session.
+func (r *run) needsReset() bool {
+	return !r.open && (r.conn.dirty || r.conn.session != "" && r.conn.session != r.u.Session)
+}
+
+// talk sends the plan and reads the whole answer. After an error the connection is in doubt.
+func (r *run) talk() (x *exchange, sent bool, err error) {
+	defer r.setRunning(nil)
+	if !r.setRunning(r.conn) {
+		return nil, false, errors.New("the channel is closed")
+	}
+	stop := context.AfterFunc(r.ctx, r.conn.expire)
+	x = &exchange{c: r.conn, expects: r.h.plan.expects}
+	sent, err = r.write()
+	if err == nil {
+		err = r.read(x)
+	}
+	if !stop() && err == nil {
+		err = fmt.Errorf("run unit: %w", r.ctx.Err())
+	}
+	return x, sent, err
+}
+
+// refuseUnsent ends a unit that could not be laid out; nothing was sent.
+func (r *run) refuseUnsent(err error) (jacinthtiller.Result, error) {
+	res := failed(r.u, jacinthtiller.AsError(err))
+	if r.open {
+		r.grant.Done(true)
+		res.Status = 'T'
+		return res, nil
+	}
+	r.t.pool.put(r.conn)
+	r.grant.Done(false)
+	return res, nil
+}
+
+// write sends the plan and reports whether any of it may have reached the target.
+func (r *run) write() (sent bool, err error) {
+	r.trace(event.UnitSent, event.Fields{"before": r.before.String()})
+	n, err := r.conn.nc.Write(r.h.plan.out)
+	if err != nil {
+		return n > 0, fmt.Errorf("write unit: %w", err)
+	}
+	return true, nil
+}
+
+// read takes the frames of the answer up to the last ReadyForQuery.
+func (r *run) read(x *exchange) error {
+	r.h.out = r.h.out[:0]
+	for !x.over() {
+		f, err := x.next()
+		if err != nil {
+			return err
+		}
+		if f != nil && !r.proof(x, f) {
+			if err := r.take(f); err != nil {
+				return err
+			}
+		}
+		if !r.held && r.rows && (len(r.h.out) >= passBytes || x.c.waiting() && !x.over()) {
+			if err := r.pass(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// proof reports whether the answer so far proves that nothing ran, so that the
+// unit may run elsewhere and nothing of the answer is for the guest.
+func (r *run) proof(x *exchange, _ []byte) bool {
+	return r.provable() && provesNotRun(x.failed)
+}
+
+// provable reports whether a refusal by the target would prove that nothing of the unit ran.
+func (r *run) provable() bool { return !r.open && !r.wrapped && !r.passed && r.commands == 0 }
+
+// provesNotRun tells the errors by which a target refuses to run a statement at all:
+// 25006, and 57P03 for a target that takes no statements now.
+func provesNotRun(code string) bool { return code == jacinthtiller.CodeReadOnly || code == "57P03" }
+
+// take adds a frame to those for the guest. On a primary, frames are held from the
+// first completed command on, or in an open transaction from the one that ends it.
+func (r *run) take(f []byte) error {
+	switch f[0] {
+	case 'C', 'I', 's':
+		r.commands++
+		if r.lead != nil && (!r.open || f[0] == 'C' && endsBlock(text(f[5:]))) {
+			if err := r.startHold(); err != nil {
+				return err
+			}
+		}
+		r.rows = true
+	case 'D', 'E':
+		r.rows = r.rows || f[0] == 'D'
+	}
+	r.h.out = append(r.h.out, f...)
+	if r.held && len(r.h.out) > maxHeldBytes {
+		return fmt.Errorf("the answer after the first command is longer than %d bytes", maxHeldBytes)
+	}
+	return nil
+}
+
+// startHold passes on what came before the frame and holds what follows.
+func (r *run) startHold() error {
+	if r.held {
+		return nil
+	}
+	if len(r.h.out) >= passBytes {
+		if err := r.pass(); err != nil {
+			return err
+		}
+	}
+	r.held = true
+	return nil
+}
+
+func endsBlock(tag string) bool {
+	return tag == "COMMIT" || tag == "ROLLBACK" || tag == "PREPARE TRANSACTION"
+}
+
+// pass gives the collected frames to the guest's side.
+func (r *run) pass() error {
+	if len(r.h.out) == 0 {
+		return nil
+	}
+	r.passed = true
+	err := r.sink(r.h.out)
+	r.h.out = r.h.out[:0]
+	if cap(r.h.out) > keepBytes {
+		r.h.out = nil
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", errSink, err)
+	}
+	return nil
+}
+
+// finish gives back slot and connection, and passes the answer on when that is allowed.
+func (r *run) finish(x *exchange) (jacinthtiller.Result, error) {
+	p := x.c.position
+	r.t.advance(p)
+	res := jacinthtiller.Result{Outcome: jacinthtiller.OutcomeDone, Position: p, Status: x.status, Failed: x.failed}
+	if r.lead != nil && p.Compare(r.before) > 0 {
+		// A commit after before may be this unit's own. It is in the table before anybody can learn of it.
+		r.lead.marks.record(r.u.Guest, p)
+	}
+	r.giveBack(x.status)
+	if r.provable() && provesNotRun(x.failed) && x.status == 'I' {
+		res.Outcome = jacinthtiller.OutcomeNotRun
+		res.Err = jacinthtiller.NotRun(x.failed, jacinthtiller.ReasonTarget, "target %s refused the statement", r.t.name)
+		r.h.out = r.h.out[:0]
+		return res, nil
+	}
+	if r.lead != nil && (x.status == 'I' || p.Compare(r.before) > 0) {
+		if err := r.acknowledge(p); err != nil {
+			return r.unknown(res, err), nil
+		}
+	}
+	if err := r.pass(); err != nil {
+		return res, err
+	}
+	return res, nil
+}
+
+// giveBack returns the slot at once, and the connection unless a transaction is open.
+func (r *run) giveBack(status byte) {
+	if status != 'I' {
+		r.grant.Done(true)
+		if !r.open {
+			r.hold()
+		}
+		return
+	}
+	if r.open {
+		r.unhold()
+	}
+	r.t.pool.put(r.conn)
+	r.grant.Done(false)
+}
+
+// acknowledge waits until the position is settled and then checks the lease.
+func (r *run) acknowledge(p jacinthtiller.Position) error {
+	if err := r.lead.settle(r.ctx, p); err != nil {
+		return err
+	}
+	if !r.lead.valid() {
+		return fmt.Errorf("the lease or the lead of term %d ended before the answer", r.lead.term)
+	}
+	r.trace(event.UnitAcknowledged, event.Fields{
+		"term": r.lead.term, "position": p.String(), "access": string(r.u.Access),
+	})
+	return nil
+}
+
+func (r *run) unknown(res jacinthtiller.Result, cause error) jacinthtiller.Result {
+	r.h.out = r.h.out[:0]
+	res.Outcome = jacinthtiller.OutcomeUnknown
+	res.Err = jacinthtiller.Unknown("the outcome is unknown: %v", cause)
+	r.t.emit(event.UnitUnknown, event.Fields{"error": cause.Error(), "at": time.Now()})
+	return res
+}
+
+// lostConnection closes the connection and says what is known of the unit.
+func (r *run) lostConnection(sent bool, cause error) (jacinthtiller.Result, error) {
+	r.end()
+	r.h.out = r.h.out[:0]
+	switch {
+	case r.open && (!sent || r.lead == nil || !mayEnd(r.u)):
+		return failed(r.u, r.rolledBack(cause.Error())), nil
+	case !sent:
+		return failed(r.u, refuse(jacinthtiller.ReasonTarget, "the connection to target %s failed: %v", r.t.name, cause)), nil
+	case r.lead == nil && !r.passed:
+		return failed(r.u, refuse(jacinthtiller.ReasonTarget, "the connection to replica %s failed: %v", r.t.name, cause)), nil
+	}
+	return r.unknown(failed(r.u, jacinthtiller.Unknown("")), cause), nil
+}
--- /dev/null
+++ b/owner/helper_test.go
@@ -0,0 +1,401 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/standin"
+)
+
+var background = context.Background()
+
+// tap stands between the owner and a target: it notes what the owner sends and breaks
+// the connection or the answer where a test wants it.
+type tap struct {
+	l     net.Listener
+	to    string
+	group conc.WaitGroup
+
+	mu sync.Mutex // guards the fields below
+	// seen holds the owner's messages as type and first text, such as "Q SELECT 1".
+	seen []string
+	// cut says where to break a connection that sends a message with the text.
+	cut   map[string]cutAt
+	conns []net.Conn
+}
+
+type cutAt string
+
+const (
+	beforeSend  cutAt = "before the message reaches the target"
+	beforeReply cutAt = "after the message ran, before its answer"
+	midReply    cutAt = "after the first row"
+	extraFrame  cutAt = "a frame that nobody asked for comes first"
+	lateError   cutAt = "a second ReadyForQuery follows"
+)
+
+func newTap(t testing.TB, to string) *tap {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &tap{l: l, to: to, cut: map[string]cutAt{}}
+	p.group.Go(p.accept)
+	t.Cleanup(p.close)
+	return p
+}
+
+func (p *tap) close() {
+	_ = p.l.Close()
+	p.mu.Lock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	p.mu.Unlock()
+	p.group.Wait()
+}
+
+func (p *tap) accept() {
+	for {
+		in, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.to)
+		if err != nil {
+			_ = in.(*net.TCPConn).SetLinger(0)
+			_ = in.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.conns = append(p.conns, in, out)
+		p.mu.Unlock()
+		s := &tapped{p: p, in: in, out: out}
+		p.group.Go(s.forward)
+	}
+}
+
+func (p *tap) breakAt(text string, at cutAt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[text] = at
+}
+
+// messages returns the noted messages that match one of the texts, all when there are none, and forgets them.
+func (p *tap) messages(texts ...string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, s := range p.seen {
+		ok := len(texts) == 0
+		for _, x := range texts {
+			ok = ok || strings.Contains(s, x)
+		}
+		if ok {
+			out = append(out, s)
+		}
+	}
+	p.seen = nil
+	return out
+}
+
+// tapped is one connection through a tap.
+type tapped struct {
+	p       *tap
+	in, out net.Conn
+	mu      sync.Mutex // guards at
+	at      cutAt
+}
+
+func (s *tapped) close() { _, _ = s.in.Close(), s.out.Close() }
+
+func (s *tapped) forward() {
+	defer s.close()
+	head := make([]byte, 8)
+	if _, err := io.ReadFull(s.in, head); err != nil {
+		return
+	}
+	_, _ = s.out.Write(head)
+	if binary.BigEndian.Uint32(head[4:]) != 196608 { // replication or a cancel: not looked at
+		s.p.group.Go(func() { defer s.close(); _, _ = io.Copy(s.in, s.out) })
+		_, _ = io.Copy(s.out, s.in)
+		return
+	}
+	_, _ = io.CopyN(s.out, s.in, int64(binary.BigEndian.Uint32(head))-8)
+	s.p.group.Go(s.answers)
+	for {
+		f, err := readFrame(s.in)
+		if err != nil || !s.note(f) {
+			return
+		}
+		if _, err := s.out.Write(f); err != nil {
+			return
+		}
+	}
+}
+
+// note remembers a message and reports whether to go on.
+func (s *tapped) note(f []byte) bool {
+	body := text(f[5:])
+	if f[0] == 'P' {
+		body += " " + text(f[6+len(body):])
+	}
+	m := strings.TrimSpace(string(f[:1]) + " " + body)
+	s.p.mu.Lock()
+	defer s.p.mu.Unlock()
+	if !strings.Contains(m, "SHOW log_position") {
+		s.p.seen = append(s.p.seen, m)
+	}
+	for x, at := range s.p.cut {
+		if strings.Contains(m, x) {
+			delete(s.p.cut, x)
+			s.mu.Lock()
+			s.at = at
+			s.mu.Unlock()
+			return at != beforeSend
+		}
+	}
+	return true
+}
+
+func (s *tapped) answers() {
+	defer s.close()
+	for {
+		f, err := readFrame(s.out)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		at := s.at
+		s.mu.Unlock()
+		switch {
+		case at == beforeReply && f[0] == 'Z', at == midReply && f[0] == 'C':
+			return
+		case at == beforeReply:
+			continue
+		case at == extraFrame:
+			_, _ = s.in.Write([]byte{'2', 0, 0, 0, 4})
+		case at == lateError && f[0] == 'Z':
+			_, _ = s.in.Write(append(bytes.Clone(f), f...))
+			continue
+		}
+		if _, err := s.in.Write(f); err != nil {
+			return
+		}
+	}
+}
+
+func readFrame(r io.Reader) ([]byte, error) {
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return nil, err
+	}
+	f := make([]byte, binary.BigEndian.Uint32(head[1:])+1)
+	copy(f, head)
+	_, err := io.ReadFull(r, f[5:])
+	return f, err
+}
+
+// cluster is a group of stand-in targets d/t1, d/t2 and so on, all owned by one Owner; t1 is the primary of term 1.
+type cluster struct {
+	t       testing.TB
+	targets []*standin.Target
+	taps    []*tap
+	control *fakeControl
+	o       *Owner
+	// view is what was applied last.
+	view jacinthtiller.View
+}
+
+func newCluster(t testing.TB, size int, opts ...Option) *cluster {
+	c := &cluster{t: t, control: &fakeControl{}}
+	db := jacinthtiller.Database{Name: "d", Term: 1, Primary: "t1", GroupSize: size}
+	for i := range size {
+		name := fmt.Sprintf("t%d", i+1)
+		cfg := standin.Config{Name: name, Database: "d", GroupSize: size}
+		if i > 0 {
+			cfg.Follow = c.targets[0].Addr()
+		}
+		s, err := standin.Start(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = s.Close() })
+		c.targets = append(c.targets, s)
+		c.taps = append(c.taps, newTap(t, s.Addr()))
+		db = db.WithTarget(jacinthtiller.Target{
+			Name: name, Database: "d", Address: c.taps[i].l.Addr().String(), Owner: "h", Epoch: 1, State: jacinthtiller.StateServing,
+		})
+	}
+	c.o = New(append([]Option{WithHost("h"), WithControl(c.control)}, opts...)...)
+	t.Cleanup(func() { _ = c.o.Close() })
+	c.lease(time.Hour)
+	c.apply(db)
+	return c
+}
+
+func (c *cluster) lease(d time.Duration) {
+	c.o.SetLease(jacinthtiller.Lease{Host: "h", Incarnation: "i", Deadline: time.Now().Add(d)})
+}
+
+func (c *cluster) db() jacinthtiller.Database { return c.view.Databases["d"] }
+
+func (c *cluster) apply(db jacinthtiller.Database) {
+	c.view = jacinthtiller.View{
+		Index: c.view.Index + 1, Databases: map[string]jacinthtiller.Database{"d": db},
+		Hosts: map[string]jacinthtiller.Host{"h": {Name: "h"}},
+	}
+	c.o.Apply(c.view)
+}
+
+// ready waits until the primary serves and returns a channel.
+func (c *cluster) ready() *session {
+	c.t.Helper()
+	eventually(c.t, func() bool { return c.o.leadOf("d") != nil })
+	return c.session("s1")
+}
+
+func (c *cluster) session(name string) *session {
+	c.t.Helper()
+	h, err := c.o.Open(background)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { _ = h.Close() })
+	return &session{c: c, h: h, name: name}
+}
+
+// session runs units on one channel.
+type session struct {
+	c    *cluster
+	h    jacinthtiller.Channel
+	name string
+	// number counts the units.
+	number uint64
+}
+
+// unit returns a unit for the primary in the present view.
+func (s *session) unit(frames []byte) jacinthtiller.Unit {
+	s.number++
+	db := s.c.db()
+	return jacinthtiller.Unit{
+		Number: s.number, Database: "d", Target: db.Primary, Term: db.Term, Epoch: db.Targets[db.Primary].Epoch,
+		Team: "team", Guest: "guest", Session: s.name, Access: jacinthtiller.AccessWrite,
+		Deadline: time.Now().Add(10 * time.Second), Frames: frames,
+	}
+}
+
+// outcome is a unit's result with the answer as a line, such as "1 2 D:x C:SELECT 1 Z:I".
+type outcome struct {
+	jacinthtiller.Result
+	answer string
+	err    error
+}
+
+func (s *session) run(u jacinthtiller.Unit) outcome {
+	var got []byte
+	res, err := s.h.Run(background, u, func(f []byte) error { got = append(got, f...); return nil })
+	return outcome{Result: res, answer: describe(got), err: err}
+}
+
+func (s *session) query(sql string) outcome { return s.run(s.unit(simple(sql))) }
+
+// says returns the outcome with the SQLSTATE or the answer.
+func (o outcome) says() string {
+	if o.Err != nil {
+		return fmt.Sprintf("%s %s", o.Outcome, o.Err.Code)
+	}
+	return fmt.Sprintf("%s %s", o.Outcome, o.answer)
+}
+
+func describe(frames []byte) string {
+	var out []string
+	for len(frames) >= 5 {
+		n := int(binary.BigEndian.Uint32(frames[1:])) + 1
+		f := frames[:n]
+		frames = frames[n:]
+		s := string(f[:1])
+		switch f[0] {
+		case 'C':
+			s += ":" + text(f[5:])
+		case 'Z':
+			s += ":" + string(f[5:])
+		case 'E':
+			s += ":" + asRefusal(targetError(f)).code
+		case 'D':
+			var row pgproto3.DataRow
+			_ = row.Decode(f[5:])
+			for _, v := range row.Values {
+				s += ":" + string(v)
+			}
+		}
+		out = append(out, s)
+	}
+	return strings.Join(out, " ")
+}
+
+func simple(sql string) []byte { return encode(&pgproto3.Query{String: sql}) }
+
+func encode(messages ...pgproto3.FrontendMessage) []byte {
+	var b []byte
+	for _, m := range messages {
+		b, _ = m.Encode(b)
+	}
+	return b
+}
+
+func eventually(t testing.TB, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal("the event did not come")
+}
+
+// fakeControl notes what is reported.
+type fakeControl struct {
+	jacinthtiller.Control
+	mu       sync.Mutex // guards the fields below
+	lost     []jacinthtiller.LostRequest
+	observed []jacinthtiller.ObserveRequest
+	// failures is how many reports of lost targets are still refused.
+	failures int
+}
+
+func (f *fakeControl) Lost(_ context.Context, r jacinthtiller.LostRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = append(f.lost, r)
+	if f.failures > 0 {
+		f.failures--
+		return fmt.Errorf("no leader")
+	}
+	return nil
+}
+
+func (f *fakeControl) Observe(_ context.Context, r jacinthtiller.ObserveRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observed = append(f.observed, r)
+	return nil
+}
+
+func (f *fakeControl) reports() (lost, observed int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.lost), len(f.observed)
+}
--- /dev/null
+++ b/owner/marks.go
@@ -0,0 +1,82 @@
+package owner
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// maxGuests bounds the table of marks; at 100,000 names of 20 bytes it takes about 10 MB.
+const maxGuests = 100_000
+
+// marks holds, for one term of one primary, each guest's newest write that is or may be acknowledged.
+type marks struct {
+	mu sync.Mutex // guards the fields below
+	// floor is at or after every write that was acknowledged to a guest without an entry; it never decreases.
+	floor jacinthtiller.Position
+	// guests holds only positions after floor.
+	guests map[string]jacinthtiller.Position
+}
+
+// raise sets the floor and forgets the entries that it covers.
+func (m *marks) raise(floor jacinthtiller.Position) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.raiseLocked(floor)
+}
+
+func (m *marks) raiseLocked(floor jacinthtiller.Position) {
+	if m.floor.Covers(floor) {
+		return
+	}
+	m.floor = floor
+	for g, p := range m.guests {
+		if floor.Covers(p) {
+			delete(m.guests, g)
+		}
+	}
+}
+
+// record notes a write of the guest. It comes before the write's answer is sent.
+func (m *marks) record(guest string, p jacinthtiller.Position) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.floor.Covers(p) || m.guests[guest].Covers(p) {
+		return
+	}
+	if m.guests == nil {
+		m.guests = map[string]jacinthtiller.Position{}
+	}
+	m.guests[guest] = p
+	if len(m.guests) > maxGuests {
+		m.shrink()
+	}
+}
+
+// shrink raises the floor to the median, which forgets at least half of the entries.
+func (m *marks) shrink() {
+	all := make([]jacinthtiller.Position, 0, len(m.guests))
+	for _, p := range m.guests {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, jacinthtiller.Position.Compare)
+	m.raiseLocked(all[len(all)/2])
+}
+
+// of returns the marks of the guests.
+func (m *marks) of(guests []string) map[string]jacinthtiller.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]jacinthtiller.Position, len(guests))
+	for _, g := range guests {
+		out[g] = m.floor.Max(m.guests[g])
+	}
+	return out
+}
+
+func (m *marks) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.guests)
+}
--- /dev/null
+++ b/owner/pool.go
@@ -0,0 +1,210 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// dialLimit bounds one attempt to open a connection; a new connection takes about 10 ms.
+const dialLimit = time.Second
+
+// pool holds the connections to one target that run guests' units.
+type pool struct {
+	login login
+	limit int
+
+	mu sync.Mutex // guards the fields below
+	// address is where new connections go; connections to another address are not reused.
+	address string
+	// all holds every open connection; the value is true while a unit uses it.
+	all map[*conn]bool
+	// opening counts connections that are being opened; with all it never exceeds limit.
+	opening int
+	// idle is ordered by last use, the newest last. Each has transaction status 'I' and no unread answer.
+	idle   []*conn
+	closed bool
+}
+
+func newPool(l login, address string, limit int) *pool {
+	return &pool{login: l, address: address, limit: limit, all: map[*conn]bool{}}
+}
+
+// get returns an idle connection, preferably the one that the session used last, or
+// a new one. The admission gate keeps the number of callers within the limit.
+func (p *pool) get(ctx context.Context, session string) (*conn, error) {
+	for {
+		c, err := p.take(session)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			c, err = p.open(ctx)
+			if !errors.Is(err, errPoolFull) {
+				return c, err
+			}
+			if err := pause(ctx, time.Millisecond); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if time.Since(c.idleSince) < idleCheckAge || !c.hungUp() {
+			return c, nil
+		}
+		p.drop(c)
+	}
+}
+
+func (p *pool) take(session string) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, jacinthtiller.ReasonNotOwner, "the target is no longer owned")
+	}
+	if len(p.idle) == 0 {
+		return nil, nil
+	}
+	at := len(p.idle) - 1
+	for i := at; i >= 0; i-- {
+		if p.idle[i].session == session {
+			at = i
+			break
+		}
+	}
+	c := p.idle[at]
+	p.idle = append(p.idle[:at], p.idle[at+1:]...)
+	p.all[c] = true
+	return c, nil
+}
+
+// errPoolFull means that every connection the limit allows is open and in use.
+var errPoolFull = errors.New("all connections to the target are in use")
+
+func (p *pool) open(ctx context.Context) (*conn, error) {
+	p.mu.Lock()
+	if len(p.all)+p.opening >= p.limit {
+		p.mu.Unlock()
+		return nil, errPoolFull
+	}
+	p.opening++
+	address := p.address
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	c, err := dial(ctx, address, p.login)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	if err != nil {
+		return nil, fmt.Errorf("open pooled connection: %w", err)
+	}
+	if p.closed || p.address != address {
+		c.close()
+		return nil, fmt.Errorf("open pooled connection: the target at %s is no longer used", address)
+	}
+	p.all[c] = true
+	return c, nil
+}
+
+// put returns a connection whose last answer ended in ReadyForQuery with status 'I'.
+func (p *pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	keep := !p.closed && c.address == p.address && !c.cancelled.Load() && !c.closed.Load()
+	if keep {
+		p.all[c] = false
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		p.drop(c)
+	}
+}
+
+// drop closes a connection that is in use or in an unknown state.
+func (p *pool) drop(c *conn) {
+	c.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.all, c)
+}
+
+// move directs new connections to another address and closes the idle ones.
+func (p *pool) move(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.address == address {
+		return
+	}
+	p.address = address
+	p.closeIdle()
+}
+
+func (p *pool) closeIdle() {
+	for _, c := range p.idle {
+		c.close()
+		delete(p.all, c)
+	}
+	p.idle = nil
+}
+
+// shut refuses new work and closes the idle connections; running units keep theirs.
+func (p *pool) shut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.closeIdle()
+}
+
+// abort closes every connection, so that running units fail at once.
+func (p *pool) abort() {
+	p.shut()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.all {
+		c.close()
+	}
+}
+
+// warm opens connections until n are open.
+func (p *pool) warm(ctx context.Context, n int) error {
+	for {
+		p.mu.Lock()
+		enough := p.closed || len(p.all)+p.opening >= n
+		p.mu.Unlock()
+		if enough {
+			return nil
+		}
+		c, err := p.open(ctx)
+		if err != nil {
+			if errors.Is(err, errPoolFull) {
+				return nil
+			}
+			return err
+		}
+		p.put(c)
+	}
+}
+
+// size returns how many connections are open and how many of them are idle.
+func (p *pool) size() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.all), len(p.idle)
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("interrupted: %w", ctx.Err())
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/owner/target.go
@@ -0,0 +1,345 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/admission"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// target is one target during one epoch of this host's ownership. An epoch that
+// follows gets a new target, so that units of the old one cannot be taken for units of the new one.
+type target struct {
+	o              *Owner
+	database, name string
+	epoch          uint64
+	// ctx ends when the ownership ends or the target is lost.
+	ctx   context.Context
+	stop  context.CancelFunc
+	pool  *pool
+	gate  *admission.Gate
+	group conc.WaitGroup
+	// orders and polls are the reserved connections for orders and positions; probes have one more.
+	orders, polls, probes reserved
+	// wake has capacity 1 and is full when the view or an announcement asks for a look; more signals are dropped.
+	wake chan struct{}
+	// pollWanted has capacity 1 and is full when somebody waits for a position; more signals are dropped.
+	pollWanted chan struct{}
+	// reports has capacity 1; an announcement that finds it full is dropped, since the next comes in 500 ms.
+	reports chan jacinthtiller.Announcement
+
+	mu sync.Mutex // guards the fields below
+	// spec and db are the target and its database in the newest view.
+	spec jacinthtiller.Target
+	db   jacinthtiller.Database
+	// lead is nil unless the view names this target as primary of its term.
+	lead *lead
+	// fenced is the newest term that the target was fenced at through this host; no lead of a lower term begins.
+	fenced uint64
+	// announced is the newest announcement, at announcedAt.
+	announced   jacinthtiller.Announcement
+	announcedAt time.Time
+	// followed is the newest follow order that the target carried out, at followedAt.
+	followed   followOrder
+	followedAt time.Time
+	leaving    bool
+	// lost and gone never become false again: what follows is another epoch.
+	lost, gone bool
+	// known is the newest position that the target reported.
+	known jacinthtiller.Position
+	// moved is closed and replaced when known grows.
+	moved   chan struct{}
+	waiters int
+	// channels are the channels that hold a connection for an open transaction.
+	channels map[*channel]struct{}
+}
+
+type followOrder struct {
+	term    uint64
+	address string
+}
+
+func newTarget(o *Owner, db jacinthtiller.Database, spec jacinthtiller.Target) *target {
+	l := o.login
+	l.database = db.Name
+	t := &target{
+		o: o, database: db.Name, name: spec.Name, epoch: spec.Epoch,
+		pool: newPool(l, spec.Address, o.connections-reservedConnections),
+		gate: admission.NewGate(
+			admission.WithSlots(o.slots),
+			admission.WithConnections(o.connections-reservedConnections),
+			admission.WithCapacity(o.capacity),
+			admission.WithLog(o.events, db.Name+"/"+spec.Name),
+		),
+		wake: make(chan struct{}, 1), pollWanted: make(chan struct{}, 1),
+		reports: make(chan jacinthtiller.Announcement, 1),
+		moved:   make(chan struct{}), channels: map[*channel]struct{}{},
+	}
+	t.ctx, t.stop = context.WithCancel(o.ctx)
+	for _, r := range []*reserved{&t.orders, &t.polls, &t.probes} {
+		r.t = t
+	}
+	if o.weights != nil {
+		t.gate.SetWeights(o.weights())
+	}
+	t.emit(event.TargetTaken, event.Fields{"address": spec.Address})
+	return t
+}
+
+// start begins the target's duties. It is called once, after the first apply.
+func (t *target) start() {
+	for _, f := range []func(){t.probe, t.reconcile, t.pollPositions, t.report, t.keepWarm} {
+		t.group.Go(f)
+	}
+}
+
+func (t *target) emit(k event.Kind, f event.Fields) {
+	if t.o.events == nil {
+		return
+	}
+	f["database"], f["target"], f["epoch"] = t.database, t.name, t.epoch
+	t.o.events.Emit(k, f)
+}
+
+// apply follows the view. The epoch of spec is the target's own.
+func (t *target) apply(db jacinthtiller.Database, spec jacinthtiller.Target) {
+	t.pool.move(spec.Address)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.db, t.spec = db, spec
+	t.followLead()
+	t.followState()
+	t.look()
+}
+
+// followLead ends and begins leads as the view says. It is called with mu held.
+func (t *target) followLead() {
+	primary := t.db.Primary == t.name && t.db.Term >= t.fenced && !t.lost && !t.gone
+	group := max(t.db.GroupSize, len(t.db.Targets))
+	if t.lead != nil && (!primary || t.lead.term != t.db.Term || t.lead.group != group) {
+		t.endLead()
+	}
+	if primary && t.lead == nil {
+		l := newLead(t.ctx, t, t.db.Term, group)
+		t.lead = l
+		t.group.Go(l.watchWrites)
+	}
+	if t.lead != nil {
+		t.lead.follow(t.db.TargetNames())
+	}
+}
+
+func (t *target) endLead() {
+	if t.lead == nil {
+		return
+	}
+	t.lead.end()
+	t.emit(event.LeadEnded, event.Fields{"term": t.lead.term})
+	t.lead = nil
+}
+
+// followState drains the gate while the view or the target says leaving. It is called with mu held.
+func (t *target) followState() {
+	leaving := t.spec.State == jacinthtiller.StateLeaving || t.announced.State == jacinthtiller.StateLeaving
+	if leaving == t.leaving {
+		return
+	}
+	t.leaving = leaving
+	if leaving {
+		t.gate.Drain()
+		t.emit(event.TargetLeaving, event.Fields{})
+		return
+	}
+	if !t.o.draining.Load() {
+		t.gate.Undrain()
+	}
+}
+
+// look makes the reconcile loop look at once.
+func (t *target) look() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// release ends the ownership: nothing new runs and nothing is acknowledged. Open
+// transactions between statements are rolled back; running units get a short time to end.
+func (t *target) release(lost bool) {
+	t.mu.Lock()
+	if lost {
+		t.lost = true
+	} else {
+		t.gone = true
+	}
+	t.endLead()
+	held := make([]*channel, 0, len(t.channels))
+	for c := range t.channels {
+		held = append(held, c)
+	}
+	t.mu.Unlock()
+	t.stop()
+	t.gate.Drain()
+	if lost {
+		t.pool.abort()
+	} else {
+		t.pool.shut()
+	}
+	for _, c := range held {
+		c.rollBackIdle(t)
+	}
+}
+
+// check says whether the unit may run now, and under which lead when it is work on a primary.
+func (t *target) check(u jacinthtiller.Unit, open bool) (*lead, *jacinthtiller.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.lost:
+		return nil, refuse(jacinthtiller.ReasonTarget, "target %s is lost", t.name)
+	case t.gone || u.Epoch != t.epoch:
+		return nil, refuse(jacinthtiller.ReasonNotOwner, "target %s is not owned at epoch %d", t.name, u.Epoch)
+	case !open && (t.leaving || t.o.draining.Load()):
+		return nil, jacinthtiller.NotRun(jacinthtiller.CodeNotRunShutdown, jacinthtiller.ReasonDraining, "target %s takes no new work", t.name)
+	}
+	if t.lead == nil {
+		return nil, t.checkReplica(u)
+	}
+	if t.lead.term != u.Term {
+		return nil, refuse(jacinthtiller.ReasonNotOwner, "target %s leads term %d, not %d", t.name, t.lead.term, u.Term)
+	}
+	if !t.o.leased() {
+		return nil, refuse(jacinthtiller.ReasonNoLease, "the lease of host %s has ended", t.o.host)
+	}
+	return t.lead, nil
+}
+
+// checkReplica refuses writes, and reads on a target that may still take itself for a
+// primary: a function called by SELECT could write there, and that write would be lost.
+func (t *target) checkReplica(u jacinthtiller.Unit) *jacinthtiller.Error {
+	if u.Access == jacinthtiller.AccessWrite || u.Primary {
+		return refuse(jacinthtiller.ReasonNotOwner, "target %s is not the primary", t.name)
+	}
+	if t.followed.term == 0 && t.announced.Role != jacinthtiller.RoleReplica {
+		return refuse(jacinthtiller.ReasonNotOwner, "target %s is not known to be a replica", t.name)
+	}
+	return nil
+}
+
+func refuse(r jacinthtiller.Reason, format string, args ...any) *jacinthtiller.Error {
+	return jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, r, format, args...)
+}
+
+// advance notes a position that the target reported.
+func (t *target) advance(p jacinthtiller.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.known.Covers(p) {
+		return
+	}
+	t.known = p
+	close(t.moved)
+	t.moved = make(chan struct{})
+}
+
+func (t *target) position() jacinthtiller.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.known
+}
+
+// waitFor waits until the target's position covers p and returns the position
+// known at the end; it returns early when until passes or ctx ends.
+func (t *target) waitFor(ctx context.Context, p jacinthtiller.Position, until time.Time) jacinthtiller.Position {
+	t.mu.Lock()
+	if t.known.Covers(p) || !time.Now().Before(until) {
+		defer t.mu.Unlock()
+		return t.known
+	}
+	t.waiters++
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		t.waiters--
+		t.mu.Unlock()
+	}()
+	select {
+	case t.pollWanted <- struct{}{}:
+	default:
+	}
+	limit := time.NewTimer(time.Until(until))
+	defer limit.Stop()
+	for {
+		t.mu.Lock()
+		known, moved := t.known, t.moved
+		t.mu.Unlock()
+		if known.Covers(p) {
+			return known
+		}
+		select {
+		case <-moved:
+		case <-limit.C:
+			return known
+		case <-ctx.Done():
+			return known
+		case <-t.ctx.Done():
+			return known
+		}
+	}
+}
+
+// pollPositions asks for the position every 1 to 2 ms, but only while somebody waits.
+func (t *target) pollPositions() {
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.pollWanted:
+		}
+		for t.waited() && t.ctx.Err() == nil {
+			ctx, cancel := context.WithTimeout(t.ctx, orderLimit)
+			err := t.readPosition(ctx, &t.polls)
+			cancel()
+			d := time.Millisecond
+			if err != nil {
+				d = positionRetry
+			}
+			_ = pause(t.ctx, d)
+		}
+	}
+}
+
+func (t *target) waited() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.waiters > 0
+}
+
+func (t *target) readPosition(ctx context.Context, r *reserved) error {
+	s, err := r.query(ctx, "SHOW log_position")
+	if err != nil {
+		return err
+	}
+	p, err := jacinthtiller.ParsePosition(s)
+	if err != nil {
+		return fmt.Errorf("position of target %s: %w", t.name, err)
+	}
+	t.advance(p)
+	return nil
+}
+
+// keepWarm keeps as many connections open as statements can run at once, since a new one takes about 10 ms.
+func (t *target) keepWarm() {
+	for t.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(t.ctx, dialLimit)
+		_ = t.pool.warm(ctx, min(t.o.slots+1, t.o.connections-reservedConnections))
+		cancel()
+		_ = pause(t.ctx, warmEvery)
+	}
+}
