--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/credential"
 	"github.com/jacinthtiller/jacinthtiller/entry"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/link"
@@ -43,6 +44,9 @@
 	rpc  net.Listener
 	http *http.Server
 
+	// guestTLS, peerTLS and targetTLS are nil without the files in the settings.
+	guestTLS, peerTLS, targetTLS *credential.Store
+
 	// control is nil without the control role.
 	control *control.Server
 
@@ -121,8 +125,14 @@
 		}
 		p.rpc = l
 	}
+	if err := p.openCredentials(); err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	client := wire.NewHTTPClient()
+	if p.peerTLS != nil {
+		client = wire.NewTLSClient(p.peerTLS.Client())
+	}
 	if p.settings.HasRole(RoleControl) {
 		if err := p.startControl(mux, client); err != nil {
 			return err
@@ -137,8 +147,7 @@
 	mux.HandleFunc("/readyz", p.serveReady)
 	mux.HandleFunc("/dump", p.serveDump)
 	mux.Handle("/metrics", metricsHandler())
-	p.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	p.group.Go(func() { _ = p.http.Serve(p.rpc) })
+	p.serve(mux)
 	p.reportStart()
 	return nil
 }
@@ -197,18 +206,18 @@
 	group := control.NewClient(urls, client)
 	peers := wire.NewHostPeers(client)
 	views := entry.NewViews()
-	p.owner = owner.New(
+	ownerOptions := []owner.Option{
 		owner.WithHost(self.Name), owner.WithControl(group), owner.WithPeers(peers), owner.WithEvents(p.events),
 		owner.WithSlots(p.settings.Slots), owner.WithConnections(p.settings.Connections),
 		owner.WithCapacity(p.settings.QueueCapacity),
 		owner.WithUser(p.settings.TargetUser), owner.WithPassword(password),
 		owner.WithWeights(func() map[string]int { return views.Directory().Weights() }),
-	)
-	p.server = link.NewServer(p.owner.Open, link.WithEvents(p.events))
-	p.opener = link.NewOpener(self.Name, p.owner.Open, func(host string) (string, bool) {
-		h, ok := views.View().Hosts[host]
-		return h.Link, ok
-	})
+	}
+	if p.targetTLS != nil {
+		ownerOptions = append(ownerOptions, owner.WithTLS(p.targetTLS.Client()))
+	}
+	p.owner = owner.New(ownerOptions...)
+	p.startLink(self, views)
 	p.host = entry.Start(entry.Config{
 		Self: self, Control: group, Peers: peers, PeerURLs: p.settings.Peers,
 		Views: views, Owner: p.owner, Events: p.events,
@@ -219,7 +228,7 @@
 		session.WithDirectory(func() session.Directory { return views.Directory() }),
 		session.WithOpener(p.opener), session.WithPositions(positions),
 		session.WithMarks(replica.NewMarks(peers, views.View, positions, p.events)),
-		session.WithEvents(p.events),
+		session.WithEvents(p.events), session.WithTLS(p.guestConfig),
 	)
 	mux.Handle("/jacinthtiller.host/", wire.NewHostHandler(p.host))
 	p.group.Go(func() { _ = p.server.Serve(p.links) })
@@ -284,7 +293,12 @@
 }
 
 // RPCURL returns the URL of the process's service.
-func (p *Process) RPCURL() string { return "http://" + p.rpc.Addr().String() }
+func (p *Process) RPCURL() string {
+	if p.settings.PeerCertFile != "" {
+		return "https://" + p.rpc.Addr().String()
+	}
+	return "http://" + p.rpc.Addr().String()
+}
 
 // GuestAddr returns the address for guests; the process has the entry role.
 func (p *Process) GuestAddr() string { return p.guests.Addr().String() }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -95,22 +95,24 @@
 // HasRole reports whether the process runs the role.
 func (s *Settings) HasRole(role string) bool { return slices.Contains(s.Roles, role) }
 
-// Parse reads flags and JACINTH_ environment variables. The error is
-// flag.ErrHelp when help was asked for, or a *SettingsError with every fault.
-func Parse(args []string) (*Settings, error) {
-	s := &Settings{}
+// values are the flags that need parsing beyond their own form.
+type values struct {
+	roles, control, peers list
+	level                 string
+}
+
+// flags returns the flags of a process, bound to s and v.
+func flags(s *Settings, v *values) *flag.FlagSet {
 	fs := flag.NewFlagSet("jacinthd", flag.ContinueOnError)
-	var roles, control, peers list
-	var level string
-	fs.Var(&roles, "role", "`role` to run, entry or control; repeatable or separated by commas")
+	fs.Var(&v.roles, "role", "`role` to run, entry or control; repeatable or separated by commas")
 	fs.StringVar(&s.Name, "name", "", "name of this host, unique in the installation")
 	fs.StringVar(&s.Domain, "failure-domain", "", "failure domain of this host")
 	fs.StringVar(&s.Region, "region", "", "region of this host")
 	fs.StringVar(&s.RPCListen, "rpc-listen", "127.0.0.1:0", "`ip:port` for peers, targets' announcements, operators and monitoring")
 	fs.StringVar(&s.GuestListen, "guest-listen", "127.0.0.1:0", "`ip:port` for guests (entry role)")
 	fs.StringVar(&s.LinkListen, "link-listen", "127.0.0.1:0", "`ip:port` for statements from other hosts (entry role)")
-	fs.Var(&control, "control", "control processes as `name=url`; repeatable or separated by commas")
-	fs.Var(&peers, "peers", "`urls` of entry hosts of the same failure domain")
+	fs.Var(&v.control, "control", "control processes as `name=url`; repeatable or separated by commas")
+	fs.Var(&v.peers, "peers", "`urls` of entry hosts of the same failure domain")
 	fs.StringVar(&s.DataDir, "data-dir", "", "data folder of the control role")
 	fs.BoolVar(&s.Bootstrap, "bootstrap", false, "let an empty data folder take part in founding a new control group; leave it out later")
 	fs.StringVar(&s.OperatorsFile, "operators-file", "", "YAML file with the operators (control role)")
@@ -119,7 +121,7 @@
 	fs.IntVar(&s.QueueCapacity, "queue-capacity", 10000, "statements that may wait for one target, 1 to 1000000")
 	fs.StringVar(&s.TargetUser, "target-user", "jacinthtiller", "user for connections to targets")
 	fs.StringVar(&s.TargetPasswordFile, "target-password-file", "", "file with the password for connections to targets")
-	fs.StringVar(&level, "log-level", "info", "trace, debug, info, warn or error")
+	fs.StringVar(&v.level, "log-level", "info", "trace, debug, info, warn or error")
 	fs.StringVar(&s.LogFormat, "log-format", "text", "text or json")
 	fs.StringVar(&s.TraceFile, "trace-file", "", "file to which every event is written as JSON lines")
 	fs.IntVar(&s.DrainMilliseconds, "drain-milliseconds", 30000, "bound of a graceful stop in milliseconds, 0 to 600000")
@@ -131,14 +133,35 @@
 	fs.StringVar(&s.TargetCA, "target-ca-file", "", "authority that signs targets' certificates; connections to targets then use TLS")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.PrintSettings, "print-settings", false, "print the settings in force and exit")
+	return fs
+}
+
+// Reference returns the page docs/settings.md.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Settings of jacinthd\n\nEach flag can be given as an environment variable: `--guest-listen` as ")
+	b.WriteString("`" + EnvPrefix + "_GUEST_LISTEN` and so on. Flags win.\nThis page is written by `go test ./daemon -update`.\n\n")
+	b.WriteString("| flag | default | meaning |\n| --- | --- | --- |\n")
+	flags(&Settings{}, &values{}).VisitAll(func(f *flag.Flag) {
+		_, usage := flag.UnquoteUsage(f)
+		fmt.Fprintf(&b, "| `--%s` | %s | %s |\n", f.Name, f.DefValue, usage)
+	})
+	return b.String()
+}
+
+// Parse reads flags and JACINTH_ environment variables. The error is
+// flag.ErrHelp when help was asked for, or a *SettingsError with every fault.
+func Parse(args []string) (*Settings, error) {
+	s, v := &Settings{}, &values{}
+	fs := flags(s, v)
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return nil, fmt.Errorf("read settings: %w", err)
 		}
 		return nil, &SettingsError{Faults: []string{err.Error()}}
 	}
-	s.Roles, s.Peers = roles, peers
-	faults := s.check(control, level)
+	s.Roles, s.Peers = v.roles, v.peers
+	faults := s.check(v.control, v.level)
 	if fs.NArg() > 0 {
 		faults = append(faults, fmt.Sprintf("%q is not a flag; settings are flags or %s_ environment variables", fs.Arg(0), EnvPrefix))
 	}
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"os"
 	"strings"
 	"testing"
 
@@ -73,6 +74,23 @@
 	})
 }
 
+var update = flag.Bool("update", false, "write docs/settings.md from the flags")
+
+// TestReference guards against flags that the page does not list.
+func TestReference(t *testing.T) {
+	const page = "../docs/settings.md"
+	if *update {
+		if err := os.WriteFile(page, []byte(Reference()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	convey.Convey("The page lists the flags", t, func() {
+		b, err := os.ReadFile(page)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(b), convey.ShouldEqual, Reference())
+	})
+}
+
 // FuzzParse guards against settings that make the parser panic.
 func FuzzParse(f *testing.F) {
 	f.Add("--slots=5 --role entry")
--- /dev/null
+++ b/daemon/tls.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net/http"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/credential"
+	"github.com/jacinthtiller/jacinthtiller/entry"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/link"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+// openPages are served without a client certificate: targets have none, monitoring and the balancer
+// have none, and operators prove themselves by their token.
+var openPages = map[string]bool{
+	"/healthz": true, "/readyz": true, "/metrics": true, wire.ProcAnnounce: true,
+	wire.ProcSectionGet: true, wire.ProcSectionApply: true, wire.ProcSectionHistory: true, wire.ProcStatus: true,
+	wire.ProcMembers: true, wire.ProcMemberChange: true, wire.ProcMovePrimary: true, wire.ProcTargetLeave: true,
+}
+
+// openCredentials reads the TLS files that the settings name.
+func (p *Process) openCredentials() error {
+	s := p.settings
+	for _, c := range []struct {
+		store **credential.Store
+		files credential.Files
+	}{
+		{&p.guestTLS, credential.Files{Cert: s.GuestCertFile, Key: s.GuestKeyFile}},
+		{&p.peerTLS, credential.Files{Cert: s.PeerCertFile, Key: s.PeerKeyFile, CA: s.PeerCA}},
+		{&p.targetTLS, credential.Files{CA: s.TargetCA}},
+	} {
+		if c.files == (credential.Files{}) {
+			continue
+		}
+		store, err := credential.Open(c.files, func(err error) {
+			p.events.Emit(event.CertificateFailed, event.Fields{"fault": err.Error()})
+		})
+		if err != nil {
+			return fmt.Errorf("open TLS files: %w", err)
+		}
+		*c.store = store
+	}
+	return nil
+}
+
+// guestConfig returns the configuration for guests that ask for TLS, nil without one.
+func (p *Process) guestConfig() *tls.Config {
+	if p.guestTLS == nil {
+		return nil
+	}
+	return p.guestTLS.Server(tls.NoClientCert)
+}
+
+// serve starts the HTTP service, with TLS when the settings have it.
+func (p *Process) serve(mux *http.ServeMux) {
+	var handler http.Handler = mux
+	if p.peerTLS != nil {
+		handler = requireCertificate(mux)
+	}
+	p.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	listener := p.rpc
+	if p.peerTLS != nil {
+		listener = tls.NewListener(p.rpc, p.peerTLS.Server(tls.VerifyClientCertIfGiven))
+	}
+	p.group.Go(func() { _ = p.http.Serve(listener) })
+}
+
+// requireCertificate refuses clients without a verified certificate, except on the open pages.
+func requireCertificate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !openPages[r.URL.Path] && (r.TLS == nil || len(r.TLS.VerifiedChains) == 0) {
+			http.Error(w, "a client certificate is required", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// startLink makes both ends of the statement path between hosts.
+func (p *Process) startLink(self jacinthtiller.Host, views *entry.Views) {
+	server := []link.ServerOption{link.WithEvents(p.events)}
+	var opener []link.OpenerOption
+	if p.peerTLS != nil {
+		server = append(server, link.WithServerTLS(p.peerTLS.Server(tls.RequireAndVerifyClientCert)))
+		opener = append(opener, link.WithTLS(p.peerTLS.Client()))
+	}
+	p.server = link.NewServer(p.owner.Open, server...)
+	p.opener = link.NewOpener(self.Name, p.owner.Open, func(host string) (string, bool) {
+		h, ok := views.View().Hosts[host]
+		return h.Link, ok
+	}, opener...)
+}
--- a/event/entry.go
+++ b/event/entry.go
@@ -23,5 +23,5 @@
 	ObserveFailed = register(3008, "observe-failed", logrus.DebugLevel,
 		"A change of a target could not be reported to control; the next announcement reports it again.")
 	DocumentInvalid = register(3009, "document-invalid", logrus.ErrorLevel,
-		"A section of the accepted document cannot be read by this host; it keeps the section's former meaning.")
+		"A section of the accepted document cannot be read by this host; it uses the valid part.")
 )
--- a/event/process.go
+++ b/event/process.go
@@ -14,4 +14,6 @@
 		"A listener runs without TLS; anybody on the network can read its traffic.")
 	TraceFailed = register(104, "trace-failed", logrus.ErrorLevel,
 		"The trace file could not be written; the process goes on without a trace.")
+	CertificateFailed = register(105, "certificate-failed", logrus.ErrorLevel,
+		"Changed TLS files could not be read; the process goes on with those that it has.")
 )
--- a/operator/command.go
+++ b/operator/command.go
@@ -18,6 +18,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/credential"
 	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
@@ -69,6 +70,8 @@
 	tokenFile string
 	// timeoutMilliseconds bounds one call.
 	timeoutMilliseconds int
+	// files are those for TLS towards control and other processes.
+	files credential.Files
 }
 
 // Run runs one command line and returns its exit code. Results go to out, messages and progress to messages.
@@ -153,9 +156,29 @@
 	fs.StringVar(&t.control, "control", "", "`urls` of control processes, separated by commas")
 	fs.StringVar(&t.operator, "operator", "", "name of the operator")
 	fs.StringVar(&t.tokenFile, "token-file", "", "file with the operator's token")
+	t.secure(fs)
 	fs.IntVar(&t.timeoutMilliseconds, "timeout-milliseconds", 10000, "bound of the whole command, 100 to 600000")
 }
 
+// secure adds the flags for TLS.
+func (t *tool) secure(fs *flag.FlagSet) {
+	fs.StringVar(&t.files.CA, "ca-file", "", "authority that signs the processes' certificates")
+	fs.StringVar(&t.files.Cert, "cert-file", "", "certificate to show, for pages that require one")
+	fs.StringVar(&t.files.Key, "key-file", "", "key of the certificate")
+}
+
+// httpClient returns a client with the TLS files of the command line.
+func (t *tool) httpClient() (*http.Client, error) {
+	if t.files == (credential.Files{}) {
+		return wire.NewHTTPClient(), nil
+	}
+	s, err := credential.Open(t.files, nil)
+	if err != nil {
+		return nil, fmt.Errorf("open TLS files: %w", err)
+	}
+	return wire.NewTLSClient(s.Client()), nil
+}
+
 // client returns a client of control and a context with the command's deadline.
 func (t *tool) client(ctx context.Context) (context.Context, context.CancelFunc, *control.Client, error) {
 	var urls []string
@@ -174,8 +197,12 @@
 	if t.timeoutMilliseconds < 100 || t.timeoutMilliseconds > 600_000 {
 		return nil, nil, nil, usage("--timeout-milliseconds=%d is not between 100 and 600000", t.timeoutMilliseconds)
 	}
+	h, err := t.httpClient()
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(t.timeoutMilliseconds)*time.Millisecond)
-	return ctx, cancel, control.NewClient(urls, wire.NewHTTPClient()), nil
+	return ctx, cancel, control.NewClient(urls, h), nil
 }
 
 // print writes value as JSON, or calls table with aligned columns.
@@ -197,12 +224,16 @@
 }
 
 // fetch reads a page of a process's service.
-func fetch(ctx context.Context, url string) ([]byte, error) {
+func (t *tool) fetch(ctx context.Context, url string) ([]byte, error) {
+	client, err := t.httpClient()
+	if err != nil {
+		return nil, err
+	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", url, err)
 	}
-	res, err := wire.NewHTTPClient().Do(r)
+	res, err := client.Do(r)
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", url, err)
 	}
--- a/operator/local.go
+++ b/operator/local.go
@@ -83,9 +83,9 @@
 
 // dump prints the state of one process.
 func (t *tool) dump() *ffcli.Command {
-	return t.command("dump", "URL", "Print the whole state of a process as JSON.", 1, nil,
+	return t.command("dump", "URL", "Print the whole state of a process as JSON.", 1, t.secure,
 		func(ctx context.Context, args []string) error {
-			b, err := fetch(ctx, strings.TrimSuffix(args[0], "/")+"/dump")
+			b, err := t.fetch(ctx, strings.TrimSuffix(args[0], "/")+"/dump")
 			if err != nil {
 				return err
 			}
--- a/quickstart/path_test.go
+++ b/quickstart/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/jacinthtiller/jacinthtiller/bench"
 	"github.com/jacinthtiller/jacinthtiller/standin"
 )
 
@@ -81,3 +83,27 @@
 		})
 	}
 }
+
+// BenchmarkLoad runs guests on all hosts at a fixed rate; profiles of it show where the statement path spends its time.
+func BenchmarkLoad(b *testing.B) {
+	for name, share := range map[string]float64{"reads": 1, "writes": 0} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				c, err := Start(context.Background(), Options{})
+				if err != nil {
+					b.Fatal(err)
+				}
+				r, err := bench.Run(context.Background(), bench.Plan{
+					Logins: c.BenchLogins(14)[:1], Milliseconds: 8000, Rate: 2000, ReadShare: share, Seed: 1,
+				}, io.Discard)
+				if err != nil || r.ViolationCount > 0 {
+					b.Fatalf("%d violations, error %v", r.ViolationCount, err)
+				}
+				b.ReportMetric(float64(r.Reads.Median), "read-us-median")
+				b.ReportMetric(float64(r.Writes.Median), "write-us-median")
+				b.ReportMetric(r.OperationsPerSecond(), "operations/s")
+				c.Kill()
+			}
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -113,11 +114,15 @@
 }
 
 // NewHTTPClient returns a client that keeps connections per host open. Requests are bounded by their context.
-func NewHTTPClient() *http.Client {
+func NewHTTPClient() *http.Client { return NewTLSClient(nil) }
+
+// NewTLSClient returns a client like NewHTTPClient that uses the configuration for URLs with https.
+func NewTLSClient(c *tls.Config) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConns:        256,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
+		TLSClientConfig:     c,
 	}}
 }
