--- a/event/owner.go
+++ b/event/owner.go
@@ -24,6 +24,8 @@
 		"A target refuses entries of terms below the term named.")
 	FollowOrdered = register(4014, "follow-ordered", logrus.InfoLevel,
 		"A target has been ordered to replicate from the primary of the term named.")
+	HandedOver = register(4015, "handed-over", logrus.InfoLevel,
+		"The owner has given up a primary for a planned move after its last unit; the successor has the whole log.")
 	WritesHeld = register(4020, "writes-held", logrus.WarnLevel,
 		"Commits wait too long for a majority; new writes wait in the queue until commits settle again.")
 	WritesResumed = register(4021, "writes-resumed", logrus.InfoLevel,
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -242,7 +242,9 @@
 		if _, err := c.Write(answers[units]); err != nil {
 			return err
 		}
-		units++
+		if units++; units == len(answers) {
+			return nil
+		}
 	}
 }
 
--- a/owner/channel.go
+++ b/owner/channel.go
@@ -38,6 +38,9 @@
 	// busy is true while Run is at work; an idle transaction is rolled back only when it is false.
 	busy   bool
 	closed bool
+	// rolledBack is true when the open transaction was rolled back between units and the guest has not been
+	// told: the next unit belongs to that transaction and must not run outside it.
+	rolledBack bool
 	// pending is the idempotency key that the open transaction inserts before COMMIT.
 	pending pendingKey
 }
@@ -56,7 +59,8 @@
 			jacinthtiller.NotRun(jacinthtiller.CodeNotRunShutdown, jacinthtiller.ReasonDraining, "the channel is closed"))
 	}
 	h.busy = true
-	open := h.conn != nil
+	open, rolledBack := h.conn != nil, h.rolledBack
+	h.rolledBack = false
 	h.mu.Unlock()
 	if !h.o.enter() {
 		h.idle()
@@ -64,9 +68,13 @@
 	}
 	defer h.o.leave()
 	defer h.idle()
+	if rolledBack {
+		return failed(u, rolledBackBy("its target was given up")), nil
+	}
 	r := &run{h: h, u: u, ctx: ctx, sink: sink, open: open}
 	res, err := r.do()
 	res.Number = u.Number
+	h.o.meters.unit(res.Outcome)
 	if err != nil {
 		return res, fmt.Errorf("run unit %d: %w", u.Number, err)
 	}
@@ -135,7 +143,7 @@
 	}
 	c, g := h.conn, h.grant
 	h.conn, h.t, h.grant = nil, nil, nil
-	h.pending = pendingKey{}
+	h.pending, h.rolledBack = pendingKey{}, true
 	h.mu.Unlock()
 	t.pool.drop(c)
 	t.forget(h)
@@ -195,6 +203,8 @@
 		return failed(r.u, refuse(jacinthtiller.ReasonNotOwner, "host %s does not own target %s", r.h.o.host, r.u.Target)), nil
 	}
 	r.t = t
+	t.enter()
+	defer t.exit()
 	if err := r.admit(); err != nil {
 		return failed(r.u, err), nil
 	}
@@ -207,8 +217,10 @@
 	r.t, r.conn, r.grant = r.h.t, r.h.conn, r.h.grant
 	r.h.mu.Unlock()
 	if r.conn == nil {
-		return failed(r.u, r.rolledBack("its connection is closed")), nil
+		return failed(r.u, rolledBackBy("its connection is closed")), nil
 	}
+	r.t.enter()
+	defer r.t.exit()
 	if r.t.database != r.u.Database || r.t.name != r.u.Target {
 		return r.abandon(fmt.Errorf("a transaction cannot go on at target %s", r.u.Target))
 	}
@@ -233,10 +245,10 @@
 // abandon rolls back the open transaction because its next unit cannot run.
 func (r *run) abandon(cause error) (jacinthtiller.Result, error) {
 	r.end()
-	return failed(r.u, r.rolledBack(jacinthtiller.AsError(cause).Message)), nil
+	return failed(r.u, rolledBackBy(jacinthtiller.AsError(cause).Message)), nil
 }
 
-func (r *run) rolledBack(cause string) *jacinthtiller.Error {
+func rolledBackBy(cause string) *jacinthtiller.Error {
 	return jacinthtiller.NotRun(jacinthtiller.CodeRolledBack, "", "the transaction was rolled back: %s", cause)
 }
 
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -24,6 +24,9 @@
 	if err := r.h.plan.lay(r.conn, r.u, r.needsReset()); err != nil {
 		return r.refuseUnsent(err)
 	}
+	if r.h.plan.reset {
+		r.h.o.meters.resets.Add(r.ctx, 1)
+	}
 	r.conn.session = r.u.Session
 	r.before = r.t.position()
 	x, sent, err := r.talk()
@@ -216,9 +219,11 @@
 
 // acknowledge waits until the position is settled and then checks the lease.
 func (r *run) acknowledge(p jacinthtiller.Position) error {
+	begun := time.Now()
 	if err := r.lead.settle(r.ctx, p); err != nil {
 		return err
 	}
+	r.h.o.meters.settled(begun)
 	if !r.lead.valid() {
 		return fmt.Errorf("the lease or the lead of term %d ended before the answer", r.lead.term)
 	}
@@ -242,7 +247,7 @@
 	r.h.out = r.h.out[:0]
 	switch {
 	case r.open && (!sent || r.lead == nil || !mayEnd(r.u)):
-		return failed(r.u, r.rolledBack(cause.Error())), nil
+		return failed(r.u, rolledBackBy(cause.Error())), nil
 	case !sent:
 		return failed(r.u, refuse(jacinthtiller.ReasonTarget, "the connection to target %s failed: %v", r.t.name, cause)), nil
 	case r.lead == nil && !r.passed:
--- a/owner/keys.go
+++ b/owner/keys.go
@@ -325,7 +325,7 @@
 			return res, true, nil // the transaction has failed already; the unit may be its ROLLBACK
 		case refused != nil && refused.code != codeUniqueViolation:
 			r.end()
-			return failed(r.u, r.rolledBack(refused.message)), false, nil
+			return failed(r.u, rolledBackBy(refused.message)), false, nil
 		}
 		r.before = r.t.position()
 		res, err = r.keyRefused(key, err)
--- /dev/null
+++ b/owner/lead_test.go
@@ -0,0 +1,322 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// start runs a query in the background and returns what gives its outcome.
+func (s *session) start(sql string) (g *conc.WaitGroup, out *outcome) {
+	g, out = &conc.WaitGroup{}, &outcome{}
+	u := s.unit(simple(sql))
+	g.Go(func() { *out = s.run(u) })
+	return g, out
+}
+
+// committed waits until the primary has n more entries.
+func (c *cluster) committed(before jacinthtiller.Position, n uint64) {
+	eventually(c.t, func() bool { return c.targets[0].Position().Index >= before.Index+n })
+}
+
+func (c *cluster) lag(d time.Duration) {
+	for _, s := range c.targets[1:] {
+		s.SetLag(d)
+	}
+}
+
+// TestSettle guards against answers that are passed on before a majority has the
+// commit, after the lease has ended, or under a lead that is over.
+func TestSettle(t *testing.T) {
+	convey.Convey("While replicas lag", t, func() {
+		c := newCluster(t, 3, WithSlots(1))
+		s := prepared(c)
+		c.lag(time.Hour)
+		before := c.targets[0].Position()
+		g, o := s.start("INSERT INTO a VALUES (2, 'y')")
+		c.committed(before, 1)
+		convey.Convey("a write is held without its slot, and so is a read of it, until both settle", func() {
+			r := c.session("s2")
+			g2, o2 := r.start("SELECT v FROM a WHERE id = 2")
+			eventually(t, func() bool {
+				st := c.o.find("d", "t1")
+				st.mu.Lock()
+				defer st.mu.Unlock()
+				return st.units == 2 && st.gate.Stats().Running == 0
+			})
+			time.Sleep(50 * time.Millisecond) // room for an answer that would come too early
+			convey.So(o.Outcome+o2.Outcome, convey.ShouldBeEmpty)
+			c.lag(0)
+			g.Wait()
+			g2.Wait()
+			convey.So(o.says(), convey.ShouldEqual, "done C:INSERT 0 1 Z:I")
+			convey.So(o2.says(), convey.ShouldEqual, "done T D:y C:SELECT 1 Z:I")
+		})
+		convey.Convey("new writes wait in the queue and go on", func() {
+			l := c.o.leadOf("d")
+			eventually(t, func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.held })
+			g2, o2 := c.session("s2").start("INSERT INTO a VALUES (3, 'z')")
+			time.Sleep(50 * time.Millisecond) // room for a write that would run too early
+			convey.So(c.targets[0].Position().Index, convey.ShouldEqual, before.Index+1)
+			c.lag(0)
+			g.Wait()
+			g2.Wait()
+			convey.So(o2.says(), convey.ShouldEqual, "done C:INSERT 0 1 Z:I")
+		})
+		convey.Convey("the lease ends before the commit settles", func() {
+			c.lease(-time.Second)
+			c.lag(0)
+			g.Wait()
+			convey.So(o.says(), convey.ShouldEqual, "unknown 08007")
+			convey.So(o.answer, convey.ShouldBeEmpty)
+			convey.So(s.query("SELECT 1").Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonNoLease)
+			_, err := c.o.Mark(background, jacinthtiller.MarkRequest{Database: "d", Guests: []string{"guest"}})
+			convey.So(jacinthtiller.AsError(err).Reason, convey.ShouldEqual, jacinthtiller.ReasonNoLease)
+		})
+		convey.Convey("another term begins", func() {
+			c.apply(c.db().WithPrimary(2, ""))
+			c.lag(0)
+			g.Wait()
+			convey.So(o.says(), convey.ShouldEqual, "unknown 08007")
+		})
+		convey.Convey("a fence comes before its view", func() {
+			_, err := c.o.Fence(background, jacinthtiller.FenceRequest{Database: "d", Target: "t1", Term: 2})
+			convey.So(err, convey.ShouldBeNil)
+			c.apply(c.db())
+			c.lag(0)
+			g.Wait()
+			convey.So(o.says(), convey.ShouldEqual, "unknown 08007")
+			convey.So(s.query("SELECT 1").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeNotRun)
+		})
+	})
+}
+
+// TestMarks guards against a mark before a guest's write, whatever the table forgets.
+func TestMarks(t *testing.T) {
+	convey.Convey("The table never answers below a recorded write", t, func() {
+		rapid.Check(t, func(r *rapid.T) {
+			m := &marks{limit: rapid.IntRange(1, 4).Draw(r, "limit")}
+			newest := map[string]jacinthtiller.Position{}
+			var floor jacinthtiller.Position
+			for range rapid.IntRange(1, 40).Draw(r, "steps") {
+				p := jacinthtiller.Position{Term: 1, Index: rapid.Uint64Range(1, 50).Draw(r, "index")}
+				if rapid.IntRange(0, 5).Draw(r, "kind") == 0 {
+					m.raise(p)
+					floor = floor.Max(p)
+				} else {
+					g := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(r, "guest")
+					m.record(g, p)
+					newest[g] = newest[g].Max(p)
+				}
+				for g, p := range m.of([]string{"a", "b", "c", "d", "e", "f", "none"}) {
+					if !p.Covers(newest[g]) || !p.Covers(floor) {
+						r.Fatalf("mark of %s is %v, before %v or floor %v", g, p, newest[g], floor)
+					}
+				}
+				if m.size() > m.limit {
+					r.Fatalf("%d guests in a table of %d", m.size(), m.limit)
+				}
+			}
+		})
+	})
+	convey.Convey("A guest's mark covers what was acknowledged to it, in every way to write", t, func() {
+		c := newCluster(t, 3)
+		s := prepared(c)
+		asked := func() jacinthtiller.MarkResponse {
+			m, err := c.o.Mark(background, jacinthtiller.MarkRequest{Database: "d", Guests: []string{"guest", "other"}})
+			convey.So(err, convey.ShouldBeNil)
+			return m
+		}
+		floor := asked().Marks["other"]
+		for _, sql := range []string{"UPDATE a SET v = 'b'", "BEGIN; UPDATE a SET v = 'c'; COMMIT", "BEGIN", "UPDATE a SET v = 'd'", "COMMIT"} {
+			u := s.unit(simple(sql))
+			u.Access = jacinthtiller.AccessRead // as a function called by SELECT could write
+			o := s.run(u)
+			convey.So(o.Outcome, convey.ShouldEqual, jacinthtiller.OutcomeDone)
+			if o.Status == 'I' {
+				convey.So(asked().Marks["guest"], convey.ShouldResemble, c.targets[0].Position())
+			}
+		}
+		convey.So(asked().Marks["other"], convey.ShouldResemble, floor)
+		convey.Convey("also after another term or epoch began", func() {
+			last := c.targets[0].Position()
+			tg := c.db().Targets["t1"]
+			tg.Epoch++
+			c.apply(c.db().WithTarget(tg))
+			c.ready()
+			convey.So(asked().Marks["guest"].Covers(last), convey.ShouldBeTrue)
+			convey.So(asked().Marks["other"].Covers(last), convey.ShouldBeTrue)
+		})
+	})
+}
+
+// TestReconcile guards against a promotion that the view does not ask for, and
+// against targets that keep an old role.
+func TestReconcile(t *testing.T) {
+	convey.Convey("Roles follow the view", t, func() {
+		c := newCluster(t, 3)
+		s := prepared(c)
+		roles := func() string {
+			out := ""
+			for _, x := range c.targets {
+				out += fmt.Sprintf("%s %d ", x.Role(), x.Term())
+			}
+			return out
+		}
+		convey.Convey("nobody is promoted while the term has no primary", func() {
+			c.apply(c.db().WithPrimary(2, ""))
+			time.Sleep(3 * reconcileEvery) // room for a wrong order
+			convey.So(roles(), convey.ShouldEqual, "primary 1 replica 1 replica 1 ")
+			convey.So(s.query("SELECT 1").Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonNotOwner)
+		})
+		convey.Convey("the primary of another host's view is not promoted here", func() {
+			tg := c.db().Targets["t2"]
+			tg.Owner, tg.Epoch = "elsewhere", 2
+			c.apply(c.db().WithTarget(tg).WithPrimary(2, "t2"))
+			eventually(t, func() bool { return roles() == "replica 2 replica 1 replica 2 " })
+		})
+		convey.Convey("a new primary leads and the others follow it", func() {
+			c.apply(c.db().WithPrimary(2, "t2"))
+			s.c.ready()
+			convey.So(s.query("INSERT INTO a VALUES (2, 'y')").says(), convey.ShouldEqual, "done C:INSERT 0 1 Z:I")
+			eventually(t, func() bool { return roles() == "replica 2 primary 2 replica 2 " })
+		})
+		convey.Convey("an older view changes nothing", func() {
+			old := c.view
+			c.apply(c.db().WithPrimary(2, "t2"))
+			c.o.Apply(old)
+			eventually(t, func() bool { return roles() == "replica 2 primary 2 replica 2 " })
+		})
+	})
+}
+
+// TestMove guards against a planned move that cuts work, loses the last commits or takes the successor too early.
+func TestMove(t *testing.T) {
+	convey.Convey("A planned move waits for the transaction and the successor", t, func() {
+		c := newCluster(t, 3)
+		s := prepared(c)
+		convey.So(s.query("BEGIN").Status, convey.ShouldEqual, byte('T'))
+		convey.So(s.query("INSERT INTO a VALUES (2, 'y')").Status, convey.ShouldEqual, byte('T'))
+		db := c.db()
+		db.Moving = "t2"
+		c.apply(db)
+		convey.So(c.session("s2").query("SELECT 1").Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonDraining)
+		c.targets[1].SetLag(time.Hour)
+		convey.So(s.query("COMMIT").says(), convey.ShouldEqual, "done C:COMMIT Z:I")
+		time.Sleep(3 * reconcileEvery) // room for a move that would come too early
+		lost, _ := c.control.reports()
+		convey.So(lost, convey.ShouldEqual, 0)
+		c.targets[1].SetLag(0)
+		eventually(t, func() bool { lost, _ := c.control.reports(); return lost == 1 })
+		convey.So(c.targets[1].Position().Covers(c.targets[0].Position()), convey.ShouldBeTrue)
+		convey.So(c.session("s2").query("SELECT 1").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeNotRun)
+	})
+}
+
+// TestLoss guards against targets that are given up without proof, work that goes on
+// after that, and reports that get lost.
+func TestLoss(t *testing.T) {
+	convey.Convey("With a target that fails", t, func() {
+		c := newCluster(t, 3)
+		s := prepared(c)
+		c.control.failures = 2
+		convey.Convey("a dead one is lost and the report is repeated until it is accepted", func() {
+			c.targets[0].Kill()
+			eventually(t, func() bool { lost, _ := c.control.reports(); return lost == 3 })
+			convey.So(c.control.lost[2], convey.ShouldResemble, jacinthtiller.LostRequest{
+				Host: "h", Incarnation: "i", Database: "d", Target: "t1", Epoch: 1,
+			})
+			convey.So(s.query("SELECT 1").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeNotRun)
+			convey.So(c.o.Announced(jacinthtiller.Announcement{Database: "d", Target: "t1"}), convey.ShouldBeFalse)
+		})
+		convey.Convey("a frozen one is lost, and what it runs is not acknowledged later", func() {
+			c.targets[0].Freeze()
+			g, o := s.start("INSERT INTO a VALUES (2, 'y')")
+			began := time.Now()
+			eventually(t, func() bool { lost, _ := c.control.reports(); return lost == 3 })
+			convey.So(time.Since(began), convey.ShouldBeGreaterThan, silenceLimit)
+			g.Wait()
+			c.targets[0].Resume()
+			convey.So(o.says(), convey.ShouldEqual, "unknown 08007")
+		})
+		convey.Convey("a pause shorter than the limit is no loss", func() {
+			c.targets[0].Freeze()
+			time.Sleep(silenceLimit - probeLimit + 100*time.Millisecond)
+			c.targets[0].Resume()
+			convey.So(s.query("SELECT 1").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeDone)
+			lost, _ := c.control.reports()
+			convey.So(lost, convey.ShouldEqual, 0)
+		})
+		convey.Convey("a leaving one gets no new work and is reported", func() {
+			a := jacinthtiller.Announcement{
+				Database: "d", Target: "t1", Address: c.db().Targets["t1"].Address, GroupSize: 3,
+				Position: "1/1", Term: 1, Role: jacinthtiller.RolePrimary, State: jacinthtiller.StateLeaving,
+			}
+			convey.So(c.o.Announced(a), convey.ShouldBeTrue)
+			convey.So(s.query("SELECT 1").Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonDraining)
+			eventually(t, func() bool { _, n := c.control.reports(); return n == 1 })
+			a.State = jacinthtiller.StateServing
+			convey.So(c.o.Announced(a), convey.ShouldBeTrue)
+			convey.So(s.query("SELECT 1").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeDone)
+		})
+	})
+}
+
+// TestRemotePosition guards against settling on the word of a host that does not own
+// the replica, and against a peer that fails for good after one error.
+func TestRemotePosition(t *testing.T) {
+	convey.Convey("Commits settle through the replica's owner on another host", t, func() {
+		p := &fakePeer{failures: 2}
+		c := newCluster(t, 3, WithPeers(p))
+		p.c = c
+		db := c.db()
+		for _, n := range []string{"t2", "t3"} {
+			tg := db.Targets[n]
+			tg.Owner, tg.Epoch = "far", 2
+			db = db.WithTarget(tg)
+		}
+		c.view.Hosts = map[string]jacinthtiller.Host{"h": {Name: "h"}, "far": {Name: "far", RPC: "http://far"}}
+		c.view.Databases, c.view.Index = map[string]jacinthtiller.Database{"d": db}, c.view.Index+1
+		c.o.Apply(c.view)
+		s := c.ready()
+		convey.So(s.query("CREATE TABLE a (id int)").says(), convey.ShouldEqual, "done C:CREATE TABLE Z:I")
+		convey.So(p.url, convey.ShouldEqual, "http://far")
+	})
+}
+
+// peer names the embedded interface otherwise than the method Peer.
+type peer = jacinthtiller.Peer
+
+// fakePeer answers for the replicas from the stand-ins.
+type fakePeer struct {
+	peer
+	c   *cluster
+	url string
+	// failures is how many calls still fail.
+	failures int
+}
+
+func (p *fakePeer) Peer(url string) jacinthtiller.Peer {
+	p.c.control.mu.Lock()
+	defer p.c.control.mu.Unlock()
+	p.url = url
+	return p
+}
+
+func (p *fakePeer) WaitPosition(_ context.Context, r jacinthtiller.WaitPositionRequest) (jacinthtiller.WaitPositionResponse, error) {
+	p.c.control.mu.Lock()
+	defer p.c.control.mu.Unlock()
+	if p.failures > 0 {
+		p.failures--
+		return jacinthtiller.WaitPositionResponse{}, errors.New("not reached")
+	}
+	return jacinthtiller.WaitPositionResponse{Position: p.c.targets[1].Position()}, nil
+}
--- a/owner/marks.go
+++ b/owner/marks.go
@@ -12,6 +12,9 @@
 
 // marks holds, for one term of one primary, each guest's newest write that is or may be acknowledged.
 type marks struct {
+	// limit is the number of guests at which the floor rises.
+	limit int
+
 	mu sync.Mutex // guards the fields below
 	// floor is at or after every write that was acknowledged to a guest without an entry; it never decreases.
 	floor jacinthtiller.Position
@@ -49,7 +52,7 @@
 		m.guests = map[string]jacinthtiller.Position{}
 	}
 	m.guests[guest] = p
-	if len(m.guests) > maxGuests {
+	if len(m.guests) > m.limit {
 		m.shrink()
 	}
 }
--- /dev/null
+++ b/owner/metrics.go
@@ -0,0 +1,45 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// meters are the owner's instruments. An instrument that cannot be made is a
+// no-op one, which the API returns along with its error.
+type meters struct {
+	units   metric.Int64Counter
+	resets  metric.Int64Counter
+	settles metric.Float64Histogram
+	// outcomes holds the options per outcome, made once because units are frequent.
+	outcomes map[jacinthtiller.Outcome]metric.MeasurementOption
+}
+
+func newMeters() *meters {
+	m := otel.Meter("jacinthtiller/owner")
+	out := &meters{outcomes: map[jacinthtiller.Outcome]metric.MeasurementOption{}}
+	out.units, _ = m.Int64Counter("jacinthtiller.owner.units", metric.WithDescription("units by outcome"))
+	out.resets, _ = m.Int64Counter("jacinthtiller.owner.resets", metric.WithDescription("connections reset between sessions"))
+	out.settles, _ = m.Float64Histogram("jacinthtiller.owner.settle",
+		metric.WithUnit("s"), metric.WithDescription("waits for a majority"))
+	for _, o := range []jacinthtiller.Outcome{jacinthtiller.OutcomeDone, jacinthtiller.OutcomeNotRun, jacinthtiller.OutcomeUnknown} {
+		out.outcomes[o] = metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", string(o))))
+	}
+	return out
+}
+
+func (m *meters) unit(o jacinthtiller.Outcome) {
+	if opt, ok := m.outcomes[o]; ok {
+		m.units.Add(context.Background(), 1, opt)
+	}
+}
+
+func (m *meters) settled(since time.Time) {
+	m.settles.Record(context.Background(), time.Since(since).Seconds())
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -29,6 +29,7 @@
 	slots       int
 	connections int
 	capacity    int
+	meters      *meters
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -95,7 +96,7 @@
 		slots: 5, connections: 30, capacity: 1024,
 		login:   login{user: "jacinthtiller"},
 		targets: map[targetKey]*target{}, channels: map[*channel]struct{}{},
-		idle: make(chan struct{}),
+		idle: make(chan struct{}), meters: newMeters(),
 	}
 	for _, f := range opts {
 		f(o)
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"regexp"
 
@@ -223,6 +224,9 @@
 	expects []expectation
 	// at is the expectation that the next frame belongs to; the exchange is over at the end of expects.
 	at int
+	// answered is true once the simple query at hand has got a command's end or an error;
+	// a ReadyForQuery before that belongs to something else.
+	answered bool
 	// failed is the SQLSTATE of the first ErrorResponse that the guest sees.
 	failed string
 	// status is the transaction status of the last ReadyForQuery.
@@ -274,7 +278,7 @@
 	switch typ {
 	case 'C':
 		clear(x.c.statements)
-		x.c.dirty = false
+		x.c.dirty, x.answered = false, true
 	case 'T', 'D', 'I':
 	default:
 		return fmt.Errorf("unexpected message %q in the answer to a reset", typ)
@@ -292,6 +296,7 @@
 	if r == nil {
 		return nil, err
 	}
+	x.answered = true
 	for !x.expects[x.at].kind.ends() {
 		x.at++
 	}
@@ -308,10 +313,12 @@
 }
 
 func (x *exchange) ready(e expectation, f []byte) ([]byte, error) {
-	if !e.kind.ends() || len(f) != 6 {
-		return nil, fmt.Errorf("ReadyForQuery before the answers that were expected")
+	query := e.kind == expectQuery || e.kind == expectHiddenQuery
+	if !e.kind.ends() || query && !x.answered || len(f) != 6 {
+		return nil, errors.New("ReadyForQuery before the answers that were expected")
 	}
 	x.at++
+	x.answered = false
 	x.status = f[5]
 	if e.kind.hidden() {
 		return nil, nil
@@ -350,8 +357,10 @@
 		ok, done = e.kind == expectExecute || e.kind == expectQuery, false
 	case 'C':
 		ok, done = e.kind == expectExecute || e.kind == expectQuery, e.kind == expectExecute
+		x.answered = true
 		x.command(text(f[5:]))
 	case 'I':
+		x.answered = true
 		ok, done = e.kind == expectExecute || e.kind == expectQuery, e.kind == expectExecute
 	case 's':
 		ok = e.kind == expectExecute
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -114,7 +114,8 @@
 func (p *pool) put(c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
-	keep := !p.closed && c.address == p.address && !c.cancelled.Load() && !c.closed.Load()
+	// Unread frames belong to no unit; the next one must not take them for its answer.
+	keep := !p.closed && c.address == p.address && !c.cancelled.Load() && !c.closed.Load() && c.waiting()
 	if keep {
 		p.all[c] = false
 		p.idle = append(p.idle, c)
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -113,6 +113,9 @@
 		if ready.IsZero() || denied {
 			return t.promote(ctx, l)
 		}
+		if db.Moving != "" {
+			return t.handOver(ctx, db.Moving)
+		}
 		return nil
 	}
 	if db.Primary == "" || db.Primary == t.name {
@@ -168,6 +171,40 @@
 	return nil
 }
 
+// handOver gives up the ownership of a primary for a planned move, once no work is
+// left on it and the successor has all of its log.
+func (t *target) handOver(ctx context.Context, successor string) error {
+	if !t.quiet(false) {
+		return nil
+	}
+	if err := t.readPosition(ctx, &t.orders); err != nil {
+		return err
+	}
+	last := t.position()
+	wait, cancel := context.WithTimeout(ctx, reconcileEvery)
+	defer cancel()
+	p, err := t.o.askPosition(wait, t.database, successor, last)
+	if err != nil || !p.Covers(last) || !t.quiet(true) {
+		return err
+	}
+	t.emit(event.HandedOver, event.Fields{"successor": successor, "position": last.String()})
+	t.release(true)
+	t.o.group.Go(t.reportLost)
+	return nil
+}
+
+// quiet reports whether the target takes no new work and none is left. With stop it
+// also ends the target's work for good, so that none can begin afterwards.
+func (t *target) quiet(stop bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.leaving || t.units > 0 || len(t.channels) > 0 {
+		return false
+	}
+	t.lost = t.lost || stop
+	return true
+}
+
 // probe asks the target for its position and gives the target up when it does not answer.
 func (t *target) probe() {
 	var failing time.Time // start of the first probe of the row that failed
--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -1,19 +1,267 @@
 package owner
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
 )
 
-// TestFirst guards against a path from unit to answer that does not work at all.
-func TestFirst(t *testing.T) {
-	convey.Convey("A write and a read on the primary", t, func() {
+// replicaUnit returns a read for the replica t2.
+func (s *session) replicaUnit(sql string) jacinthtiller.Unit {
+	u := s.unit(simple(sql))
+	u.Target, u.Access, u.Epoch = "t2", jacinthtiller.AccessRead, s.c.db().Targets["t2"].Epoch
+	return u
+}
+
+// prepared waits until the replica t2 serves a table a with one row and returns a session.
+func prepared(c *cluster) *session {
+	s := c.ready()
+	convey.So(s.query("CREATE TABLE a (id int primary key, v text)").says(), convey.ShouldEqual, "done C:CREATE TABLE Z:I")
+	o := s.query("INSERT INTO a VALUES (1, 'x')")
+	convey.So(o.says(), convey.ShouldEqual, "done C:INSERT 0 1 Z:I")
+	eventually(c.t, func() bool {
+		u := s.replicaUnit("SELECT v FROM a")
+		u.Mark, u.WaitUntil = o.Position, time.Now().Add(time.Second)
+		return s.run(u).says() == "done T D:x C:SELECT 1 Z:I"
+	})
+	return s
+}
+
+// TestLostConnection guards against an outcome that claims more than a broken
+// connection proves, and against connections that are used again in an unknown state.
+func TestLostConnection(t *testing.T) {
+	cases := map[string]struct {
+		before []string
+		sql    string
+		read   bool
+		at     cutAt
+		says   string
+	}{
+		"write, before it arrives":       {nil, "INSERT INTO a VALUES (2, 'cut')", false, beforeSend, "unknown 08007"},
+		"write, after it ran":            {nil, "INSERT INTO a VALUES (2, 'cut')", false, beforeReply, "unknown 08007"},
+		"rows on the primary":            {nil, "SELECT 'cut' FROM a", false, midReply, "unknown 08007"},
+		"statement of a transaction":     {[]string{"BEGIN"}, "INSERT INTO a VALUES (2, 'cut')", false, beforeReply, "not-run 40000"},
+		"rows in a transaction":          {[]string{"BEGIN"}, "SELECT 'cut' FROM a", false, midReply, "not-run 40000"},
+		"commit, before it arrives":      {[]string{"BEGIN", "DELETE FROM a"}, "COMMIT /* cut */", false, beforeSend, "unknown 08007"},
+		"commit, after it ran":           {[]string{"BEGIN", "DELETE FROM a"}, "end /* cut */", false, beforeReply, "unknown 08007"},
+		"read on a replica, no answer":   {nil, "SELECT 'cut'", true, beforeReply, "not-run JT003"},
+		"read on a replica, in the rows": {nil, "SELECT 'cut' FROM a", true, midReply, "unknown 08007"},
+		"a frame of somebody else":       {nil, "INSERT INTO a VALUES (2, 'cut')", false, extraFrame, "unknown 08007"},
+		"a second end comes late":        {nil, "SELECT 'cut'", false, lateError, "done T D:cut C:SELECT 1 Z:I"},
+	}
+	convey.Convey("A connection breaks", t, func() {
+		c := newCluster(t, 3)
+		s := prepared(c)
+		for name, x := range cases {
+			convey.Convey(name, func() {
+				tap, u := c.taps[0], s.unit(simple(x.sql))
+				if x.read {
+					tap, u = c.taps[1], s.replicaUnit(x.sql)
+				}
+				for _, b := range x.before {
+					convey.So(s.query(b).Outcome, convey.ShouldEqual, jacinthtiller.OutcomeDone)
+				}
+				tap.breakAt("cut", x.at)
+				convey.So(s.run(u).says(), convey.ShouldEqual, x.says)
+				convey.So(s.query("SELECT 'next'").says(), convey.ShouldEqual, "done T D:next C:SELECT 1 Z:I")
+				convey.So(s.query("SELECT 'last'").says(), convey.ShouldEqual, "done T D:last C:SELECT 1 Z:I")
+			})
+		}
+		convey.Convey("before anything was sent", func() {
+			_ = c.taps[0].l.Close()
+			tg := c.o.find("d", "t1")
+			tg.pool.mu.Lock()
+			tg.pool.closeIdle()
+			tg.pool.mu.Unlock()
+			convey.So(s.query("INSERT INTO a VALUES (3, 'x')").says(), convey.ShouldEqual, "not-run JT003")
+		})
+		convey.Convey("because the guest's side takes no more", func() {
+			u := s.unit(simple("SELECT v FROM a"))
+			_, err := s.h.Run(background, u, func([]byte) error { return fmt.Errorf("gone") })
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(s.query("SELECT 'next'").says(), convey.ShouldEqual, "done T D:next C:SELECT 1 Z:I")
+		})
+	})
+}
+
+// TestStatements guards against prepared statements that a connection is believed to
+// hold, or to lack, when it does not; and against state that leaks to another session.
+func TestStatements(t *testing.T) {
+	parse := func(name, sql string) []byte { return encode(&pgproto3.Parse{Name: name, Query: sql}) }
+	use := func(name string) []byte {
+		return encode(&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{})
+	}
+	sync := encode(&pgproto3.Sync{})
+	join := func(parts ...[]byte) (out []byte) {
+		for _, p := range parts {
+			out = append(out, p...)
+		}
+		return out
+	}
+	one := []jacinthtiller.Statement{{Name: "p1", SQL: "SELECT 1"}}
+	bad := []jacinthtiller.Statement{{Name: "p2", SQL: "SELECT 1; SELECT 2"}, one[0]}
+	type step struct {
+		session  string
+		prepares []jacinthtiller.Statement
+		frames   []byte
+		says     string
+		// sent are the Parse, Close and reset messages that the target got.
+		sent []string
+	}
+	const ran = "done 1 2 D:1 C:SELECT 1 Z:I"
+	first := step{"s1", nil, join(parse("p1", "SELECT 1"), use("p1"), sync), ran, []string{"P p1 SELECT 1"}}
+	cases := map[string][]step{
+		"parsed twice": {first, {"s1", nil, first.frames, ran, []string{"C S" + neverUsed}}},
+		"parsed twice in one unit": {{
+			"s1", nil, join(parse("p1", "SELECT 1"), first.frames), "done 1 1 2 D:1 C:SELECT 1 Z:I",
+			[]string{"P p1 SELECT 1", "C S" + neverUsed},
+		}},
+		"used later":           {first, {"s1", one, join(use("p1"), sync), "done 2 D:1 C:SELECT 1 Z:I", nil}},
+		"unknown here":         {{"s1", one, join(use("p1"), sync), "done 2 D:1 C:SELECT 1 Z:I", []string{"P p1 SELECT 1"}}},
+		"before simple query":  {{"s1", bad, simple("SELECT 2"), "done T D:2 C:SELECT 1 Z:I", []string{"P p2 SELECT 1; SELECT 2", "P p1 SELECT 1"}}},
+		"another session":      {first, {"s2", one, join(use("p1"), sync), "done 2 D:1 C:SELECT 1 Z:I", []string{"Q DISCARD ALL", "P p1 SELECT 1"}}},
+		"closed, then parsed":  {first, {"s1", nil, join(encode(&pgproto3.Close{ObjectType: 'S', Name: "p1"}), first.frames), "done 3 1 2 D:1 C:SELECT 1 Z:I", []string{"C Sp1", "P p1 SELECT 1"}}},
+		"deallocated by guest": {first, {"s1", nil, simple("DEALLOCATE ALL"), "done C:DEALLOCATE ALL Z:I", []string{"Q DEALLOCATE ALL"}}, first},
+		"failed, rest skipped": {
+			{
+				"s1", nil, join(parse("p2", "SELECT 1; SELECT 2"), parse("p1", "SELECT 1"), use("p1"), sync), "done E:42601 Z:I",
+				[]string{"P p2 SELECT 1; SELECT 2", "P p1 SELECT 1"},
+			},
+			{"s1", one, join(use("p1"), sync), "done 2 D:1 C:SELECT 1 Z:I", []string{"P p1 SELECT 1"}},
+			{"s1", bad[:1], join(use("p2"), sync), "done E:42601 Z:I", []string{"P p2 SELECT 1; SELECT 2"}},
+		},
+	}
+	convey.Convey("Statements are parsed where they are missing", t, func() {
+		for name, steps := range cases {
+			convey.Convey(name, func() {
+				c := newCluster(t, 1, WithSlots(1), WithConnections(reservedConnections+1))
+				s := c.ready()
+				for _, x := range steps {
+					c.taps[0].messages()
+					u := s.unit(x.frames)
+					u.Session, u.Prepares = x.session, x.prepares
+					convey.So(s.run(u).says(), convey.ShouldEqual, x.says)
+					convey.So(c.taps[0].messages("P p", "C S", "DISCARD", "DEALLOCATE"), convey.ShouldResemble, x.sent)
+				}
+			})
+		}
+	})
+}
+
+// TestReplica guards against reads that miss the mark, and against refusals of a replica that reach the guest.
+func TestReplica(t *testing.T) {
+	convey.Convey("On a replica", t, func() {
 		c := newCluster(t, 3)
+		s := prepared(c)
+		u := s.replicaUnit("SELECT v FROM a")
+		convey.Convey("a read waits for its mark", func() {
+			c.targets[1].SetLag(50 * time.Millisecond)
+			o := s.query("UPDATE a SET v = 'y'")
+			u.Mark, u.WaitUntil = o.Position, time.Now().Add(5*time.Second)
+			got := s.run(u)
+			convey.So(got.says(), convey.ShouldEqual, "done T D:y C:SELECT 1 Z:I")
+			convey.So(got.Position.Covers(o.Position), convey.ShouldBeTrue)
+		})
+		convey.Convey("a read whose wait ends is behind", func() {
+			u.Mark, u.WaitUntil = jacinthtiller.Position{Term: 1, Index: 1000}, time.Now().Add(5*time.Millisecond)
+			o := s.run(u)
+			convey.So(o.Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonBehind)
+			convey.So(o.answer, convey.ShouldBeEmpty)
+		})
+		convey.Convey("a write in a read's clothes is refused without frames", func() {
+			for _, frames := range [][]byte{
+				simple("UPDATE a SET v = 'z'"),
+				encode(&pgproto3.Parse{Query: "UPDATE a SET v = 'z'"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}),
+			} {
+				u.Frames = frames
+				o := s.run(u)
+				convey.So(o.says(), convey.ShouldEqual, "not-run 25006")
+				convey.So(o.Failed+o.answer, convey.ShouldEqual, "25006")
+			}
+		})
+		convey.Convey("other units are refused", func() {
+			for name, change := range map[string]func(u *jacinthtiller.Unit){
+				"writes":                      func(u *jacinthtiller.Unit) { u.Access = jacinthtiller.AccessWrite },
+				"reads that need the primary": func(u *jacinthtiller.Unit) { u.Primary = true },
+				"those of another epoch":      func(u *jacinthtiller.Unit) { u.Epoch++ },
+				"those of another term":       func(u *jacinthtiller.Unit) { u.Target, u.Term = "t1", 2 },
+				"those for unknown targets":   func(u *jacinthtiller.Unit) { u.Target = "t9" },
+			} {
+				w := u
+				change(&w)
+				convey.So(name+" "+string(s.run(w).Err.Reason), convey.ShouldEqual, name+" "+string(jacinthtiller.ReasonNotOwner))
+			}
+		})
+	})
+}
+
+// TestTransaction guards against transactions that outlive their target, their
+// session's channel or a drain, and against statements of two sessions that mix.
+func TestTransaction(t *testing.T) {
+	convey.Convey("With a transaction open", t, func() {
+		c := newCluster(t, 1, WithSlots(1), WithConnections(reservedConnections+2))
+		s := c.ready()
+		convey.So(s.query("CREATE TABLE a (id int primary key, v text)").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeDone)
+		convey.So(s.query("BEGIN").says(), convey.ShouldEqual, "done C:BEGIN Z:T")
+		convey.So(s.query("INSERT INTO a VALUES (1, 'x')").says(), convey.ShouldEqual, "done C:INSERT 0 1 Z:T")
+		other := c.session("s2")
+		count := func() string { return other.query("SELECT count(*) FROM a").answer }
+		convey.Convey("others neither see it nor wait for its slot", func() {
+			convey.So(count(), convey.ShouldEqual, "T D:0 C:SELECT 1 Z:I")
+			convey.So(s.query("COMMIT").says(), convey.ShouldEqual, "done C:COMMIT Z:I")
+			convey.So(count(), convey.ShouldEqual, "T D:1 C:SELECT 1 Z:I")
+		})
+		convey.Convey("a channel's end rolls it back", func() {
+			convey.So(s.h.Close(), convey.ShouldBeNil)
+			eventually(t, func() bool { return c.o.find("d", "t1").gate.Stats().Connections == 0 })
+			convey.So(other.query("INSERT INTO a VALUES (1, 'y')").says(), convey.ShouldEqual, "done C:INSERT 0 1 Z:I")
+		})
+		convey.Convey("another epoch rolls it back and then works", func() {
+			tg := c.db().Targets["t1"]
+			tg.Epoch++
+			c.apply(c.db().WithTarget(tg))
+			convey.So(s.query("COMMIT").says(), convey.ShouldEqual, "not-run 40000")
+			eventually(t, func() bool { return count() == "T D:0 C:SELECT 1 Z:I" })
+		})
+		convey.Convey("a drain lets it end and takes nothing new", func() {
+			var g conc.WaitGroup
+			var drained error
+			g.Go(func() { drained = c.o.Drain(background) })
+			eventually(t, func() bool { return other.query("SELECT 1").says() == "not-run JT004" })
+			convey.So(s.query("COMMIT").says(), convey.ShouldEqual, "done C:COMMIT Z:I")
+			g.Wait()
+			convey.So(drained, convey.ShouldBeNil)
+		})
+	})
+}
+
+// TestCancel guards against a cancel that strikes the next unit on the connection.
+func TestCancel(t *testing.T) {
+	convey.Convey("A cancel ends the unit and the connection is not used again", t, func() {
+		c := newCluster(t, 1, WithSlots(1), WithConnections(reservedConnections+1))
 		s := c.ready()
-		convey.So(s.query("CREATE TABLE a (id int, v text)").says(), convey.ShouldEqual, "done C:CREATE TABLE Z:I")
-		o := s.query("INSERT INTO a VALUES (1, 'x')")
-		convey.So(o.says(), convey.ShouldEqual, "done C:INSERT 0 1 Z:I")
-		convey.So(s.query("SELECT v FROM a").says(), convey.ShouldEqual, "done T D:x C:SELECT 1 Z:I")
+		convey.So(s.h.Cancel(background), convey.ShouldBeNil)
+		c.targets[0].SetService(300 * time.Millisecond)
+		var g conc.WaitGroup
+		h := s.h.(*channel)
+		g.Go(func() {
+			eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.running != nil })
+			ctx, cancel := context.WithTimeout(background, 5*time.Second)
+			defer cancel()
+			_ = h.Cancel(ctx)
+		})
+		s.query("SELECT 1")
+		g.Wait()
+		c.targets[0].SetService(0)
+		_, idle := c.o.find("d", "t1").pool.size()
+		convey.So(idle, convey.ShouldEqual, 0)
+		convey.So(s.query("SELECT 1").says(), convey.ShouldEqual, "done T D:1 C:SELECT 1 Z:I")
 	})
 }
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -61,6 +61,7 @@
 func newLead(ctx context.Context, t *target, term uint64, group int) *lead {
 	l := &lead{t: t, term: term, group: group, ready: make(chan struct{}), wakes: map[string]chan struct{}{}}
 	l.ctx, l.end = context.WithCancel(ctx)
+	l.marks.limit = maxGuests
 	l.settled = replica.NewSettlement(term, group, t.name)
 	return l
 }
--- a/owner/target.go
+++ b/owner/target.go
@@ -56,6 +56,8 @@
 	// moved is closed and replaced when known grows.
 	moved   chan struct{}
 	waiters int
+	// units counts the units between their first check and the end of their answer, settlement included.
+	units int
 	// channels are the channels that hold a connection for an open transaction.
 	channels map[*channel]struct{}
 }
@@ -144,9 +146,11 @@
 	t.lead = nil
 }
 
-// followState drains the gate while the view or the target says leaving. It is called with mu held.
+// followState drains the gate while the view or the target says leaving, or a
+// planned move waits for a primary to become free. It is called with mu held.
 func (t *target) followState() {
-	leaving := t.spec.State == jacinthtiller.StateLeaving || t.announced.State == jacinthtiller.StateLeaving
+	leaving := t.spec.State == jacinthtiller.StateLeaving || t.announced.State == jacinthtiller.StateLeaving ||
+		t.db.Primary == t.name && t.db.Moving != ""
 	if leaving == t.leaving {
 		return
 	}
@@ -196,6 +200,21 @@
 	}
 }
 
+func (t *target) enter() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.units++
+}
+
+func (t *target) exit() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.units--
+	if t.leaving && t.units == 0 {
+		t.look()
+	}
+}
+
 // check says whether the unit may run now, and under which lead when it is work on a primary.
 func (t *target) check(u jacinthtiller.Unit, open bool) (*lead, *jacinthtiller.Error) {
 	t.mu.Lock()
