entry: tests of leases, views and announcements

Cause: the duties of the entry role had no tests of their own. Change: virtual time for the lease, tables for deltas and announcements, fakes of control and peers.

--- /dev/null
+++ b/entry/host_test.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/owner"
+)
+
+// fakeControl grants leases after a delay and sends the deltas it is given.
+type fakeControl struct {
+	mu       sync.Mutex
+	down     bool
+	answer   time.Time
+	deltas   chan jacinthtiller.Delta
+	observed []jacinthtiller.ObserveRequest
+	unknown  bool
+	register int
+	released bool
+}
+
+var errDown = errors.New("control is unreachable")
+
+const testLease = 1500 * time.Millisecond
+
+func (c *fakeControl) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+func (c *fakeControl) set(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+func (c *fakeControl) Register(context.Context, jacinthtiller.Host) (jacinthtiller.RegisterResponse, error) {
+	if c.isDown() {
+		return jacinthtiller.RegisterResponse{}, errDown
+	}
+	c.set(func() { c.register++; c.unknown = false })
+	return jacinthtiller.RegisterResponse{Index: 1}, nil
+}
+
+func (c *fakeControl) Renew(context.Context, jacinthtiller.RenewRequest) (jacinthtiller.RenewResponse, error) {
+	time.Sleep(100 * time.Millisecond)
+	if c.isDown() {
+		return jacinthtiller.RenewResponse{}, errDown
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer = time.Now()
+	return jacinthtiller.RenewResponse{LeaseMicroseconds: testLease.Microseconds(), Unregistered: c.unknown}, nil
+}
+
+func (c *fakeControl) Release(context.Context, jacinthtiller.ReleaseRequest) error {
+	c.set(func() { c.released = true })
+	return nil
+}
+
+func (c *fakeControl) Observe(_ context.Context, r jacinthtiller.ObserveRequest) error {
+	c.set(func() { c.observed = append(c.observed, r) })
+	return nil
+}
+
+func (c *fakeControl) Lost(context.Context, jacinthtiller.LostRequest) error { return nil }
+
+func (c *fakeControl) Watch(ctx context.Context, _ uint64, apply func(jacinthtiller.Delta) error) error {
+	for {
+		if c.isDown() {
+			return errDown
+		}
+		select {
+		case d := <-c.deltas:
+			if err := apply(d); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// otherCalls stands for the calls that no test makes.
+type otherCalls = jacinthtiller.Peer
+
+// fakePeer answers for all other hosts.
+type fakePeer struct {
+	otherCalls
+	mu        sync.Mutex
+	view      jacinthtiller.View
+	err       error
+	announced []jacinthtiller.Announcement
+}
+
+func (p *fakePeer) Peer(string) jacinthtiller.Peer { return p }
+
+func (p *fakePeer) View(context.Context) (jacinthtiller.View, error) { return p.view, p.err }
+
+func (p *fakePeer) Announce(_ context.Context, a jacinthtiller.Announcement) (jacinthtiller.AnnounceResponse, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announced = append(p.announced, a)
+	return jacinthtiller.AnnounceResponse{Owner: "http://owner"}, p.err
+}
+
+func start(c *fakeControl, p *fakePeer) *Host {
+	c.deltas = make(chan jacinthtiller.Delta)
+	return Start(Config{
+		Self:    jacinthtiller.Host{Name: "h1", Domain: "cluj-a", Incarnation: "i1", RPC: "http://h1"},
+		Control: c, Peers: p, PeerURLs: []string{"http://h2"}, Views: NewViews(), Owner: owner.New(owner.WithHost("h1")),
+	})
+}
+
+// stop ends the host and what it made, so that the bubble of virtual time can end.
+func stop(h *Host) {
+	h.Close()
+	_ = h.config.Owner.Close()
+}
+
+// TestLease guards against a lease that the host holds longer than the leader counts it, and one that outlives a release.
+func TestLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("The deadline counts from before the request", t, func() {
+			c := &fakeControl{}
+			h := start(c, &fakePeer{})
+			defer stop(h)
+			time.Sleep(150 * time.Millisecond)
+			synctest.Wait()
+			convey.So(h.Ready(), convey.ShouldBeTrue)
+			// The answer came 100 ms after the request.
+			convey.So(h.Dump().LeaseDeadline, convey.ShouldEqual, c.answer.Add(testLease-100*time.Millisecond))
+
+			convey.Convey("It ends while control is away and comes back with it", func() {
+				c.set(func() { c.down = true })
+				time.Sleep(3 * time.Second)
+				convey.So(h.Dump().LeaseDeadline.IsZero(), convey.ShouldBeTrue)
+				c.set(func() { c.down = false })
+				time.Sleep(time.Second)
+				convey.So(h.Dump().LeaseDeadline.After(time.Now()), convey.ShouldBeTrue)
+			})
+			convey.Convey("A host that control does not know registers again", func() {
+				c.set(func() { c.unknown = true })
+				time.Sleep(2 * time.Second)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				convey.So(c.register, convey.ShouldEqual, 2)
+			})
+			convey.Convey("After a release no renewal brings it back", func() {
+				convey.So(h.Release(context.Background()), convey.ShouldBeNil)
+				time.Sleep(2 * time.Second)
+				convey.So(h.Dump().LeaseDeadline.IsZero(), convey.ShouldBeTrue)
+				convey.So(h.Ready(), convey.ShouldBeFalse)
+				convey.So(c.released, convey.ShouldBeTrue)
+			})
+		})
+	})
+}
+
+// TestView guards against a view that goes back, through control or through a peer.
+func TestView(t *testing.T) {
+	cases := map[string]struct {
+		delta jacinthtiller.Delta
+		want  uint64
+	}{
+		"next delta":              {jacinthtiller.Delta{From: 20, Index: 21}, 21},
+		"newer full view":         {jacinthtiller.Delta{Index: 30}, 30},
+		"older full view":         {jacinthtiller.Delta{Index: 10}, 20},
+		"delta from another view": {jacinthtiller.Delta{From: 25, Index: 26}, 20},
+		"delta that was applied":  {jacinthtiller.Delta{From: 19, Index: 20}, 20},
+	}
+	convey.Convey("Views take only what is newer", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				v := NewViews()
+				v.Apply(jacinthtiller.Delta{Index: 20})
+				v.Apply(c.delta)
+				convey.So(v.View().Index, convey.ShouldEqual, c.want)
+			})
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Without control the highest view of the peers is taken", t, func() {
+			c, p := &fakeControl{down: true}, &fakePeer{view: jacinthtiller.View{Index: 40}}
+			h := start(c, p)
+			defer stop(h)
+			time.Sleep(time.Second)
+			convey.So(h.config.Views.View().Index, convey.ShouldEqual, 40)
+			p.view.Index = 30
+			time.Sleep(time.Second)
+			convey.So(h.config.Views.View().Index, convey.ShouldEqual, 40)
+		})
+	})
+}
+
+// TestAnnounce guards against bad announcements that are taken and changes that control does not hear of.
+func TestAnnounce(t *testing.T) {
+	good := jacinthtiller.Announcement{
+		Database: "d", Target: "t", Address: "127.0.0.1:1", Domain: "cluj-a", GroupSize: 3, Position: "1/2", Term: 1,
+		Role: jacinthtiller.RolePrimary, State: jacinthtiller.StateServing,
+	}
+	view := jacinthtiller.View{
+		Index: 5,
+		Hosts: map[string]jacinthtiller.Host{"h2": {Name: "h2", RPC: "http://h2"}},
+		Databases: map[string]jacinthtiller.Database{"d": {
+			Name: "d", Term: 1, Primary: "t", GroupSize: 3, Targets: map[string]jacinthtiller.Target{"t": {
+				Name: "t", Database: "d", Address: "127.0.0.1:1", Domain: "cluj-a", Owner: "h2", Epoch: 1,
+				State: jacinthtiller.StateServing,
+			}},
+		}},
+	}
+	cases := map[string]struct {
+		change      func(*jacinthtiller.Announcement)
+		ownerDown   bool
+		refused     bool
+		observed    int
+		unreachable bool
+	}{
+		"nothing new":              {change: func(*jacinthtiller.Announcement) {}},
+		"owner does not answer":    {change: func(*jacinthtiller.Announcement) {}, ownerDown: true, observed: 1, unreachable: true},
+		"another address":          {change: func(a *jacinthtiller.Announcement) { a.Address = "127.0.0.1:2" }, observed: 1},
+		"leaving":                  {change: func(a *jacinthtiller.Announcement) { a.State = jacinthtiller.StateLeaving }, observed: 1},
+		"unknown target":           {change: func(a *jacinthtiller.Announcement) { a.Target = "new" }, observed: 1},
+		"greater group":            {change: func(a *jacinthtiller.Announcement) { a.GroupSize = 5 }, observed: 1},
+		"no name":                  {change: func(a *jacinthtiller.Announcement) { a.Target = "" }, refused: true},
+		"position is not one":      {change: func(a *jacinthtiller.Announcement) { a.Position = "2" }, refused: true},
+		"term below the position":  {change: func(a *jacinthtiller.Announcement) { a.Position = "2/1" }, refused: true},
+		"another failure domain":   {change: func(a *jacinthtiller.Announcement) { a.Domain = "iasi-a" }, refused: true},
+		"group without a target":   {change: func(a *jacinthtiller.Announcement) { a.GroupSize = 0 }, refused: true},
+		"role that does not exist": {change: func(a *jacinthtiller.Announcement) { a.Role = "leader" }, refused: true},
+	}
+	convey.Convey("Announcements are checked, passed on and reported", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				control, peer := &fakeControl{}, &fakePeer{}
+				if c.ownerDown {
+					peer.err = errDown
+				}
+				h := start(control, peer)
+				defer stop(h)
+				h.config.Views.Offer(view)
+				a := good
+				c.change(&a)
+				_, err := h.Announce(context.Background(), a)
+				convey.So(err != nil, convey.ShouldEqual, c.refused)
+				deadline := time.Now().Add(10 * time.Second)
+				reports := func() []jacinthtiller.ObserveRequest {
+					control.mu.Lock()
+					defer control.mu.Unlock()
+					return control.observed
+				}
+				for len(reports()) < c.observed && time.Now().Before(deadline) {
+					time.Sleep(time.Millisecond)
+				}
+				convey.So(reports(), convey.ShouldHaveLength, c.observed)
+				if c.observed > 0 {
+					convey.So(reports()[0].OwnerUnreachable, convey.ShouldEqual, c.unreachable)
+				}
+				if !c.refused && a.Target == "t" {
+					convey.So(peer.announced, convey.ShouldHaveLength, 1)
+					convey.So(peer.announced[0].Forwarded, convey.ShouldBeTrue)
+				}
+			})
+		}
+	})
+}
