session: release the channel before a pause; bound opening; sharper tests

A request held its channel while it waited for another attempt, and a host that did not answer could keep it from following a new view for 2 s.

The channel is closed before the pause, and opening is bounded by 500 ms. A fault of the program no longer leaves a channel open.

--- a/session/fake_test.go
+++ b/session/fake_test.go
@@ -264,6 +264,11 @@
 			out, failed = c.execute(out, u, m.String, true)
 			out = encode(out, &pgproto3.ReadyForQuery{TxStatus: c.status})
 		case *pgproto3.Parse:
+			if strings.HasPrefix(m.Query, "broken") {
+				failed = "42601"
+				out = encode(out, &pgproto3.ErrorResponse{Severity: "ERROR", Code: failed, Message: "syntax error"})
+				continue
+			}
 			c.prepared[m.Name] = m.Query
 			out = encode(out, &pgproto3.ParseComplete{})
 		case *pgproto3.Bind:
--- a/session/protocol_test.go
+++ b/session/protocol_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +49,9 @@
 	var out []string
 	for n > 0 {
 		m, err := c.f.Receive()
+		if errors.Is(err, syscall.ECONNRESET) {
+			return strings.Join(append(out, "reset"), " ")
+		}
 		if err != nil {
 			return strings.Join(append(out, "closed"), " ")
 		}
@@ -106,6 +110,7 @@
 		"Flush after Parse":           {"P:s=select a|D:s|H", 'T', 1, "1 t T"},
 		"Flush and go on":             {"P:s=select a|D:s|H|B:s|E|S", 'Z', 1, "1 t T 2 D=a C Z=I"},
 		"Flush after an error":        {"P:s=select a|B:x|H|B:s|E|S|Q=select b", 'Z', 2, "E=26000 Z=I T D=b C Z=I"},
+		"Flush of a failed Parse":     {"P:s=broken|D:s|H|P:s=select a|B:s|E|S|Q=select b", 'Z', 2, "E=42601 Z=I T D=b C Z=I"},
 		"Flush after Execute":         {"P=select a|B|E|H|S", 'Z', 1, "E=0A000 Z=I"},
 		"empty":                       {"S|Q=|P=|B|E|S", 'Z', 3, "Z=I I Z=I 1 2 I Z=I"},
 		"answered by the session":     {"P=show jacinthtiller.mark|D|B|DP|E|S", 'Z', 1, "1 t T 2 T D=0/0 C Z=I"},
@@ -207,7 +212,9 @@
 		convey.So(value(c, "select a"), convey.ShouldEqual, "a")
 		w.setDatabase(func(d jacinthtiller.Database) jacinthtiller.Database { return d.WithPrimary(2, "") })
 		time.AfterFunc(50*time.Millisecond, func() { _ = c.PgConn().CancelRequest(context.Background()) })
+		start := time.Now()
 		convey.So(exec(c, "insert"), convey.ShouldEqual, "57014")
+		convey.So(time.Since(start), convey.ShouldBeLessThan, 3*time.Second) // the deadline is 5 s
 	})
 }
 
@@ -222,6 +229,7 @@
 		code  string
 	}{
 		"unknown type":          {true, []byte("!\x00\x00\x00\x04"), codeProtocol},
+		"more data after it":    {true, append([]byte("!\x00\x00\x00\x04"), make([]byte, 1<<16)...), codeProtocol},
 		"negative length":       {true, []byte("Q\xff\xff\xff\xff"), codeProtocol},
 		"too large":             {true, []byte("Q\x7f\x00\x00\x00"), codeTooLarge},
 		"Query without end":     {true, []byte("Q\x00\x00\x00\x05x"), codeProtocol},
@@ -265,7 +273,6 @@
 		}
 		convey.So(exec(one, "insert"), convey.ShouldNotEqual, ok)
 		convey.So(value(two, "select a"), convey.ShouldEqual, "a")
-		w.set(func() { clear(w.open) }) // the fault left its channel open
 	})
 	convey.Convey("A login that stalls is ended, and others wait for its place", t, func() {
 		h := newWorld().enter(t, WithStartupTime(100*time.Millisecond), WithUnauthenticatedLimit(1))
--- a/session/run.go
+++ b/session/run.go
@@ -17,6 +17,9 @@
 	// firstBackoff and lastBackoff bound the wait between attempts; a change of view ends it.
 	firstBackoff = 2 * time.Millisecond
 	lastBackoff  = 100 * time.Millisecond
+	// openTime bounds opening a channel, so that a request for a host which does not answer
+	// follows a new view. A new connection takes about 25 ms between regions.
+	openTime = 500 * time.Millisecond
 )
 
 // run is a request outside a transaction on its way.
@@ -35,8 +38,9 @@
 	// refused is true after a replica refused the request as a write.
 	refused bool
 	// tried are the replicas that did not run the request.
-	tried    map[string]bool
-	attempts int
+	tried map[string]bool
+	// waits is true when the next attempt has to wait a little or for a new view.
+	waits bool
 	// pauses counts the waits, which grow.
 	pauses     int
 	candidates []replica.Candidate
@@ -89,12 +93,37 @@
 		r.tried = nil
 		return false, r.pause(changed)
 	}
-	at, ch := r.attempt(v, d)
-	done, f := r.judge(&at, ch, changed)
-	if ch != nil && (r.s.txn == nil || r.s.txn.channel != ch) {
-		r.s.closeChannel(ch)
+	done, f := r.send(r.place(v, d.Target), d)
+	if done || f != nil || !r.waits {
+		return done, f
 	}
-	return done, f
+	return false, r.pause(changed) // no channel is held meanwhile
+}
+
+// place finds where a target runs its requests.
+func (r *run) place(v jacinthtiller.View, target string) place {
+	d := v.Databases[r.s.database]
+	t := d.Targets[target]
+	return place{target: target, host: t.Owner, primary: target == d.Primary, term: d.Term, epoch: t.Epoch}
+}
+
+// send makes one attempt on a channel of its own, which is kept only by an open transaction.
+func (r *run) send(p place, d replica.Decision) (bool, *fault) {
+	r.waits = false
+	ctx, stop := context.WithTimeout(r.ctx, openTime)
+	ch, err := r.s.server.opener.Open(ctx, p.host)
+	stop()
+	if err != nil {
+		e := jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, jacinthtiller.ReasonTarget, "host %q cannot be reached: %v", p.host, err)
+		return r.judge(&attempt{place: p, err: e, answer: &answer{s: r.s, base: len(r.s.out)}}, nil)
+	}
+	defer func() {
+		if r.s.txn == nil || r.s.txn.channel != ch {
+			r.s.closeChannel(ch)
+		}
+	}()
+	at := r.s.try(ch, r.q, p, r.unit(p, d))
+	return r.judge(&at, ch)
 }
 
 // decide routes the request, after it has asked for the guest's mark if that may matter.
@@ -164,32 +193,20 @@
 	return r.mayWrite() && !r.s.settings.brought
 }
 
-// attempt opens a channel and runs the request once.
-func (r *run) attempt(v jacinthtiller.View, d replica.Decision) (attempt, jacinthtiller.Channel) {
-	t := v.Databases[r.s.database]
-	p := place{
-		target: d.Target, host: t.Targets[d.Target].Owner, primary: d.Target == t.Primary,
-		term: t.Term, epoch: t.Targets[d.Target].Epoch,
-	}
-	r.attempts++
-	ch, err := r.s.server.opener.Open(r.ctx, p.host)
-	if err != nil {
-		e := jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, jacinthtiller.ReasonTarget, "host %q cannot be reached: %v", p.host, err)
-		return attempt{place: p, err: e, answer: &answer{s: r.s, base: len(r.s.out)}}, nil
-	}
+// unit makes the unit for one attempt.
+func (r *run) unit(p place, d replica.Decision) jacinthtiller.Unit {
 	u := r.s.unit(r.q, p, r.deadline)
 	u.Mark, u.WaitUntil = d.Need, r.s.server.limits.replicaWait(time.Now(), r.deadline)
-	if r.refused {
-		u.Access = jacinthtiller.AccessWrite
-	}
-	if !p.primary {
+	switch {
+	case !p.primary:
 		u.Access = jacinthtiller.AccessRead
+	case r.refused:
+		u.Access = jacinthtiller.AccessWrite
 	}
 	if p.primary && (!r.q.begins || r.q.commits) {
-		u.Key = r.key()
-		u.Fingerprint = r.q.digest.Sum64()
+		u.Key, u.Fingerprint = r.key(), r.q.digest.Sum64()
 	}
-	return r.s.try(ch, r.q, p, u), ch
+	return u
 }
 
 // key returns the idempotency key for the request, empty for one that surely only
@@ -205,13 +222,13 @@
 }
 
 // judge decides after an attempt: the request is answered, fails, or goes on.
-func (r *run) judge(at *attempt, ch jacinthtiller.Channel, changed <-chan struct{}) (bool, *fault) {
+func (r *run) judge(at *attempt, ch jacinthtiller.Channel) (bool, *fault) {
 	if at.err != nil {
 		at.answer.discard()
 		if at.err.Outcome == jacinthtiller.OutcomeNotRun {
-			return false, r.notRun(at, changed)
+			return false, r.notRun(at)
 		}
-		return false, r.unclear(at, at.err, changed)
+		return false, r.unclear(at, at.err)
 	}
 	r.s.server.positions.Observe(r.s.database, at.target, at.result.Position)
 	if !at.primary {
@@ -220,7 +237,7 @@
 	if at.stale(r.s.server.views.View()) {
 		at.answer.discard()
 		return false, r.unclear(at, jacinthtiller.Unknown(
-			"the primary of term %d was replaced before it answered", at.unit.Term), changed)
+			"the primary of term %d was replaced before it answered", at.unit.Term))
 	}
 	if at.result.Failed == "" && at.unit.Key == "" {
 		r.s.server.positions.Primary(r.s.database, at.result.Position, at.started)
@@ -262,7 +279,7 @@
 }
 
 // notRun goes on after a proof that the request did not run.
-func (r *run) notRun(at *attempt, changed <-chan struct{}) *fault {
+func (r *run) notRun(at *attempt) *fault {
 	if at.err.Code == jacinthtiller.CodeReadOnly && !at.primary && r.mayWrite() {
 		r.refused = true
 		return nil
@@ -278,7 +295,8 @@
 		r.exclude(at)
 		return nil
 	}
-	return r.pause(changed)
+	r.waits = true
+	return nil
 }
 
 // final reports whether the request would meet the same error again.
@@ -292,7 +310,7 @@
 
 // unclear decides after an unknown outcome: only what cannot change anything, or
 // has a key, is sent again, and only while the guest has got nothing.
-func (r *run) unclear(at *attempt, e *jacinthtiller.Error, changed <-chan struct{}) *fault {
+func (r *run) unclear(at *attempt, e *jacinthtiller.Error) *fault {
 	repeatable := !at.primary || at.unit.Key != "" || r.q.beginOnly ||
 		(r.q.access == jacinthtiller.AccessRead && r.q.plain && !r.refused)
 	if at.answer.sent || !repeatable {
@@ -305,7 +323,8 @@
 		r.exclude(at)
 		return nil
 	}
-	return r.pause(changed)
+	r.waits = true
+	return nil
 }
 
 // pause waits a little, or until the view changes. It fails when the deadline has passed.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -1,12 +1,14 @@
 package session
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -82,11 +84,15 @@
 // late, twice, crossed and torn are channels that answer wrongly.
 var wrong = map[string]func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error){
 	"late": func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
-		time.AfterFunc(time.Millisecond, func() { _, _ = c.run(u, sink) })
+		time.AfterFunc(time.Millisecond, func() {
+			if _, err := c.run(u, sink); err == nil {
+				c.w.set(func() { c.w.fault("frames were taken after the end of the request") })
+			}
+		})
 		return jacinthtiller.Result{}, errors.New("the connection is lost")
 	},
 	"twice": func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
-		return c.run(u, func(b []byte) error { return sink(append(append([]byte{}, b...), b...)) })
+		return c.run(u, func(b []byte) error { return sink(append(bytes.Clone(b), b...)) })
 	},
 	"crossed": func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
 		r, err := c.run(u, sink)
@@ -94,7 +100,10 @@
 		return r, err
 	},
 	"torn": func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
-		return c.run(u, func(b []byte) error { return sink(b[:len(b)-7]) })
+		return c.run(u, func(b []byte) error { _ = sink(b[:len(b)-7]); return nil })
+	},
+	"tail": func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
+		return c.run(u, func(b []byte) error { _ = sink(encode(bytes.Clone(b), complete)); return nil })
 	},
 	"half": func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
 		return c.run(u, func(b []byte) error { return sink(b[:len(b)-6]) })
@@ -239,6 +248,23 @@
 	})
 }
 
+// TestPause guards against a request that waits out its pause although the view has changed.
+func TestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("A change of view ends the pause, and so does the deadline", t, func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			r := &run{s: &session{server: NewServer()}, q: &request{}, ctx: ctx, pauses: 20}
+			start, changed := time.Now(), make(chan struct{})
+			time.AfterFunc(time.Millisecond, func() { close(changed) })
+			convey.So(r.pause(changed), convey.ShouldBeNil)
+			convey.So(time.Since(start), convey.ShouldEqual, time.Millisecond)
+			convey.So(r.pause(nil).code, convey.ShouldEqual, "JT001")
+			convey.So(time.Since(start), convey.ShouldEqual, 10*time.Millisecond)
+		})
+	})
+}
+
 // TestTransactions guards against statements of two transactions on one channel
 // and against a guest that takes a lost transaction for a committed one.
 func TestTransactions(t *testing.T) {
