standin: types by table, announced shutdown and tests of the faults

Parameter types were taken from the first column of that name in any table, which could be another table's; they now come from the tables that the statement names, from a cache that DDL clears. LIMIT $1 failed at Describe, because sqlite refuses NULL there. Shutdown closed the target before anybody had heard that it was leaving; it now waits until the leave is announced, until another target leads, and 2 s for hosts to take their work away.

--- a/cmd/jacinth-standin/main.go
+++ b/cmd/jacinth-standin/main.go
@@ -78,6 +78,7 @@
 	fs.IntVar(&c.Connections, "connections", 30, "limit of client connections")
 	lag := fs.Duration("lag", 0, "time that entries take to arrive from the primary")
 	service := fs.Duration("service-time", 0, "time added to each statement")
+	lock := fs.Duration("lock-wait", 500*time.Millisecond, "longest wait for the write lock before a statement fails with 40001")
 	connect := fs.Duration("connect-delay", 10*time.Millisecond, "time that a new connection takes")
 	announce := fs.String("announce", "", "URLs of entry hosts, separated by commas")
 	format := fs.String("log-format", "text", "text or json")
@@ -86,6 +87,7 @@
 	}
 	c.Role = jacinthtiller.Role(*role)
 	c.LagMicroseconds, c.ServiceMicroseconds, c.ConnectMicroseconds = lag.Microseconds(), service.Microseconds(), connect.Microseconds()
+	c.LockMicroseconds = lock.Microseconds()
 	if *announce != "" {
 		c.Announce = strings.Split(*announce, ",")
 	}
@@ -123,6 +125,9 @@
 			return bad(name, "at least 1")
 		}
 	}
+	if c.LockMicroseconds < 1 {
+		return bad("lock-wait", "a duration of more than 0s")
+	}
 	for name, n := range map[string]int64{
 		"lag": c.LagMicroseconds, "service-time": c.ServiceMicroseconds, "connect-delay": c.ConnectMicroseconds,
 	} {
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -80,7 +80,8 @@
 	if cut {
 		return "", errCut
 	}
-	body, err := json.Marshal(t.announcement())
+	a := t.announcement()
+	body, err := json.Marshal(a)
 	if err != nil {
 		return "", fmt.Errorf("encode announcement: %w", err)
 	}
@@ -91,11 +92,17 @@
 		return "", fmt.Errorf("make announcement: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	return t.answer(client.Do(req))
+	owner, err := answer(client.Do(req))
+	if err == nil {
+		t.mu.Lock()
+		t.told = a.State
+		t.mu.Unlock()
+	}
+	return owner, err
 }
 
 // answer reads the answer to an announcement.
-func (t *Target) answer(resp *http.Response, err error) (string, error) {
+func answer(resp *http.Response, err error) (string, error) {
 	if err != nil {
 		return "", fmt.Errorf("announce: %w", err)
 	}
--- a/standin/extended.go
+++ b/standin/extended.go
@@ -64,14 +64,48 @@
 		if p.oids[i] != 0 {
 			continue
 		}
+		at := p.st.param(i + 1)
 		if name := p.st.casts[i+1]; name != "" {
 			p.oids[i] = oidOf(name)
-		} else if c := p.st.columnOf(slices.Index(p.st.tokens, token{kindParam, strconv.Itoa(i + 1)})); c != "" {
-			p.oids[i] = s.columnType(c)
+		} else if p.st.limits(at) != "" {
+			p.oids[i] = oidInt8
+		} else if c := p.st.columnOf(at); c != "" {
+			p.oids[i] = s.columnType(p.st, c)
 		}
 	}
 }
 
+// param returns the place of the parameter's first use, or -1.
+func (st *statement) param(n int) int {
+	return slices.Index(st.tokens, token{kindParam, strconv.Itoa(n)})
+}
+
+// limits returns LIMIT or OFFSET when the token at i is the number of such a clause.
+func (st *statement) limits(i int) string {
+	if i > 0 && (st.tokens[i-1].is("LIMIT") || st.tokens[i-1].is("OFFSET")) {
+		return st.word(i - 1)
+	}
+	return ""
+}
+
+// sample returns values with which a statement can be run to see the columns of its result: NULL, but for the clauses
+// in which sqlite refuses NULL.
+func (st *statement) sample() []any {
+	out := make([]any, st.params)
+	for i := range out {
+		switch st.limits(st.param(i + 1)) {
+		case "LIMIT":
+			out[i] = int64(1)
+		case "OFFSET":
+			out[i] = int64(0)
+		}
+	}
+	if st.now {
+		out = append(out, nil)
+	}
+	return out
+}
+
 // comparisons are the symbols of which comparisons are made.
 var comparisons = []token{{kindSymbol, "="}, {kindSymbol, "<"}, {kindSymbol, ">"}, {kindSymbol, "!"}}
 
@@ -103,7 +137,7 @@
 		if !ok {
 			continue
 		}
-		if c := st.columnOf(i); c != "" && s.columnType(c) == oidBool {
+		if c := st.columnOf(i); c != "" && s.columnType(st, c) == oidBool {
 			st.replace(i, token{kindNumber, n})
 		}
 	}
@@ -112,17 +146,17 @@
 // insertColumn returns the column for the value at token i of an INSERT with a list of columns.
 func (st *statement) insertColumn(i int) string {
 	values := st.find("VALUES")
-	if values < 0 || i < values || st.depth(i) != 1 {
+	if values < 0 || i < values || st.depths[i] != 1 {
 		return ""
 	}
 	n := 0
-	for j := i - 1; st.tokens[j].text != "("; j-- {
-		if st.tokens[j].text == "," {
+	for j := i - 1; st.depths[j] > 0; j-- {
+		if st.tokens[j].text == "," && st.depths[j] == 1 {
 			n++
 		}
 	}
 	for j := range st.tokens[:values] {
-		if st.depth(j) != 1 || st.tokens[j].kind == kindSymbol {
+		if st.depths[j] != 1 || st.tokens[j].kind == kindSymbol {
 			continue
 		}
 		if n--; n < 0 {
@@ -132,19 +166,23 @@
 	return ""
 }
 
-// columnType returns the type of a column by that name in any table; 0 when there is none.
-func (s *session) columnType(name string) uint32 {
-	s.t.mu.Lock()
-	db := s.t.db
-	s.t.mu.Unlock()
-	var declared string
-	err := db.QueryRowContext(s.t.ctx,
-		"SELECT i.type FROM sqlite_master m, pragma_table_info(m.name) i WHERE m.type = 'table' AND i.name = ? COLLATE NOCASE LIMIT 1",
-		name).Scan(&declared)
-	if err != nil {
-		return 0
+// columnType returns the type of a column of the tables that the statement names; 0 when it is not clear.
+func (s *session) columnType(st *statement, column string) uint32 {
+	tables := s.t.tables()
+	var out uint32
+	for _, k := range st.tokens {
+		if k.kind != kindWord && k.kind != kindQuoted {
+			continue
+		}
+		oid, ok := tables[strings.ToLower(k.unquote())][strings.ToLower(column)]
+		if ok && out != 0 && oid != out {
+			return 0
+		}
+		if ok {
+			out = oid
+		}
 	}
-	return oidOf(declared)
+	return out
 }
 
 func (s *session) bind(m *pgproto3.Bind) error {
@@ -252,7 +290,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.t.ctx)
 	defer cancel()
-	rows, err := x.conn.QueryContext(ctx, query, make([]any, st.bound())...)
+	rows, err := x.conn.QueryContext(ctx, query, st.sample()...)
 	if err != nil {
 		return nil, err
 	}
@@ -264,14 +302,6 @@
 	return r.columns, nil
 }
 
-// bound returns how many values sqlite needs.
-func (st *statement) bound() int {
-	if st.now {
-		return st.params + 1
-	}
-	return st.params
-}
-
 // tableName returns the table that the statement writes.
 func (st *statement) tableName() string {
 	word := map[string]string{"INSERT": "INTO", "DELETE": "FROM", "UPDATE": "UPDATE"}[st.verb]
--- /dev/null
+++ b/standin/faults_test.go
@@ -0,0 +1,233 @@
+package standin_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/standin"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+)
+
+// host takes announcements.
+type host struct {
+	*httptest.Server
+	mu    sync.Mutex
+	last  jacinthtiller.Announcement
+	count int
+	owner string
+}
+
+func newHost(t *testing.T) *host {
+	h := &host{}
+	h.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if r.URL.Path != wire.ProcAnnounce || r.Header.Get("Content-Type") != "application/json" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_ = json.NewDecoder(r.Body).Decode(&h.last)
+		h.count++
+		_ = json.NewEncoder(w).Encode(jacinthtiller.AnnounceResponse{Owner: h.owner})
+	}))
+	t.Cleanup(h.Close)
+	return h
+}
+
+// seen returns the newest announcement, and how many there were.
+func (h *host) seen() (jacinthtiller.Announcement, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last, h.count
+}
+
+// TestAnnounce guards against announcements that are late, incomplete or do not find a host that lives.
+func TestAnnounce(t *testing.T) {
+	convey.Convey("Announcements go to the owner, and back to the list when it is gone", t, func() {
+		first, owner := newHost(t), newHost(t)
+		first.owner = owner.URL
+		s := start(t, standin.Config{
+			Name: "a", Database: "d", Domain: "z", GroupSize: 3, Announce: []string{"http://127.0.0.1:1", first.URL},
+		})
+		convey.So(eventually(func() bool { _, n := owner.seen(); return n > 1 }), convey.ShouldBeTrue)
+		a, _ := owner.seen()
+		convey.So(a, convey.ShouldResemble, jacinthtiller.Announcement{
+			Database: "d", Target: "a", Address: s.Addr(), Domain: "z", GroupSize: 3, Position: "1/1", Term: 1,
+			Role: jacinthtiller.RolePrimary, State: jacinthtiller.StateServing,
+		})
+		_, before := first.seen()
+		owner.Close()
+		first.mu.Lock()
+		first.owner = ""
+		first.mu.Unlock()
+		convey.So(eventually(func() bool { _, n := first.seen(); return n > before }), convey.ShouldBeTrue)
+		begun := time.Now()
+		s.SetState(jacinthtiller.StateLeaving)
+		convey.So(eventually(func() bool { a, _ := first.seen(); return a.State == jacinthtiller.StateLeaving }), convey.ShouldBeTrue)
+		convey.So(time.Since(begun), convey.ShouldBeLessThan, 400*time.Millisecond)
+		s.Cut()
+		_, before = first.seen()
+		time.Sleep(1300 * time.Millisecond)
+		_, after := first.seen()
+		convey.So(after, convey.ShouldBeLessThanOrEqualTo, before+1) // one may have been under way
+	})
+	convey.Convey("A shutdown finishes the open transaction", t, func() {
+		s := start(t, standin.Config{Name: "a"})
+		c := connect(t, s, "")
+		convey.So(exec(c, "BEGIN; CREATE TABLE x (n int)"), convey.ShouldEqual, "CREATE TABLE")
+		var wg conc.WaitGroup
+		wg.Go(func() { _ = s.Shutdown(background) })
+		time.Sleep(50 * time.Millisecond)
+		convey.So(exec(c, "COMMIT"), convey.ShouldEqual, "COMMIT")
+		wg.Wait()
+		convey.So(s.Position().String(), convey.ShouldEqual, "1/2")
+	})
+}
+
+// TestFaults guards against faults that do not act as their tests expect.
+func TestFaults(t *testing.T) {
+	convey.Convey("A frozen target accepts and is silent until it resumes", t, func() {
+		s := start(t, standin.Config{Name: "a"})
+		c := connect(t, s, "")
+		s.Freeze()
+		n, err := net.Dial("tcp", s.Addr())
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(n.Close(), convey.ShouldBeNil)
+		time.AfterFunc(300*time.Millisecond, s.Resume)
+		begun := time.Now()
+		convey.So(exec(c, "SELECT 1"), convey.ShouldEqual, "SELECT 1")
+		convey.So(time.Since(begun), convey.ShouldBeGreaterThan, 250*time.Millisecond)
+		time.AfterFunc(50*time.Millisecond, s.Freeze) // during the statement
+		time.AfterFunc(300*time.Millisecond, s.Resume)
+		begun = time.Now()
+		convey.So(exec(c, "SELECT pg_sleep(0.1)"), convey.ShouldEqual, "SELECT 1")
+		convey.So(time.Since(begun), convey.ShouldBeGreaterThan, 250*time.Millisecond)
+	})
+	convey.Convey("A cut drops the peers named and no others", t, func() {
+		s := start(t, standin.Config{Name: "a"})
+		c, d := connect(t, s, "&application_name=left"), connect(t, s, "&application_name=right")
+		s.Cut("left")
+		convey.So(exec(c, "SELECT 1"), convey.ShouldNotEqual, "SELECT 1")
+		convey.So(exec(d, "SELECT 1"), convey.ShouldEqual, "SELECT 1")
+		s.Heal()
+		convey.So(exec(connect(t, s, "&application_name=left"), "SELECT 1"), convey.ShouldEqual, "SELECT 1")
+	})
+	convey.Convey("Statements beyond the slots are counted and wait", t, func() {
+		s := start(t, standin.Config{Name: "a", Slots: 2, ServiceMicroseconds: 50_000})
+		var wg conc.WaitGroup
+		begun := time.Now()
+		for range 3 {
+			c := connect(t, s, "")
+			wg.Go(func() { exec(c, "SELECT 1") })
+		}
+		wg.Wait()
+		convey.So([]int{s.MaxRunning(), s.BeyondSlots()}, convey.ShouldResemble, []int{3, 1})
+		convey.So(time.Since(begun), convey.ShouldBeGreaterThan, 100*time.Millisecond)
+	})
+	convey.Convey("A second writer waits for the first up to the deadline and sees its rows", t, func() {
+		s := start(t, standin.Config{Name: "a", LockMicroseconds: 100_000})
+		c, d := connect(t, s, ""), connect(t, s, "")
+		convey.So(exec(c, "CREATE TABLE w (n int); INSERT INTO w VALUES (0)"), convey.ShouldEqual, "INSERT 0 1")
+		convey.So(exec(c, "BEGIN; UPDATE w SET n = n + 1"), convey.ShouldEqual, "UPDATE 1")
+		convey.So(exec(d, "BEGIN; SELECT n FROM w"), convey.ShouldEqual, "SELECT 1")
+		convey.So(exec(d, "UPDATE w SET n = n + 1"), convey.ShouldEqual, "40001")
+		convey.So(exec(d, "ROLLBACK; BEGIN; SELECT n FROM w"), convey.ShouldEqual, "SELECT 1")
+		convey.So(exec(c, "COMMIT"), convey.ShouldEqual, "COMMIT")
+		convey.So(exec(d, "UPDATE w SET n = n + 1 WHERE n = 1"), convey.ShouldEqual, "UPDATE 1")
+	})
+	convey.Convey("Nothing runs on after a target is killed", t, func() {
+		ignore := goleak.IgnoreCurrent()
+		s := start(t, standin.Config{Name: "a", Announce: []string{"http://127.0.0.1:1"}})
+		c := connect(t, s, "")
+		exec(c, "BEGIN; CREATE TABLE x (n int)")
+		s.Freeze() // so that the COMMIT arrives and has not run
+		var wg conc.WaitGroup
+		tag := ""
+		wg.Go(func() { tag = exec(c, "COMMIT") })
+		time.Sleep(50 * time.Millisecond)
+		s.Kill()
+		wg.Wait()
+		convey.So(tag, convey.ShouldNotEqual, "COMMIT")
+		convey.So(s.Position().String(), convey.ShouldEqual, "1/1")
+		convey.So(goleak.Find(ignore), convey.ShouldBeNil)
+	})
+}
+
+// TestPositions guards against a read that sees data newer than the position reported after it, or older than a
+// position known before it, on either role while writes go on.
+func TestPositions(t *testing.T) {
+	a := start(t, standin.Config{Name: "a"})
+	b := start(t, standin.Config{Name: "b", Follow: a.Addr()})
+	w := connect(t, a, "")
+	if tag := exec(w, "CREATE TABLE r (n int)"); tag != "CREATE TABLE" { // entry 2; row i comes with entry i+2
+		t.Fatal(tag)
+	}
+	var done atomic.Bool
+	var wg conc.WaitGroup
+	faults := make(chan string, 8)
+	for _, s := range []*standin.Target{a, b, a, b} {
+		c := connect(t, s, "&default_query_exec_mode=simple_protocol")
+		wg.Go(func() {
+			for s.Position().Index < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			for !done.Load() {
+				before := s.Position().Index
+				var rows uint64
+				if err := c.QueryRow(background, "SELECT count(*) FROM r").Scan(&rows); err != nil {
+					faults <- err.Error()
+					return
+				}
+				p, err := jacinthtiller.ParsePosition(c.PgConn().ParameterStatus("log_position"))
+				if err != nil || rows+2 > p.Index || rows+2 < before {
+					faults <- fmt.Sprintf("%d rows between position %d and %s: %v", rows, before, p, err)
+					return
+				}
+			}
+		})
+	}
+	for i := range 500 {
+		if tag := exec(w, "INSERT INTO r VALUES ("+strconv.Itoa(i)+")"); tag != "INSERT 0 1" {
+			t.Error(tag)
+			break
+		}
+	}
+	done.Store(true)
+	wg.Wait()
+	select {
+	case f := <-faults:
+		t.Error(f)
+	default:
+	}
+}
+
+func BenchmarkSelect(b *testing.B) { benchmark(b, "SELECT n FROM bench WHERE n = 1") }
+
+func BenchmarkInsert(b *testing.B) { benchmark(b, "INSERT INTO bench VALUES (1)") }
+
+func benchmark(b *testing.B, sql string) {
+	s, err := standin.Start(standin.Config{Name: "a"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	c := connect(b, s, "")
+	exec(c, "CREATE TABLE bench (n int)")
+	for b.Loop() {
+		if _, err := c.Exec(background, sql); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/standin/group.go
+++ b/standin/group.go
@@ -7,6 +7,7 @@
 	"net"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -49,8 +50,50 @@
 	t.grown = make(chan struct{})
 }
 
+// tables returns the types of all columns by table and column.
+func (t *Target) tables() map[string]map[string]uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.schema != nil {
+		return t.schema
+	}
+	rows, err := t.db.QueryContext(t.ctx,
+		"SELECT lower(m.name), lower(i.name), i.type FROM sqlite_master m, pragma_table_info(m.name) i WHERE m.type = 'table'")
+	if err != nil {
+		return nil // types stay unknown, which clients can work with
+	}
+	defer func() { _ = rows.Close() }()
+	out := map[string]map[string]uint32{}
+	for rows.Next() {
+		var table, column, declared string
+		if rows.Scan(&table, &column, &declared) != nil {
+			return nil
+		}
+		if out[table] == nil {
+			out[table] = map[string]uint32{}
+		}
+		out[table][column] = oidOf(declared)
+	}
+	if rows.Err() == nil {
+		t.schema = out
+	}
+	return out
+}
+
+// noteSchema forgets the known tables when a statement may have changed them. t.mu is held.
+func (t *Target) noteSchema(st []Statement) {
+	for i := range st {
+		for _, verb := range []string{"CREATE", "DROP", "ALTER"} {
+			if len(st[i].SQL) > len(verb) && strings.EqualFold(st[i].SQL[:len(verb)], verb) {
+				t.schema = nil
+			}
+		}
+	}
+}
+
 // appendEntry adds an entry of the target's own term. t.mu is held.
 func (t *Target) appendEntry(st []Statement) {
+	t.noteSchema(st)
 	t.log = append(t.log, Entry{
 		Term: t.term, Index: uint64(len(t.log)) + 1, Microseconds: time.Now().UnixMicro(), Statements: st,
 	})
--- a/standin/replicate.go
+++ b/standin/replicate.go
@@ -199,6 +199,9 @@
 			return fmt.Errorf("apply entries: %w", err)
 		}
 		t.log = append(t.log, r.Entries...)
+		for _, e := range r.Entries {
+			t.noteSchema(e.Statements)
+		}
 	}
 	t.adopt(r.Term)
 	return nil
@@ -247,7 +250,7 @@
 		return err
 	}
 	old, before := t.db, t.last()
-	t.db, t.log = db, log
+	t.db, t.log, t.schema = db, log, nil
 	t.adopt(term)
 	t.cfg.Log.Emit(event.StandinRebuilt, event.Fields{
 		"target": t.cfg.Name, "before": before.String(), "position": t.last().String(),
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -32,6 +32,8 @@
 	verb string
 	// tokens are the statement's tokens without spaces and comments.
 	tokens []token
+	// depths holds, for each token, the number of parentheses open before it.
+	depths []int
 	// all are the tokens from which sql is made.
 	all []token
 	// sql is the text for sqlite.
@@ -229,6 +231,7 @@
 	if len(st.tokens) == 0 {
 		return nil, nil
 	}
+	st.countDepths()
 	if err := st.classify(); err != nil {
 		return nil, err
 	}
@@ -291,30 +294,30 @@
 // mainVerb finds the verb that follows the common table expressions of WITH.
 func (st *statement) mainVerb() string {
 	for i := range st.tokens {
-		if _, ok := dataVerbs[strings.ToUpper(st.tokens[i].text)]; ok && st.depth(i) == 0 {
+		if _, ok := dataVerbs[strings.ToUpper(st.tokens[i].text)]; ok && st.depths[i] == 0 {
 			return strings.ToUpper(st.tokens[i].text)
 		}
 	}
 	return "SELECT"
 }
 
-// depth counts the parentheses open before token i.
-func (st *statement) depth(i int) int {
+func (st *statement) countDepths() {
 	d := 0
-	for _, k := range st.tokens[:i] {
-		if k.kind == kindSymbol && k.text == "(" {
-			d++
-		} else if k.kind == kindSymbol && k.text == ")" {
+	for _, k := range st.tokens {
+		if k == (token{kindSymbol, ")"}) {
 			d--
 		}
+		st.depths = append(st.depths, d)
+		if k == (token{kindSymbol, "("}) {
+			d++
+		}
 	}
-	return d
 }
 
 // find returns the place of the word outside parentheses, or -1.
 func (st *statement) find(word string) int {
 	for i, k := range st.tokens {
-		if k.is(word) && st.depth(i) == 0 {
+		if k.is(word) && st.depths[i] == 0 {
 			return i
 		}
 	}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -87,6 +87,8 @@
 	stores int
 	role   jacinthtiller.Role
 	state  jacinthtiller.TargetState
+	// told is the state in the last announcement that a host took.
+	told jacinthtiller.TargetState
 	// term is the term that the target follows or leads.
 	term uint64
 	// fenced is the lowest term whose entries and writes are accepted; it never decreases.
@@ -95,6 +97,8 @@
 	unchecked bool
 	// log holds entry i at place i-1.
 	log []Entry
+	// schema caches the types of columns by table; nil when unknown. Its maps are never changed.
+	schema map[string]map[string]uint32
 	// grown is closed and replaced whenever log, role or terms change.
 	grown chan struct{}
 	// follow is the address of the primary; empty for none.
@@ -315,12 +319,24 @@
 // Close stops the target and removes its data.
 func (t *Target) Close() error { return t.stop() }
 
-// Shutdown announces that the target is leaving, waits until no transaction is open or ctx ends, and closes it.
+// leaveWait is how long a target goes on serving after its leave was announced, unless its clients go sooner: hosts
+// stop sending work within this time (R7).
+const leaveWait = 2 * time.Second
+
+// Shutdown announces that the target is leaving, serves until the hosts have taken their work away, and closes it. A
+// primary with announcements waits until another target leads. It ends at the latest with ctx.
 func (t *Target) Shutdown(ctx context.Context) error {
 	t.SetState(jacinthtiller.StateLeaving)
+	var quiet time.Time // the end of leaveWait, once the leave was announced
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
-	for t.busy() && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		if quiet.IsZero() && t.left() {
+			quiet = time.Now().Add(leaveWait)
+		}
+		if !quiet.IsZero() && !t.busy() && (t.Sessions() == 0 || time.Now().After(quiet) || len(t.cfg.Announce) == 0) {
+			break
+		}
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
@@ -329,6 +345,14 @@
 	return t.stop()
 }
 
+// left reports whether the leave was announced and another target leads, as far as there are others.
+func (t *Target) left() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.cfg.Announce) == 0 || t.told == jacinthtiller.StateLeaving &&
+		(t.role == jacinthtiller.RoleReplica || t.cfg.GroupSize == 1)
+}
+
 // busy reports whether a client has a transaction open or a statement running.
 func (t *Target) busy() bool {
 	t.mu.Lock()
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -28,7 +28,7 @@
 }
 
 // connect opens a client connection that ends with the test.
-func connect(t *testing.T, s *standin.Target, options string) *pgx.Conn {
+func connect(t testing.TB, s *standin.Target, options string) *pgx.Conn {
 	t.Helper()
 	c, err := pgx.Connect(background, "postgres://guest@"+s.Addr()+"/db?sslmode=disable"+options)
 	if err != nil {
@@ -217,10 +217,10 @@
 		convey.Convey("a fenced replica refuses late entries of the old term", func() {
 			b.SetLag(100 * time.Millisecond)
 			convey.So(exec(ca, "INSERT INTO g VALUES (2)"), convey.ShouldEqual, "INSERT 0 1")
-			convey.So(exec(cb, "SELECT group_fence(2)"), convey.ShouldEqual, "SELECT 1")
+			convey.So(exec(cb, "SELECT group_fence(3)"), convey.ShouldEqual, "SELECT 1")
 			time.Sleep(300 * time.Millisecond)
 			convey.So(b.Position().String(), convey.ShouldEqual, "1/3")
-			convey.So(exec(cb, "SELECT group_promote(1)"), convey.ShouldEqual, "55000")
+			convey.So(exec(cb, "SELECT group_promote(2)"), convey.ShouldEqual, "55000")
 		})
 		convey.Convey("a fenced primary commits nothing, not even an open transaction", func() {
 			convey.So(exec(ca, "BEGIN; INSERT INTO g VALUES (2)"), convey.ShouldEqual, "INSERT 0 1")
