session: ask for marks only when a replica could serve the read

A read that goes to the primary anyway, because every replica is behind or slow, waited for the answer about the guest's mark first. The trace of a failed request did not name the units that had been made of it.

A decision with the session's own mark is made first, since a later mark only rules replicas out; the owner is asked only if it names a replica. The event unit-answered carries first and number, the numbers of the request's units.

--- a/event/session.go
+++ b/event/session.go
@@ -11,7 +11,7 @@
 	GuestRefused = register(5002, "guest-refused", logrus.InfoLevel,
 		"A connection was refused at startup; the code says why.")
 	UnitAnswered = register(5003, "unit-answered", logrus.DebugLevel,
-		"A guest got the answer to a request; the fields say where it ran and what became of it.")
+		"A guest got the answer to a request; its attempts were the units from first to number.")
 	UnitRetried = register(5004, "unit-retried", logrus.DebugLevel,
 		"A request was proved not to have run and is sent again.")
 	TransactionLost = register(5005, "transaction-lost", logrus.InfoLevel,
--- a/session/request.go
+++ b/session/request.go
@@ -29,6 +29,9 @@
 	// partial is true for a request that ended in Flush: the guest gets no ReadyForQuery.
 	partial bool
 
+	// first is the number of the first unit that was made of the request.
+	first uint64
+
 	access jacinthtiller.Access
 	// plain is true when the request may run twice on the primary; see class.plain.
 	plain           bool
--- a/session/run.go
+++ b/session/run.go
@@ -20,6 +20,8 @@
 	// openTime bounds opening a channel, so that a request for a host which does not answer
 	// follows a new view. A new connection takes about 25 ms between regions.
 	openTime = 500 * time.Millisecond
+	// usualTargets is the usual number of targets of a database.
+	usualTargets = 3
 )
 
 // run is a request outside a transaction on its way.
@@ -59,7 +61,7 @@
 		return f
 	}
 	now := time.Now()
-	r := &run{s: s, q: q, role: role, team: team, deadline: team.QueueDeadline(now)}
+	r := &run{s: s, q: q, role: role, team: team, deadline: team.QueueDeadline(now), candidates: make([]replica.Candidate, 0, usualTargets)}
 	if r.class, f = s.class(q); f != nil {
 		return f
 	}
@@ -129,7 +131,7 @@
 // decide routes the request, after it has asked for the guest's mark if that may matter.
 func (r *run) decide(v jacinthtiller.View) replica.Decision {
 	now := time.Now()
-	r.candidates = r.s.server.positions.Candidates(r.candidates[:0], v, r.s.server.host, r.s.database, r.tried)
+	r.look(v)
 	q := replica.Query{
 		Access: r.q.access, Primary: r.refused, PrimaryReason: "",
 		NoPrimary: r.role.Access == document.AccessReadOnly && !r.harmless(),
@@ -143,16 +145,25 @@
 	if q.NoPrimary {
 		q.Access = jacinthtiller.AccessRead // a replica refuses writes, so that it may see anything
 	}
-	if q.Access == jacinthtiller.AccessRead && !r.refused && hasReplica(r.candidates) {
-		r.learn(now)
-		r.candidates = r.s.server.positions.Candidates(r.candidates[:0], v, r.s.server.host, r.s.database, r.tried)
+	q.Need, q.Mark = r.s.settings.mark, r.s.settings.mark
+	d := replica.Route(q, r.candidates, now)
+	if d.Action == replica.ActionSend && d.Target != v.Databases[r.s.database].Primary {
+		// The mark can only rule replicas out, so that it matters for no other decision.
+		if r.learn(now) {
+			r.look(v)
+		}
 		q.MarkUnknown, q.AgeUnknown, q.Need, q.Mark = !r.known, r.ageUnknown, r.need, r.mark
+		d = replica.Route(q, r.candidates, now)
 	}
-	d := replica.Route(q, r.candidates, now)
 	replica.Count(r.ctx, d)
 	return d
 }
 
+// look fills the candidates from what is known now.
+func (r *run) look(v jacinthtiller.View) {
+	r.candidates = r.s.server.positions.Candidates(r.candidates[:0], v, r.s.server.host, r.s.database, r.tried)
+}
+
 // harmless reports whether the request may run on the primary for a role that must
 // not write. A transaction may not, because what follows in it is not known.
 func (r *run) harmless() bool {
@@ -162,9 +173,10 @@
 // learn finds the position that a replica must have. It asks the primary's owner
 // when the guest may have written through another session, or when nothing recent
 // enough is known for the class's age. The question is sent after the request arrived.
-func (r *run) learn(now time.Time) {
+// It reports whether it asked.
+func (r *run) learn(now time.Time) (asked bool) {
 	if r.known && !r.ageUnknown {
-		return
+		return false
 	}
 	r.mark, r.known = r.s.settings.mark, !r.asksMark()
 	age := time.Duration(r.class.MaxAgeMicroseconds) * time.Microsecond
@@ -173,7 +185,8 @@
 	if age > 0 {
 		recent, fresh = r.s.server.positions.Needed(r.s.database, now.Add(-age))
 	}
-	if (!r.known || !fresh) && r.s.server.marks != nil {
+	asked = (!r.known || !fresh) && r.s.server.marks != nil
+	if asked {
 		answer, err := r.s.server.marks.Ask(r.ctx, r.s.database, r.s.role)
 		if err == nil {
 			if !r.known {
@@ -186,6 +199,7 @@
 	if age > 0 {
 		r.need, r.ageUnknown = r.mark.Max(recent), !fresh
 	}
+	return asked
 }
 
 // asksMark reports whether the guest may have writes that its session does not know of.
@@ -373,12 +387,3 @@
 	defer s.mu.Unlock()
 	return s.canceled
 }
-
-func hasReplica(candidates []replica.Candidate) bool {
-	for _, c := range candidates {
-		if !c.Primary && c.Usable {
-			return true
-		}
-	}
-	return false
-}
--- a/session/session.go
+++ b/session/session.go
@@ -336,6 +336,7 @@
 
 // perform runs a request on a target.
 func (s *session) perform(q *request) *fault {
+	q.first = s.number + 1
 	if s.txn != nil {
 		return s.inside(q)
 	}
@@ -428,14 +429,15 @@
 		return
 	}
 	f := event.Fields{
-		"session": s.id, "role": s.role, "team": s.team, "database": s.database,
+		"session": s.id, "role": s.role, "team": s.team, "database": s.database, "first": q.first, "number": s.number,
 		"access": string(q.access), "outcome": string(outcome), "reason": string(why), "mark": s.settings.mark.String(),
 	}
 	if e != nil {
 		f["code"], f["message"] = e.Code, e.Message
 	}
 	if at != nil {
-		f["number"], f["target"], f["term"] = at.unit.Number, at.target, at.term
+		f["target"], f["term"], f["need"] = at.target, at.term, at.unit.Mark.String()
+		f["key"], f["fingerprint"] = at.unit.Key, at.unit.Fingerprint
 		f["position"], f["status"], f["failed"] = at.result.Position.String(), string(at.result.Status), at.result.Failed
 	}
 	s.server.events.Emit(event.UnitAnswered, f)
