standin: bounded wait for the write lock when it takes the last slot

A transaction that holds the write lock and is idle needs a slot for its next statement. The statement that takes the last slot now waits at most 100 ms.

--- a/standin/faults_test.go
+++ b/standin/faults_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -147,6 +148,22 @@
 		convey.So(exec(c, "COMMIT"), convey.ShouldEqual, "COMMIT")
 		convey.So(exec(d, "UPDATE w SET n = n + 1 WHERE n = 1"), convey.ShouldEqual, "UPDATE 1")
 	})
+	convey.Convey("Writers that take all slots do not keep the transaction with the lock from going on", t, func() {
+		s := start(t, standin.Config{Name: "a", Slots: 2, LockMicroseconds: 5_000_000})
+		c, d, e := connect(t, s, ""), connect(t, s, ""), connect(t, s, "")
+		convey.So(exec(c, "CREATE TABLE w (n int)"), convey.ShouldEqual, "CREATE TABLE")
+		convey.So(exec(c, "BEGIN; INSERT INTO w VALUES (1)"), convey.ShouldEqual, "INSERT 0 1")
+		var wg conc.WaitGroup
+		tags := make([]string, 2)
+		wg.Go(func() { tags[0] = exec(d, "INSERT INTO w VALUES (2)") })
+		wg.Go(func() { tags[1] = exec(e, "INSERT INTO w VALUES (3)") })
+		convey.So(eventually(func() bool { return s.MaxRunning() == 2 }), convey.ShouldBeTrue)
+		convey.So(exec(c, "INSERT INTO w VALUES (4)"), convey.ShouldEqual, "INSERT 0 1")
+		convey.So(exec(c, "COMMIT"), convey.ShouldEqual, "COMMIT")
+		wg.Wait()
+		slices.Sort(tags)
+		convey.So(tags, convey.ShouldResemble, []string{"40001", "INSERT 0 1"})
+	})
 	convey.Convey("Nothing runs on after a target is killed", t, func() {
 		ignore := goleak.IgnoreCurrent()
 		s := start(t, standin.Config{Name: "a", Announce: []string{"http://127.0.0.1:1"}})
--- a/standin/run.go
+++ b/standin/run.go
@@ -175,14 +175,8 @@
 	if err != nil || x.locked {
 		return err
 	}
-	tm := time.NewTimer(time.Duration(s.t.cfg.LockMicroseconds) * time.Microsecond)
-	defer tm.Stop()
-	select {
-	case s.t.lock <- struct{}{}:
-	case <-ctx.Done():
-		return errCanceled
-	case <-tm.C:
-		return pgErrorf("40001", "could not get the write lock before the deadline")
+	if err := s.t.takeLock(ctx); err != nil {
+		return err
 	}
 	x.locked = true
 	s.writing.Store(true)
@@ -192,6 +186,34 @@
 	return x.exec(ctx, "BEGIN IMMEDIATE")
 }
 
+// starvedWait bounds the wait for the write lock of a statement that takes the last slot for it. The transaction with
+// the lock then cannot get a slot for its next statement, unless it is just committing.
+const starvedWait = 100 * time.Millisecond
+
+// takeLock waits for the write lock.
+func (t *Target) takeLock(ctx context.Context) error {
+	select {
+	case t.lock <- struct{}{}:
+		return nil
+	default:
+	}
+	wait := time.Duration(t.cfg.LockMicroseconds) * time.Microsecond
+	if t.lockWaits.Add(1) >= int64(t.cfg.Slots) {
+		wait = min(wait, starvedWait)
+	}
+	defer t.lockWaits.Add(-1)
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case t.lock <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errCanceled
+	case <-tm.C:
+		return pgErrorf("40001", "could not get the write lock within %s", wait)
+	}
+}
+
 // exec runs a statement that begins a sqlite transaction.
 func (x *transaction) exec(ctx context.Context, begin string) error {
 	if _, err := x.conn.ExecContext(ctx, begin); err != nil {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -75,7 +75,9 @@
 	running  atomic.Int64  // statements running or waiting for a slot
 	most     atomic.Int64  // the greatest value of running
 	beyond   atomic.Int64  // statements that found no free slot
-	backend  atomic.Uint32 // the newest process id given to a session
+	// lockWaits counts the statements that wait for lock.
+	lockWaits atomic.Int64
+	backend   atomic.Uint32 // the newest process id given to a session
 
 	// frozen is not nil while the target is frozen, and closed at the end of that. It is apart from mu because
 	// connections wait for it while mu is held by a commit.
