admission: test that open transactions count for their team

The charge of a team's new work for statements of its open transactions had no test. Without the charge the new case fails.

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -146,7 +146,8 @@
 }
 
 // TestOrder guards against an order that is unfair or drops the wrong request. Each case names the requests, "team guest"
-// with w for a write, that come while one statement runs on the only slot, and what becomes of them in order.
+// with w for a write and c for a statement of an open transaction, that come while one statement runs on the only slot,
+// and what becomes of them in order.
 func TestOrder(t *testing.T) {
 	cases := map[string]struct {
 		capacity int
@@ -154,13 +155,14 @@
 		requests []string
 		want     string
 	}{
-		"teams take turns":           {9, false, []string{"a 1", "a 1", "a 1", "b 1", "b 1"}, "[a 1 b 1 a 1 b 1 a 1]"},
-		"weights count":              {9, false, []string{"h 1", "h 1", "h 1", "b 1", "b 1"}, "[h 1 h 1 b 1 h 1 b 1]"},
-		"guests take turns":          {9, false, []string{"a 1", "a 1", "a 2", "a 3"}, "[a 1 a 2 a 3 a 1]"},
-		"the longest queue loses":    {3, false, []string{"a 1", "a 2", "a 3", "b 1"}, "[-a 3 a 1 b 1 a 2]"},
-		"length counts by weight":    {3, false, []string{"h 1", "h 2", "b 1", "b 2"}, "[-b 2 h 1 h 2 b 1]"},
-		"a full team's newest loses": {2, false, []string{"b 1", "a 1", "a 2"}, "[-a 2 b 1 a 1]"},
-		"reads pass held writes":     {9, true, []string{"a 1w", "a 1", "b 1w", "b 1"}, "[a 1 b 1]"},
+		"teams take turns":                                    {9, false, []string{"a 1", "a 1", "a 1", "b 1", "b 1"}, "[a 1 b 1 a 1 b 1 a 1]"},
+		"weights count":                                       {9, false, []string{"h 1", "h 1", "h 1", "b 1", "b 1"}, "[h 1 h 1 b 1 h 1 b 1]"},
+		"guests take turns":                                   {9, false, []string{"a 1", "a 1", "a 2", "a 3"}, "[a 1 a 2 a 3 a 1]"},
+		"the longest queue loses":                             {3, false, []string{"a 1", "a 2", "a 3", "b 1"}, "[-a 3 a 1 b 1 a 2]"},
+		"length counts by weight":                             {3, false, []string{"h 1", "h 2", "b 1", "b 2"}, "[-b 2 h 1 h 2 b 1]"},
+		"a full team's newest loses":                          {2, false, []string{"b 1", "a 1", "a 2"}, "[-a 2 b 1 a 1]"},
+		"open transactions go first and count for their team": {9, false, []string{"a 1", "a 2", "b 1", "b 2", "a 9c"}, "[a 9c b 1 a 1 b 2 a 2]"},
+		"reads pass held writes":                              {9, true, []string{"a 1w", "a 1", "b 1w", "b 1"}, "[a 1 b 1]"},
 	}
 	convey.Convey("Requests end in this order", t, func() {
 		for name, c := range cases {
@@ -172,7 +174,10 @@
 				var out []string
 				names := map[*ticket]string{}
 				for _, s := range c.requests {
-					k := &ticket{team: q.team(s[:1]), guest: s[2:3], write: len(s) > 3, lane: laneNew}
+					k := &ticket{team: q.team(s[:1]), guest: s[2:3], write: s[3:] == "w", continues: s[3:] == "c", lane: laneNew}
+					if k.continues {
+						k.lane = laneOpen
+					}
 					names[k] = s
 					q.push(k, time.Time{})
 				}
