session: tests of read classes, a missing primary and read-only roles

No test failed when a class's age was ignored, when an unknown mark was served by a replica, when a role that may not write began a transaction on the primary, or when a refused unit of a transaction kept its own SQLSTATE.

--- a/session/fake_test.go
+++ b/session/fake_test.go
@@ -114,6 +114,9 @@
 }
 
 func (w *world) Class(_, name string) (document.ReadClass, bool) {
+	if name == "newest" {
+		return document.ReadClass{Name: name, MaxAgeMicroseconds: 1}, true
+	}
 	return document.ReadClass{Name: name}, name == "" || name == "fresh"
 }
 
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -81,6 +81,35 @@
 	})
 }
 
+// TestAge guards against a reader who sees older data than the read's class accepts,
+// and against a missing primary that is handled in another way than the team decided.
+func TestAge(t *testing.T) {
+	convey.Convey("Read classes and a missing primary", t, func() {
+		w := newWorld()
+		w.team.QueueDeadlineMicroseconds = 1e5
+		h := w.enter(t)
+		c, rw := h.connect(t, "reader"), h.connect(t, "writer")
+		w.set(func() { w.positions["p"] = 5 })
+		const newest = "/* read-class: newest */ select value"
+		convey.So(value(c, newest), convey.ShouldEqual, "5")
+		convey.So(value(c, "select value"), convey.ShouldEqual, "5") // its mark is 1/5 now
+		convey.So(value(h.connect(t, "reader"), "select value"), convey.ShouldEqual, "0")
+		w.set(func() { w.positions["r1"] = 5 })
+		time.Sleep(60 * time.Millisecond) // the replica was behind and is left out for 50 ms
+		convey.So(value(c, newest), convey.ShouldEqual, "5")
+		convey.So(w.ran(newest[24:])[len(w.ran(newest[24:]))-1].Target, convey.ShouldEqual, "r1")
+
+		w.setDatabase(func(d jacinthtiller.Database) jacinthtiller.Database { return d.WithPrimary(2, "") })
+		convey.So(value(c, "select value"), convey.ShouldEqual, "5")
+		convey.So(value(c, newest), convey.ShouldEqual, "JT003")
+		w.set(func() { w.team.PrimaryMissing, w.team.StaleAgeMicroseconds = document.MissingServeReads, 1e9 })
+		convey.So(value(c, newest), convey.ShouldEqual, "5")
+		convey.So(value(rw, "select value"), convey.ShouldEqual, "JT003")
+		w.set(func() { w.team.StaleAgeMicroseconds = 1 })
+		convey.So(value(c, newest), convey.ShouldEqual, "JT003")
+	})
+}
+
 // late, twice, crossed and torn are channels that answer wrongly.
 var wrong = map[string]func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error){
 	"late": func(c *channel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
@@ -150,6 +179,16 @@
 		_, _ = c.run(u, func([]byte) error { return nil })
 		return unknown(u)
 	}
+	loseReplicas := func(w *world) {
+		w.setDatabase(func(d jacinthtiller.Database) jacinthtiller.Database {
+			for _, n := range []string{"r1", "r2"} {
+				r := d.Targets[n]
+				r.Lost = true
+				d = d.WithTarget(r)
+			}
+			return d
+		})
+	}
 	cases := map[string]struct {
 		role, sql string
 		// first answers the first units.
@@ -178,16 +217,9 @@
 				return refused(u, jacinthtiller.ReasonTarget)
 			}
 			return ran(c, u)
-		}, "08007", 1, func(w *world) {
-			w.setDatabase(func(d jacinthtiller.Database) jacinthtiller.Database {
-				for _, n := range []string{"r1", "r2"} {
-					r := d.Targets[n]
-					r.Lost = true
-					d = d.WithTarget(r)
-				}
-				return d
-			})
-		}},
+		}, "08007", 1, loseReplicas},
+		"a role that may not write begins no transaction on the primary": {"reader", "begin read only", 0, nil, "JT003", 0, loseReplicas},
+		"but it reads there": {"reader", "select 1", 0, nil, ok, 1, loseReplicas},
 		"a replica's refusal of a write goes to the primary": {"writer", "select write()", 0, nil, ok, 2, nil},
 		"the same as not run": {"writer", "select write()", 1, func(_ *world, _ *channel, u jacinthtiller.Unit) jacinthtiller.Result {
 			return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.OutcomeNotRun, Err: jacinthtiller.NotRun("25006", jacinthtiller.ReasonTarget, "")}
@@ -310,6 +342,16 @@
 		convey.So(tag.String(), convey.ShouldEqual, "ROLLBACK")
 		convey.So(value(c, "select $1", "x"), convey.ShouldEqual, "x")
 	})
+	convey.Convey("So does a unit that its owner does not run", t, func() {
+		w, c := lose("nothing")
+		w.set(func() {
+			w.intercept = func(_ *channel, u jacinthtiller.Unit, _ jacinthtiller.Sink) (jacinthtiller.Result, error, bool) {
+				return refused(u, jacinthtiller.ReasonNoLease), nil, true
+			}
+		})
+		convey.So(exec(c, "commit"), convey.ShouldEqual, "40000")
+		convey.So(c.PgConn().TxStatus(), convey.ShouldEqual, 'I')
+	})
 	convey.Convey("A lost COMMIT is unknown", t, func() {
 		w, c := lose("commit")
 		convey.So(exec(c, "insert"), convey.ShouldEqual, ok)
