--- a/link/frame.go
+++ b/link/frame.go
@@ -44,10 +44,14 @@
 	// keepBytes is the largest buffer that a connection keeps between units.
 	keepBytes = 256 << 10
 	// beatEvery is the time between signs of life while a unit runs.
-	beatEvery = time.Second
-	// silenceLimit is the silence after which the other host counts as gone; it outlasts three beats.
-	silenceLimit = 4 * time.Second
+	beatEvery = 300 * time.Millisecond
+	// silenceLimit is the silence after which the other host counts as gone. It is the length of a
+	// host's lease: an owner that is silent for longer may acknowledge nothing any more.
+	silenceLimit = 1500 * time.Millisecond
 	dialLimit    = 2 * time.Second
+	// stallLimit is how long an answer may wait for a guest that does not read. It
+	// bounds how long such a guest keeps a slot of the target.
+	stallLimit = 15 * time.Second
 )
 
 // maxBytes bounds the payload of each type of frame; other types are refused.
@@ -169,8 +173,9 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
 const tcpUserTimeout = 18
 
-// tune makes the system notice within seconds that the other host is gone.
-func tune(c net.Conn) {
+// tune makes the system notice that the other host is gone: by keep-alive within
+// seconds, and by data that the other host does not take within the limit.
+func tune(c net.Conn, limit time.Duration) {
 	t, ok := c.(*net.TCPConn)
 	if !ok {
 		return
@@ -181,7 +186,7 @@
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceLimit.Milliseconds()))
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
 	})
 }
 
--- a/link/opener.go
+++ b/link/opener.go
@@ -24,6 +24,7 @@
 	local   func(ctx context.Context) (jacinthtiller.Channel, error)
 	resolve func(host string) (address string, ok bool)
 	tls     *tls.Config
+	dialer  func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu sync.Mutex // guards the fields below
 	// idle holds, by address, connections whose last unit ended outside a transaction; the newest is last.
@@ -39,6 +40,11 @@
 // WithTLS makes connections to other hosts encrypted.
 func WithTLS(c *tls.Config) OpenerOption { return func(o *Opener) { o.tls = c } }
 
+// WithDialer makes connections through f in place of the system's own dialer.
+func WithDialer(f func(ctx context.Context, network, address string) (net.Conn, error)) OpenerOption {
+	return func(o *Opener) { o.dialer = f }
+}
+
 // NewOpener returns an Opener for the host self. The function local opens channels
 // to targets of this host; resolve finds the link address of another host.
 func NewOpener(
@@ -47,7 +53,7 @@
 	resolve func(host string) (address string, ok bool),
 	opts ...OpenerOption,
 ) *Opener {
-	o := &Opener{self: self, local: local, resolve: resolve, idle: map[string][]*peerConn{}}
+	o := &Opener{self: self, local: local, resolve: resolve, idle: map[string][]*peerConn{}, dialer: (&net.Dialer{}).DialContext}
 	for _, f := range opts {
 		f(o)
 	}
@@ -126,12 +132,11 @@
 func (o *Opener) dial(ctx context.Context, address string) (*peerConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := o.dialer(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	tune(raw)
+	tune(raw, silenceLimit)
 	c := &peerConn{raw: raw, nc: raw, address: address}
 	if o.tls != nil {
 		t := tls.Client(raw, o.tls)
--- a/link/server.go
+++ b/link/server.go
@@ -92,7 +92,7 @@
 			}
 			return fmt.Errorf("serve link: %w", err)
 		}
-		tune(c)
+		tune(c, stallLimit)
 		s.start(c)
 	}
 }
--- a/owner/channel.go
+++ b/owner/channel.go
@@ -186,8 +186,6 @@
 	passed bool
 	// held is true once frames are kept back until the position has settled.
 	held bool
-	// rows is true once out holds an answer that the guest may wait for.
-	rows bool
 	// wrapped is true when the unit runs in a transaction of ours with its key.
 	wrapped bool
 	// commands counts the commands that have completed.
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// passBytes is how much of an answer is collected before it is passed on.
-	passBytes = 32 << 10
+	// passBytes is how much of an answer is collected before it is passed on. A shorter answer
+	// is passed on after its slot was given back, so that a guest that reads slowly keeps none.
+	passBytes = 256 << 10
 	// maxHeldBytes bounds the frames that wait for the commit to settle.
 	maxHeldBytes = 16 << 20
 	// keepBytes is the largest buffer that a channel keeps for its next unit.
@@ -95,7 +96,7 @@
 				return err
 			}
 		}
-		if !r.held && r.rows && (len(r.h.out) >= passBytes || x.c.waiting() && !x.over()) {
+		if !r.held && len(r.h.out) >= passBytes {
 			if err := r.pass(); err != nil {
 				return err
 			}
@@ -120,17 +121,13 @@
 // take adds a frame to those for the guest. On a primary, frames are held from the
 // first completed command on, or in an open transaction from the one that ends it.
 func (r *run) take(f []byte) error {
-	switch f[0] {
-	case 'C', 'I', 's':
+	if f[0] == 'C' || f[0] == 'I' || f[0] == 's' {
 		r.commands++
-		if r.lead != nil && (!r.open || f[0] == 'C' && endsBlock(text(f[5:]))) {
+		if r.lead != nil && (!r.open || f[0] == 'C' && endsBlock(text(f[headBytes:]))) {
 			if err := r.startHold(); err != nil {
 				return err
 			}
 		}
-		r.rows = true
-	case 'D', 'E':
-		r.rows = r.rows || f[0] == 'D'
 	}
 	r.h.out = append(r.h.out, f...)
 	if r.held && len(r.h.out) > maxHeldBytes {
@@ -246,6 +243,7 @@
 	r.end()
 	r.h.out = r.h.out[:0]
 	switch {
+	case errors.Is(cause, errSink):
 	case r.open && (!sent || r.lead == nil || !mayEnd(r.u)):
 		return failed(r.u, rolledBackBy(cause.Error())), nil
 	case !sent:
@@ -253,5 +251,9 @@
 	case r.lead == nil && !r.passed:
 		return failed(r.u, refuse(jacinthtiller.ReasonTarget, "the connection to replica %s failed: %v", r.t.name, cause)), nil
 	}
-	return r.unknown(failed(r.u, jacinthtiller.Unknown("")), cause), nil
+	res := r.unknown(failed(r.u, jacinthtiller.Unknown("")), cause)
+	if errors.Is(cause, errSink) {
+		return res, cause
+	}
+	return res, nil
 }
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -133,7 +133,7 @@
 // promote makes the target lead the term of l. The view names it the primary of
 // exactly that term, or l would have ended.
 func (t *target) promote(ctx context.Context, l *lead) error {
-	if l.ctx.Err() != nil {
+	if l.over() {
 		return nil
 	}
 	if _, err := t.orders.query(ctx, fmt.Sprintf("SELECT group_promote(%d)", l.term)); err != nil {
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -86,8 +86,10 @@
 	return l.readyAt
 }
 
+func (l *lead) over() bool { return l.ctx.Err() != nil }
+
 // valid reports whether an answer may be acknowledged now.
-func (l *lead) valid() bool { return l.ctx.Err() == nil && l.t.o.leased() }
+func (l *lead) valid() bool { return !l.over() && l.t.o.leased() }
 
 // follow starts to ask for the position of each replica that is not asked yet.
 func (l *lead) follow(replicas []string) {
