--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -29,16 +29,16 @@
 // load is one simulated period in virtual time: a big team of 1,000 guests asks at a rate that does not depend on the
 // answers, and a small team of 5 guests asks again a thinking time after each answer.
 type load struct {
-	big   float64 // requests a second
-	think time.Duration
+	big               float64 // requests a second
+	thinkMicroseconds int64   // mean
 	// policy is fair, first-come-first-served, or split: a slot and a queue for each of 5 hosts.
 	policy string
 
 	mu     sync.Mutex
 	end    time.Time
 	good   map[string]int // answers within the guests' patience, before the end
-	waits  []time.Duration
-	totals []time.Duration // of the small team, from the request to the answer
+	waits  []float64      // of the small team, in milliseconds
+	totals []float64      // the same, from the request to the answer
 }
 
 // figures are what a load measured: per second, a fraction of the small team's requests, and in milliseconds.
@@ -61,7 +61,7 @@
 			rng := rand.New(rand.NewPCG(1, uint64(i)))
 			for time.Now().Before(l.end) {
 				l.request(gates, "small", i, rng.ExpFloat64())
-				time.Sleep(time.Duration(rng.ExpFloat64() * float64(l.think)))
+				time.Sleep(time.Duration(rng.ExpFloat64()*float64(l.thinkMicroseconds)) * time.Microsecond)
 			}
 		})
 	}
@@ -96,13 +96,15 @@
 		l.good[team]++
 	}
 	if team == "small" {
-		l.waits, l.totals = append(l.waits, waited), append(l.totals, time.Since(begun))
+		l.waits, l.totals = append(l.waits, milliseconds(waited)), append(l.totals, milliseconds(time.Since(begun)))
 	}
 }
 
-func median(ds []time.Duration) float64 {
-	slices.Sort(ds)
-	return float64(ds[len(ds)/2].Microseconds()) / 1000
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func median(ms []float64) float64 {
+	slices.Sort(ms)
+	return ms[len(ms)/2]
 }
 
 // TestFairness guards against a small team that is shut out by a big one, and against overload that lowers goodput.
@@ -112,7 +114,7 @@
 		for _, policy := range []string{"fair", "first-come-first-served", "split"} {
 			measure := func(factor float64) (f figures) {
 				synctest.Test(t, func(*testing.T) {
-					f = (&load{big: factor * capacity, think: think, policy: policy}).run()
+					f = (&load{big: factor * capacity, thinkMicroseconds: think.Microseconds(), policy: policy}).run()
 				})
 				t.Logf("think %4v %-24s %2.0fx: goodput %3.0f/s, small team %3.0f/s, %3.0f%% answered, median wait %5.1f ms, to the answer %5.1f ms",
 					think, policy, factor, f.goodput, f.share, 100*f.answered, f.wait, f.total)
