owner, link: keep the session's numbers on the link; refusals of a deposed primary

The link replaced the number of a unit by one of its own, so traces of the owner named other requests than those of the session. Units now cross with their own number and a sequence of the connection, and both must match. SQLSTATE 25006 from a primary is an answer while its lead goes on, and proves not-run after the lead has ended, so that the guest's request goes to the next primary. A repeated order that fails is logged every 5 s, not every 100 ms.

--- a/link/frame.go
+++ b/link/frame.go
@@ -28,9 +28,9 @@
 const (
 	frameHello    = 'H' // entry host -> owner: CBOR hello
 	frameUnit     = 'U' // entry host -> owner: CBOR header of a unit
-	frameMessages = 'M' // both ways: the unit's number, then PostgreSQL messages
-	frameCancel   = 'C' // entry host -> owner: the number of the unit to cancel
-	frameResult   = 'R' // owner -> entry host: CBOR result
+	frameMessages = 'M' // both ways: the unit's sequence, then PostgreSQL messages
+	frameCancel   = 'C' // entry host -> owner: the sequence of the unit to cancel
+	frameResult   = 'R' // owner -> entry host: CBOR reply
 	frameBeat     = 'B' // owner -> entry host: the unit is still running
 	frameGoing    = 'G' // owner -> entry host: use another connection for the next channel
 )
@@ -70,12 +70,21 @@
 // remains, since clocks of hosts are not compared; zero means none.
 type header struct {
 	jacinthtiller.Unit
-	DeadlineMicroseconds int64 `cbor:"deadline-microseconds,omitempty"`
-	WaitMicroseconds     int64 `cbor:"wait-microseconds,omitempty"`
+	// Sequence counts the units of the connection. Numbers of units are those of a session,
+	// and the sessions that use a connection one after the other have the same numbers.
+	Sequence             uint64 `cbor:"sequence"`
+	DeadlineMicroseconds int64  `cbor:"deadline-microseconds,omitempty"`
+	WaitMicroseconds     int64  `cbor:"wait-microseconds,omitempty"`
 }
 
-func newHeader(u jacinthtiller.Unit, now time.Time) header {
-	return header{Unit: u, DeadlineMicroseconds: remaining(u.Deadline, now), WaitMicroseconds: remaining(u.WaitUntil, now)}
+// reply is a result with the sequence of its unit.
+type reply struct {
+	jacinthtiller.Result
+	Sequence uint64 `cbor:"sequence"`
+}
+
+func newHeader(u jacinthtiller.Unit, sequence uint64, now time.Time) header {
+	return header{Unit: u, Sequence: sequence, DeadlineMicroseconds: remaining(u.Deadline, now), WaitMicroseconds: remaining(u.WaitUntil, now)}
 }
 
 // unit returns the unit with deadlines on this host's clock.
@@ -120,12 +129,12 @@
 }
 
 // appendMessages adds a frame of PostgreSQL messages.
-func appendMessages(b []byte, number uint64, messages []byte) ([]byte, error) {
+func appendMessages(b []byte, sequence uint64, messages []byte) ([]byte, error) {
 	n := numberBytes + len(messages)
 	if n > maxBytes[frameMessages] {
 		return nil, fmt.Errorf("messages of %d bytes are longer than %d", n, maxBytes[frameMessages])
 	}
-	return append(binary.BigEndian.AppendUint64(appendHead(b, frameMessages, n), number), messages...), nil
+	return append(binary.BigEndian.AppendUint64(appendHead(b, frameMessages, n), sequence), messages...), nil
 }
 
 // reader reads frames. The payload is valid until the next read.
@@ -165,7 +174,7 @@
 // messages splits the payload of a frame of messages.
 func messages(p []byte) (uint64, []byte, error) {
 	if len(p) < numberBytes {
-		return 0, nil, errors.New("frame of messages without a number")
+		return 0, nil, errors.New("frame of messages without a sequence")
 	}
 	return binary.BigEndian.Uint64(p), p[numberBytes:], nil
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -159,7 +159,7 @@
 		convey.So(time.Since(got.WaitUntil), convey.ShouldBeBetween, time.Second, 10*time.Second)
 		convey.So(run(p.open(t), jacinthtiller.Unit{Number: 9, Frames: []byte("Q....")}), convey.ShouldEqual, "done I: Q....")
 		convey.So(f.units[3].Deadline.IsZero(), convey.ShouldBeTrue)
-		got.Deadline, got.WaitUntil, got.Number = sent.Deadline, sent.WaitUntil, sent.Number
+		got.Deadline, got.WaitUntil = sent.Deadline, sent.WaitUntil
 		convey.So(got, convey.ShouldResemble, sent)
 	})
 	convey.Convey("The local host needs no connection", t, func() {
@@ -174,10 +174,14 @@
 // TestOutcome guards against an outcome that claims more than is known, and against
 // answers that reach another unit than their own.
 func TestOutcome(t *testing.T) {
-	result := func(n uint64) []byte {
-		b, _ := appendFrame(nil, frameResult, jacinthtiller.Result{Number: n, Outcome: jacinthtiller.OutcomeDone, Status: 'I'})
+	// The first unit has the number 5 and the sequence 1.
+	numbered := func(n, sequence uint64) []byte {
+		b, _ := appendFrame(nil, frameResult, reply{
+			Result: jacinthtiller.Result{Number: n, Outcome: jacinthtiller.OutcomeDone, Status: 'I'}, Sequence: sequence,
+		})
 		return b
 	}
+	result := func(n uint64) []byte { return numbered(n+4, n) }
 	rows := func(n uint64) []byte { b, _ := appendMessages(nil, n, []byte("row")); return b }
 	cases := map[string]struct {
 		// answers are what the owner's host writes to each unit before it closes.
@@ -187,6 +191,8 @@
 		"gone without an answer":   {nil, []string{"broken, unknown 08007: "}},
 		"gone in the answer":       {[][]byte{rows(1)}, []string{"broken, unknown 08007: row"}},
 		"another unit's result":    {[][]byte{append(rows(1), result(2)...)}, []string{"broken, unknown 08007: row"}},
+		"another number":           {[][]byte{numbered(6, 1)}, []string{"broken, unknown 08007: "}},
+		"another sequence":         {[][]byte{numbered(5, 2)}, []string{"broken, unknown 08007: "}},
 		"another unit's rows":      {[][]byte{append(rows(9), result(1)...)}, []string{"broken, unknown 08007: "}},
 		"unknown frame":            {[][]byte{append([]byte("?\x00\x00\x00\x04"), result(1)...)}, []string{"broken, unknown 08007: "}},
 		"frame too long":           {[][]byte{append([]byte("M\x7f\x00\x00\x04"), result(1)...)}, []string{"broken, unknown 08007: "}},
@@ -251,7 +257,7 @@
 // TestPartialUnit guards against a unit that runs although only a part of it arrived.
 func TestPartialUnit(t *testing.T) {
 	u, _ := appendFrame(nil, frameHello, hello{Version: version, Host: "a"})
-	u, _ = appendFrame(u, frameUnit, newHeader(jacinthtiller.Unit{Number: 1}, time.Now()))
+	u, _ = appendFrame(u, frameUnit, newHeader(jacinthtiller.Unit{Number: 1}, 1, time.Now()))
 	u, _ = appendMessages(u, 1, []byte("Q...."))
 	other, _ := appendMessages(nil, 2, []byte("Q...."))
 	cases := map[string]struct {
--- a/link/opener.go
+++ b/link/opener.go
@@ -162,9 +162,9 @@
 	r       *reader
 	// out collects what the next write sends; it begins with hello on a new connection.
 	out []byte
-	// number is the last number used on the connection; numbers of channels are mapped to it,
-	// so that a late answer to an earlier channel is never taken for one of this channel.
-	number uint64
+	// sequence is that of the last unit sent. Answers carry it, so that a late answer to an earlier
+	// channel is never taken for one to this channel.
+	sequence uint64
 
 	mu sync.Mutex // guards writes
 	// running is true while a unit runs, so that a cancel can be sent.
@@ -217,9 +217,7 @@
 }
 
 func (h *channel) run(u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
-	guests := u.Number
-	h.c.number++
-	u.Number = h.c.number
+	h.c.sequence++
 	if err := h.c.send(u); err != nil {
 		return jacinthtiller.Result{}, err
 	}
@@ -230,39 +228,42 @@
 		if err != nil {
 			return jacinthtiller.Result{}, jacinthtiller.Unknown("the connection to the owner's host broke: %v", err)
 		}
-		res, done, err := h.take(u.Number, typ, p, sink)
+		res, done, err := h.take(h.c.sequence, typ, p, sink)
 		if err != nil {
 			return jacinthtiller.Result{}, err
 		}
+		if done && res.Number != u.Number {
+			return jacinthtiller.Result{}, crossed(res.Number, u.Number)
+		}
 		if done {
-			res.Number = guests
 			return res, nil
 		}
 	}
 }
 
-// take handles one frame of the answer to the unit with the number.
-func (h *channel) take(number uint64, typ byte, p []byte, sink jacinthtiller.Sink) (res jacinthtiller.Result, done bool, err error) {
+// take handles one frame of the answer to the unit with the sequence.
+func (h *channel) take(sequence uint64, typ byte, p []byte, sink jacinthtiller.Sink) (res jacinthtiller.Result, done bool, err error) {
 	switch typ {
 	case frameMessages:
 		n, m, err := messages(p)
 		if err != nil {
 			return res, false, jacinthtiller.Unknown("%v", err)
 		}
-		if n != number {
-			return res, false, crossed(n, number)
+		if n != sequence {
+			return res, false, crossed(n, sequence)
 		}
 		if err := sink(m); err != nil {
 			return res, false, jacinthtiller.Unknown("the guest took no more of the answer: %v", err)
 		}
 	case frameResult:
-		if err := cbor.Unmarshal(p, &res); err != nil {
+		var r reply
+		if err := cbor.Unmarshal(p, &r); err != nil {
 			return res, false, jacinthtiller.Unknown("decode result: %v", err)
 		}
-		if res.Number != number {
-			return res, false, crossed(res.Number, number)
+		if r.Sequence != sequence {
+			return res, false, crossed(r.Sequence, sequence)
 		}
-		return res, true, nil
+		return r.Result, true, nil
 	case frameBeat:
 	case frameGoing:
 		h.mu.Lock()
@@ -281,9 +282,9 @@
 // send writes the unit in one write. An error proves that the unit did not run,
 // because a unit that arrives in part is never run.
 func (c *peerConn) send(u jacinthtiller.Unit) error {
-	b, err := appendFrame(c.out, frameUnit, newHeader(u, time.Now()))
+	b, err := appendFrame(c.out, frameUnit, newHeader(u, c.sequence, time.Now()))
 	if err == nil {
-		b, err = appendMessages(b, u.Number, u.Frames)
+		b, err = appendMessages(b, c.sequence, u.Frames)
 	}
 	if err != nil {
 		return jacinthtiller.NotRun(jacinthtiller.CodeNotSupported, "", "the unit cannot be sent: %v", err)
@@ -319,7 +320,7 @@
 		limit = time.Now().Add(dialLimit)
 	}
 	_ = h.c.nc.SetWriteDeadline(limit)
-	b := binary.BigEndian.AppendUint64(appendHead(nil, frameCancel, numberBytes), h.c.number)
+	b := binary.BigEndian.AppendUint64(appendHead(nil, frameCancel, numberBytes), h.c.sequence)
 	if _, err := h.c.nc.Write(b); err != nil {
 		return fmt.Errorf("send cancel: %w", err)
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// flushAfter is how long a part of an answer may wait for more before it is sent.
-	flushAfter = 2 * time.Millisecond
 	// lingerFor is how long a draining server still takes units that were on the way when it said that it is going.
 	lingerFor = 200 * time.Millisecond
 	// helloLimit bounds the wait for the first frame of a connection.
@@ -108,7 +106,7 @@
 	if s.tls != nil {
 		nc = tls.Server(raw, s.tls)
 	}
-	c := &serverConn{s: s, nc: nc, r: newReader(nc), w: bufio.NewWriterSize(nc, bufferBytes), work: make(chan jacinthtiller.Unit, 1)}
+	c := &serverConn{s: s, nc: nc, r: newReader(nc), w: bufio.NewWriterSize(nc, bufferBytes), work: make(chan sequenced, 1)}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	s.mu.Lock()
 	if s.closed {
@@ -206,7 +204,7 @@
 	cancel context.CancelFunc
 	// work takes the unit to run. Its capacity is 1; a unit that finds it full breaks the
 	// protocol, which allows one unit at a time, and ends the connection.
-	work chan jacinthtiller.Unit
+	work chan sequenced
 
 	wmu sync.Mutex // guards w
 	w   *bufio.Writer
@@ -214,12 +212,18 @@
 	mu sync.Mutex // guards the fields below
 	// channel is opened by the first unit.
 	channel jacinthtiller.Channel
-	// running is the number of the unit that runs or waits in work; 0 for none.
+	// running is the sequence of the unit that runs or waits in work; 0 for none.
 	running uint64
 	// status is the transaction status after the last unit; 0 before the first.
 	status byte
 }
 
+// sequenced is a unit with its place among those of the connection.
+type sequenced struct {
+	unit     jacinthtiller.Unit
+	sequence uint64
+}
+
 func (c *serverConn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -274,7 +278,7 @@
 		return c.unit(p)
 	case frameCancel:
 		if len(p) != numberBytes {
-			return errors.New("cancel without a number")
+			return errors.New("cancel without a sequence")
 		}
 		c.cancelUnit(binary.BigEndian.Uint64(p))
 		return nil
@@ -296,31 +300,31 @@
 	if typ != frameMessages {
 		return fmt.Errorf("frame %q in place of a unit's messages", typ)
 	}
-	number, m, err := messages(p)
+	sequence, m, err := messages(p)
 	if err != nil {
 		return err
 	}
 	u := h.unit(time.Now())
-	if number != u.Number || number == 0 {
-		return fmt.Errorf("messages of unit %d follow the header of unit %d", number, u.Number)
+	if sequence != h.Sequence || sequence == 0 {
+		return fmt.Errorf("messages of unit %d follow the header of unit %d", sequence, h.Sequence)
 	}
 	u.Frames = append([]byte(nil), m...)
 	c.mu.Lock()
 	again := c.running != 0
-	c.running = number
+	c.running = sequence
 	c.mu.Unlock()
 	if again {
-		return fmt.Errorf("unit %d came before the one before it had ended", number)
+		return fmt.Errorf("unit %d came before the one before it had ended", sequence)
 	}
-	c.work <- u
+	c.work <- sequenced{unit: u, sequence: sequence}
 	return nil
 }
 
 // cancelUnit cancels the unit if it still runs. The other host may send it when the unit has just ended.
-func (c *serverConn) cancelUnit(number uint64) {
+func (c *serverConn) cancelUnit(sequence uint64) {
 	c.mu.Lock()
 	ch := c.channel
-	if c.running != number {
+	if c.running != sequence {
 		ch = nil
 	}
 	c.mu.Unlock()
@@ -357,14 +361,15 @@
 
 // one runs a unit and writes its answer. An error breaks the connection, which
 // leaves the unit's outcome unknown to the other host.
-func (c *serverConn) one(u jacinthtiller.Unit) error {
+func (c *serverConn) one(q sequenced) error {
+	u := q.unit
 	ch, err := c.openChannel()
 	if err != nil {
 		e := jacinthtiller.AsError(err)
 		c.s.events.Emit(event.LinkRefused, event.Fields{"error": err.Error()})
-		return c.answer(jacinthtiller.Result{Number: u.Number, Outcome: e.Outcome, Status: 'I', Err: e})
+		return c.answer(q.sequence, jacinthtiller.Result{Number: u.Number, Outcome: e.Outcome, Status: 'I', Err: e})
 	}
-	a := &answer{c: c, number: u.Number}
+	a := &answer{c: c, sequence: q.sequence}
 	a.mu.Lock()
 	a.timer = time.AfterFunc(beatEvery, a.tick)
 	a.mu.Unlock()
@@ -374,7 +379,7 @@
 		c.setStatus(0)
 		return fmt.Errorf("run unit %d: %w", u.Number, err)
 	}
-	return c.answer(res)
+	return c.answer(q.sequence, res)
 }
 
 func (c *serverConn) openChannel() (jacinthtiller.Channel, error) {
@@ -396,9 +401,9 @@
 
 // answer writes the result and sends all that is buffered. The unit counts as ended
 // before the other host can learn of it, since that host may send the next one at once.
-func (c *serverConn) answer(res jacinthtiller.Result) error {
+func (c *serverConn) answer(sequence uint64, res jacinthtiller.Result) error {
 	c.setStatus(res.Status)
-	b, err := appendFrame(nil, frameResult, res)
+	b, err := appendFrame(nil, frameResult, reply{Result: res, Sequence: sequence})
 	if err != nil {
 		return err
 	}
@@ -436,71 +441,3 @@
 	}
 	return nil
 }
-
-// answer is the way of one unit's frames to the other host.
-type answer struct {
-	c      *serverConn
-	number uint64
-
-	timer *time.Timer
-	mu    sync.Mutex // guards the fields below
-	// waiting is true while frames wait in the writer's buffer.
-	waiting bool
-	over    bool
-}
-
-// sink buffers frames; they are sent with the result, when the buffer is full, or after flushAfter.
-func (a *answer) sink(frames []byte) error {
-	err := a.c.write(func() error {
-		head := binary.BigEndian.AppendUint64(appendHead(nil, frameMessages, numberBytes+len(frames)), a.number)
-		if numberBytes+len(frames) > maxBytes[frameMessages] {
-			return fmt.Errorf("an answer of %d bytes at once is too long", len(frames))
-		}
-		if _, err := a.c.w.Write(head); err != nil {
-			return fmt.Errorf("write answer: %w", err)
-		}
-		if _, err := a.c.w.Write(frames); err != nil {
-			return fmt.Errorf("write answer: %w", err)
-		}
-		return nil
-	})
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if err == nil && !a.waiting && !a.over {
-		a.waiting = true
-		a.timer.Reset(flushAfter)
-	}
-	return err
-}
-
-// tick sends what waits, or a sign of life when nothing does.
-func (a *answer) tick() {
-	a.mu.Lock()
-	over, waiting := a.over, a.waiting
-	a.waiting = false
-	a.mu.Unlock()
-	if over {
-		return
-	}
-	err := a.c.write(func() error {
-		if waiting {
-			return a.c.flush()
-		}
-		return a.c.frame(frameBeat)
-	})
-	if err != nil {
-		a.c.shut()
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.over && !a.waiting {
-		a.timer.Reset(beatEvery)
-	}
-}
-
-func (a *answer) end() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.over = true
-	a.timer.Stop()
-}
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -108,7 +108,7 @@
 // proof reports whether the answer so far proves that nothing ran, so that the
 // unit may run elsewhere and nothing of the answer is for the guest.
 func (r *run) proof(x *exchange, _ []byte) bool {
-	return r.provable() && provesNotRun(x.failed)
+	return r.lead == nil && r.provable() && provesNotRun(x.failed)
 }
 
 // provable reports whether a refusal by the target would prove that nothing of the unit ran.
@@ -181,11 +181,8 @@
 		r.lead.marks.record(r.u.Guest, p)
 	}
 	r.giveBack(x.status)
-	if r.provable() && provesNotRun(x.failed) && x.status == 'I' {
-		res.Outcome = jacinthtiller.OutcomeNotRun
-		res.Err = jacinthtiller.NotRun(x.failed, jacinthtiller.ReasonTarget, "target %s refused the statement", r.t.name)
-		r.h.out = r.h.out[:0]
-		return res, nil
+	if r.provable() && provesNotRun(x.failed) && x.status == 'I' && (r.lead == nil || r.lead.over()) {
+		return r.refused(x.failed), nil
 	}
 	if r.lead != nil && (x.status == 'I' || p.Compare(r.before) > 0) {
 		if err := r.acknowledge(p); err != nil {
@@ -198,6 +195,19 @@
 	return res, nil
 }
 
+// refused is the result of a unit that the target has proved not to have run. A
+// primary whose lead goes on is not asked: there the guest itself has forbidden writes.
+func (r *run) refused(code string) jacinthtiller.Result {
+	r.h.out = r.h.out[:0]
+	err := jacinthtiller.NotRun(code, jacinthtiller.ReasonTarget, "target %s refused the statement", r.t.name)
+	if r.lead != nil {
+		err = refuse(jacinthtiller.ReasonNotOwner, "target %s no longer leads term %d", r.t.name, r.lead.term)
+	}
+	res := failed(r.u, err)
+	res.Failed, res.Position = code, r.t.position()
+	return res
+}
+
 // giveBack returns the slot at once, and the connection unless a transaction is open.
 func (r *run) giveBack(status byte) {
 	if status != 'I' {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -246,6 +246,9 @@
 
 // signalIdle wakes Drain. It is called with mu held.
 func (o *Owner) signalIdle() {
+	if !o.draining.Load() {
+		return
+	}
 	close(o.idle)
 	o.idle = make(chan struct{})
 }
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -26,7 +26,8 @@
 	// silenceLimit is how long a target may give no answer before it is lost.
 	silenceLimit = time.Second
 	// controlRetry is the pause between reports to the control group.
-	controlRetry = 200 * time.Millisecond
+	controlRetry   = 200 * time.Millisecond
+	repeatLogAfter = 5 * time.Second
 	// disagreeGrace is the age from which an announcement counts against an order; a
 	// younger one may have been written before the order.
 	disagreeGrace = 600 * time.Millisecond
@@ -82,9 +83,13 @@
 
 // reconcile gives orders until the target's role agrees with the view.
 func (t *target) reconcile() {
+	last := ""
+	var quietUntil time.Time // the same error is logged again only after this
 	for {
-		if err := t.agree(); err != nil && t.ctx.Err() == nil {
-			t.emit(event.OrderFailed, event.Fields{"error": err.Error()})
+		err := t.agree()
+		if err != nil && t.ctx.Err() == nil && (err.Error() != last || time.Now().After(quietUntil)) {
+			last, quietUntil = err.Error(), time.Now().Add(repeatLogAfter)
+			t.emit(event.OrderFailed, event.Fields{"error": last})
 		}
 		timer := time.NewTimer(reconcileEvery)
 		select {
--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -187,6 +187,24 @@
 				convey.So(o.Failed+o.answer, convey.ShouldEqual, "25006")
 			}
 		})
+		convey.Convey("a refusal by the primary is an answer while it leads, and proves not-run after that", func() {
+			convey.So(s.query("BEGIN READ ONLY").Status, convey.ShouldEqual, byte('T'))
+			convey.So(s.query("DELETE FROM a").says(), convey.ShouldEqual, "done E:25006 Z:E")
+			convey.So(s.query("ROLLBACK").Status, convey.ShouldEqual, byte('I'))
+			r := &reserved{t: c.o.find("d", "t1")}
+			_, err := r.query(background, "SELECT group_fence(2)")
+			convey.So(err, convey.ShouldBeNil)
+			r.close()
+			convey.So(s.query("DELETE FROM a").says(), convey.ShouldEqual, "done E:25006 Z:I")
+			c.targets[0].SetService(200 * time.Millisecond)
+			g, o := s.start("DELETE FROM a")
+			h := s.h.(*channel)
+			eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.running != nil })
+			c.apply(c.db().WithPrimary(2, ""))
+			g.Wait()
+			convey.So(o.says(), convey.ShouldEqual, "not-run JT003")
+			convey.So(o.Failed+o.answer, convey.ShouldEqual, "25006")
+		})
 		convey.Convey("other units are refused", func() {
 			for name, change := range map[string]func(u *jacinthtiller.Unit){
 				"writes":                      func(u *jacinthtiller.Unit) { u.Access = jacinthtiller.AccessWrite },
