owner: tests of polling and of the fence that miss nothing

Taking out the poll of positions, or the end of the lead in Fence, passed the tests. They now count the polls and fence without a view that follows.

--- a/owner/helper_test.go
+++ b/owner/helper_test.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex // guards the fields below
 	// seen holds the owner's messages as type and first text, such as "Q SELECT 1".
 	seen []string
+	// asked counts the questions for the log position.
+	asked int
 	// cut says where to break a connection that sends a message with the text.
 	cut   map[string]cutAt
 	conns []net.Conn
@@ -155,7 +157,9 @@
 	m := strings.TrimSpace(string(f[:1]) + " " + body)
 	s.p.mu.Lock()
 	defer s.p.mu.Unlock()
-	if !strings.Contains(m, "SHOW log_position") {
+	if strings.Contains(m, "SHOW log_position") {
+		s.p.asked++
+	} else {
 		s.p.seen = append(s.p.seen, m)
 	}
 	for x, at := range s.p.cut {
--- a/owner/lead_test.go
+++ b/owner/lead_test.go
@@ -90,11 +90,11 @@
 		convey.Convey("a fence comes before its view", func() {
 			_, err := c.o.Fence(background, jacinthtiller.FenceRequest{Database: "d", Target: "t1", Term: 2})
 			convey.So(err, convey.ShouldBeNil)
-			c.apply(c.db())
 			c.lag(0)
 			g.Wait()
 			convey.So(o.says(), convey.ShouldEqual, "unknown 08007")
-			convey.So(s.query("SELECT 1").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeNotRun)
+			c.apply(c.db())
+			convey.So(s.query("SELECT 1").Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonNotOwner)
 		})
 	})
 }
--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -171,8 +171,14 @@
 			convey.So(got.Position.Covers(o.Position), convey.ShouldBeTrue)
 		})
 		convey.Convey("a read whose wait ends is behind", func() {
-			u.Mark, u.WaitUntil = jacinthtiller.Position{Term: 1, Index: 1000}, time.Now().Add(5*time.Millisecond)
+			asked := func() int { c.taps[1].mu.Lock(); defer c.taps[1].mu.Unlock(); return c.taps[1].asked }
+			before := asked()
+			u.Mark, u.WaitUntil = jacinthtiller.Position{Term: 1, Index: 1000}, time.Now().Add(100*time.Millisecond)
 			o := s.run(u)
+			convey.So(asked(), convey.ShouldBeGreaterThan, before+5)
+			before = asked()
+			time.Sleep(100 * time.Millisecond) // room for questions that nobody waits for
+			convey.So(asked(), convey.ShouldBeLessThan, before+5)
 			convey.So(o.Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonBehind)
 			convey.So(o.answer, convey.ShouldBeEmpty)
 		})
