session: a fenced primary's refusal is sent again; equal time for unknown roles

SQLSTATE 25006 as "not run" from a primary was passed to the guest, although the next primary would have run the request. The verifier for unknown roles was computed only for them.

--- a/session/auth.go
+++ b/session/auth.go
@@ -18,15 +18,14 @@
 // with a verifier that fits no password.
 func (e *entrance) authenticate(name string) (document.Role, document.Team, error) {
 	role, team, known := e.server.directory().Role(name)
-	if !known {
-		role.Verifier = e.server.decoy(name)
+	// The decoy is made for every role, so that a known one takes no less time.
+	decoy, err := document.ParseVerifier(e.server.decoy(name))
+	if err != nil {
+		return role, team, fmt.Errorf("verifier of an unknown role: %w", err)
 	}
 	stored, err := document.ParseVerifier(role.Verifier)
 	if err != nil {
-		known = false
-		if stored, err = document.ParseVerifier(e.server.decoy(name)); err != nil {
-			return role, team, fmt.Errorf("verifier of an unknown role: %w", err)
-		}
+		known, stored = false, decoy
 	}
 	ok, err := e.scram(stored)
 	if err != nil {
--- a/session/run.go
+++ b/session/run.go
@@ -294,8 +294,10 @@
 
 // notRun goes on after a proof that the request did not run.
 func (r *run) notRun(at *attempt) *fault {
-	if at.err.Code == jacinthtiller.CodeReadOnly && !at.primary && r.mayWrite() {
-		r.refused = true
+	if at.err.Code == jacinthtiller.CodeReadOnly && !at.primary {
+		if r.refused = r.mayWrite(); !r.refused {
+			return r.fail(at.err)
+		}
 		return nil
 	}
 	if final(at.err) {
@@ -316,7 +318,7 @@
 // final reports whether the request would meet the same error again.
 func final(e *jacinthtiller.Error) bool {
 	switch e.Code {
-	case jacinthtiller.CodeKeyReused, jacinthtiller.CodeReadOnly, codeCanceled:
+	case jacinthtiller.CodeKeyReused, codeCanceled:
 		return true
 	}
 	return e.Reason == "" && !strings.HasPrefix(e.Code, "JT")
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -224,6 +224,9 @@
 		"the same as not run": {"writer", "select write()", 1, func(_ *world, _ *channel, u jacinthtiller.Unit) jacinthtiller.Result {
 			return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.OutcomeNotRun, Err: jacinthtiller.NotRun("25006", jacinthtiller.ReasonTarget, "")}
 		}, ok, 1, nil},
+		"a fenced primary's refusal is sent again": {"writer", "insert", 1, func(_ *world, _ *channel, u jacinthtiller.Unit) jacinthtiller.Result {
+			return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.OutcomeNotRun, Err: jacinthtiller.NotRun("25006", jacinthtiller.ReasonTarget, "")}
+		}, ok, 1, nil},
 		"a replica that answers before the mark": {"writer", "select value", 1, func(w *world, _ *channel, u jacinthtiller.Unit) jacinthtiller.Result {
 			w.set(func() { w.marks["writer"] = pos(7); w.positions["p"] = 7 })
 			return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.OutcomeNotRun, Err: jacinthtiller.NotRun("JT003", jacinthtiller.ReasonBehind, "")}
