link: run a unit on the goroutine that has read it

Each unit was handed to a second goroutine, which costs a wake-up before the unit runs. The two goroutines of a connection now take turns: one runs the unit while the other reads on for a cancel or the end of the connection.

--- a/link/server.go
+++ b/link/server.go
@@ -106,7 +106,7 @@
 	if s.tls != nil {
 		nc = tls.Server(raw, s.tls)
 	}
-	c := &serverConn{s: s, nc: nc, r: newReader(nc), w: bufio.NewWriterSize(nc, bufferBytes), work: make(chan sequenced, 1)}
+	c := &serverConn{s: s, nc: nc, r: newReader(nc), w: bufio.NewWriterSize(nc, bufferBytes)}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	s.mu.Lock()
 	if s.closed {
@@ -115,8 +115,9 @@
 		return
 	}
 	s.conns[c] = struct{}{}
-	s.group.Go(c.receive)
-	s.group.Go(c.run)
+	c.workers = 2
+	s.group.Go(c.work)
+	s.group.Go(c.work)
 	s.mu.Unlock()
 }
 
@@ -195,24 +196,28 @@
 	return nil
 }
 
-// serverConn is a connection from another host.
+// serverConn is a connection from another host. Two goroutines take turns: one runs
+// the unit that it has read while the other reads on, for a cancel or the end of the
+// connection. That saves the handing over of each unit to another goroutine.
 type serverConn struct {
 	s      *Server
 	nc     net.Conn
-	r      *reader
 	ctx    context.Context
 	cancel context.CancelFunc
-	// work takes the unit to run. Its capacity is 1; a unit that finds it full breaks the
-	// protocol, which allows one unit at a time, and ends the connection.
-	work chan sequenced
 
-	wmu sync.Mutex // guards w
-	w   *bufio.Writer
+	rmu sync.Mutex // guards the reading: r and greeted
+	r   *reader
+	// greeted is true once hello was read.
+	greeted bool
+	wmu     sync.Mutex // guards w
+	w       *bufio.Writer
 
 	mu sync.Mutex // guards the fields below
+	// workers counts the goroutines that have not ended; the last one closes the channel.
+	workers int
 	// channel is opened by the first unit.
 	channel jacinthtiller.Channel
-	// running is the sequence of the unit that runs or waits in work; 0 for none.
+	// running is the sequence of the unit that runs; 0 for none.
 	running uint64
 	// status is the transaction status after the last unit; 0 before the first.
 	status byte
@@ -235,19 +240,72 @@
 	_ = c.nc.Close()
 }
 
-// receive reads frames until the other host is gone, also while a unit runs.
-func (c *serverConn) receive() {
-	defer close(c.work)
-	defer c.shut()
-	_ = c.nc.SetReadDeadline(time.Now().Add(helloLimit))
-	err := c.greet()
-	_ = c.nc.SetReadDeadline(time.Time{})
-	for err == nil {
-		err = c.next()
-	}
-	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+// work reads a unit, lets the other goroutine read, and runs the unit, until the other host is gone.
+func (c *serverConn) work() {
+	for {
+		q, err := c.receive()
+		if err == nil {
+			err = c.one(q)
+			c.s.signal()
+		}
+		if err != nil {
+			c.fail(err)
+			break
+		}
+	}
+	c.mu.Lock()
+	c.workers--
+	last, ch := c.workers == 0, c.channel
+	c.mu.Unlock()
+	if !last {
+		return
+	}
+	if ch != nil {
+		_ = ch.Close() // the connections that it held are closed in any case
+	}
+	c.s.mu.Lock()
+	delete(c.s.conns, c)
+	c.s.mu.Unlock()
+	c.s.signal()
+}
+
+// fail ends the connection, which interrupts a unit that the other goroutine runs.
+func (c *serverConn) fail(err error) {
+	if c.ctx.Err() == nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		c.s.events.Emit(event.LinkChannelBroken, event.Fields{"error": err.Error(), "from": c.nc.RemoteAddr().String()})
 	}
+	c.shut()
+}
+
+// receive reads frames up to the next unit.
+func (c *serverConn) receive() (sequenced, error) {
+	c.rmu.Lock()
+	defer c.rmu.Unlock()
+	if !c.greeted {
+		_ = c.nc.SetReadDeadline(time.Now().Add(helloLimit))
+		if err := c.greet(); err != nil {
+			return sequenced{}, err
+		}
+		_ = c.nc.SetReadDeadline(time.Time{})
+		c.greeted = true
+	}
+	for {
+		typ, p, err := c.r.read()
+		if err != nil {
+			return sequenced{}, err
+		}
+		switch typ {
+		case frameUnit:
+			return c.unit(p)
+		case frameCancel:
+			if len(p) != numberBytes {
+				return sequenced{}, errors.New("cancel without a sequence")
+			}
+			c.cancelUnit(binary.BigEndian.Uint64(p))
+		default:
+			return sequenced{}, fmt.Errorf("unexpected frame %q", typ)
+		}
+	}
 }
 
 func (c *serverConn) greet() error {
@@ -268,45 +326,26 @@
 	return nil
 }
 
-func (c *serverConn) next() error {
-	typ, p, err := c.r.read()
-	if err != nil {
-		return err
-	}
-	switch typ {
-	case frameUnit:
-		return c.unit(p)
-	case frameCancel:
-		if len(p) != numberBytes {
-			return errors.New("cancel without a sequence")
-		}
-		c.cancelUnit(binary.BigEndian.Uint64(p))
-		return nil
-	default:
-		return fmt.Errorf("unexpected frame %q", typ)
-	}
-}
-
-// unit reads the rest of a unit and hands it to run.
-func (c *serverConn) unit(p []byte) error {
+// unit reads the rest of a unit and returns it.
+func (c *serverConn) unit(p []byte) (sequenced, error) {
 	var h header
 	if err := cbor.Unmarshal(p, &h); err != nil {
-		return fmt.Errorf("decode unit: %w", err)
+		return sequenced{}, fmt.Errorf("decode unit: %w", err)
 	}
 	typ, p, err := c.r.read()
 	if err != nil {
-		return err
+		return sequenced{}, err
 	}
 	if typ != frameMessages {
-		return fmt.Errorf("frame %q in place of a unit's messages", typ)
+		return sequenced{}, fmt.Errorf("frame %q in place of a unit's messages", typ)
 	}
 	sequence, m, err := messages(p)
 	if err != nil {
-		return err
+		return sequenced{}, err
 	}
 	u := h.unit(time.Now())
 	if sequence != h.Sequence || sequence == 0 {
-		return fmt.Errorf("messages of unit %d follow the header of unit %d", sequence, h.Sequence)
+		return sequenced{}, fmt.Errorf("messages of unit %d follow the header of unit %d", sequence, h.Sequence)
 	}
 	u.Frames = append([]byte(nil), m...)
 	c.mu.Lock()
@@ -314,10 +353,9 @@
 	c.running = sequence
 	c.mu.Unlock()
 	if again {
-		return fmt.Errorf("unit %d came before the one before it had ended", sequence)
+		return sequenced{}, fmt.Errorf("unit %d came before the one before it had ended", sequence)
 	}
-	c.work <- sequenced{unit: u, sequence: sequence}
-	return nil
+	return sequenced{unit: u, sequence: sequence}, nil
 }
 
 // cancelUnit cancels the unit if it still runs. The other host may send it when the unit has just ended.
@@ -338,27 +376,6 @@
 	})
 }
 
-// run runs the units one after the other.
-func (c *serverConn) run() {
-	for u := range c.work {
-		if err := c.one(u); err != nil {
-			c.shut()
-		}
-		c.s.signal()
-	}
-	c.shut()
-	c.mu.Lock()
-	ch := c.channel
-	c.mu.Unlock()
-	if ch != nil {
-		_ = ch.Close() // the connections that it held are closed in any case
-	}
-	c.s.mu.Lock()
-	delete(c.s.conns, c)
-	c.s.mu.Unlock()
-	c.s.signal()
-}
-
 // one runs a unit and writes its answer. An error breaks the connection, which
 // leaves the unit's outcome unknown to the other host.
 func (c *serverConn) one(q sequenced) error {
