session: metrics are tested; kebab-case keys in Stats

Nothing failed when the counters from which the replica share is computed were missing, and the dump of a host wrote Go's field names.

--- a/session/server.go
+++ b/session/server.go
@@ -61,10 +61,10 @@
 // Stats is a snapshot of a server.
 type Stats struct {
 	// Guests is the number of sessions, Teams the same by team.
-	Guests int
-	Teams  map[string]int
+	Guests int            `json:"guests"`
+	Teams  map[string]int `json:"teams"`
 	// Starting is the number of connections that have not logged in.
-	Starting int
+	Starting int `json:"starting"`
 }
 
 // NewServer returns a server that is not listening yet. Views, a directory and an
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -14,6 +14,9 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/smartystreets/goconvey/convey"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/document"
@@ -386,3 +389,25 @@
 		convey.So(value(c, "show jacinthtiller.idempotency_key"), convey.ShouldEqual, "")
 	})
 }
+
+// metricReader reads the metrics of the test process; instruments follow only the first provider that is set.
+var metricReader = sync.OnceValue(func() *metric.ManualReader {
+	r := metric.NewManualReader()
+	otel.SetMeterProvider(metric.NewMeterProvider(metric.WithReader(r)))
+	return r
+})
+
+// TestMetrics guards against a share of reads on replicas that cannot be told from the metrics.
+func TestMetrics(t *testing.T) {
+	convey.Convey("Requests count by outcome and reason, guests by team", t, func() {
+		r := metricReader()
+		c := newWorld().enter(t).connect(t, "writer")
+		convey.So(exec(c, "insert")+value(c, "show jacinthtiller.mark"), convey.ShouldEqual, ok+"1/1")
+		var out metricdata.ResourceMetrics
+		convey.So(r.Collect(context.Background(), &out), convey.ShouldBeNil)
+		text := fmt.Sprintf("%+v", out.ScopeMetrics)
+		for _, part := range []string{"jacinthtiller.session.units", "jacinthtiller.session.guests", "jacinthtiller.route.decisions", "primary-write"} {
+			convey.So(text, convey.ShouldContainSubstring, part)
+		}
+	})
+}
