owner: keys and lost connections of explicit transactions

A key that came with BEGIN was inserted before any statement with a word like END in it, and a resend would have got the answer of COMMIT to that statement. Only the key of the unit that ends the transaction is inserted now. A connection lost while a portal ran that an earlier unit had bound to COMMIT was reported as rolled back; its outcome is unknown.

--- a/owner/channel.go
+++ b/owner/channel.go
@@ -26,6 +26,8 @@
 	// plan and out are reused by the units of the channel.
 	plan plan
 	out  []byte
+	// block is what is known of the open transaction. Only Run uses it, and resets it for each transaction.
+	block block
 
 	mu sync.Mutex // guards the fields below
 	// conn, t and grant are set together while a transaction is open.
@@ -41,12 +43,18 @@
 	// rolledBack is true when the open transaction was rolled back between units and the guest has not been
 	// told: the next unit belongs to that transaction and must not run outside it.
 	rolledBack bool
-	// pending is the idempotency key that the open transaction inserts before COMMIT.
-	pending pendingKey
 }
 
 var _ jacinthtiller.Channel = (*channel)(nil)
 
+// block is an explicit transaction.
+type block struct {
+	// ending is true once a unit could have ended the transaction, or bound a portal that can.
+	ending bool
+	// keyed is true once an idempotency key is in the table; it goes with the transaction.
+	keyed bool
+}
+
 // Run runs one unit on the target that it names.
 func (h *channel) Run(ctx context.Context, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
 	if u.Deadline.IsZero() {
@@ -143,7 +151,7 @@
 	}
 	c, g := h.conn, h.grant
 	h.conn, h.t, h.grant = nil, nil, nil
-	h.pending, h.rolledBack = pendingKey{}, true
+	h.rolledBack = true
 	h.mu.Unlock()
 	t.pool.drop(c)
 	t.forget(h)
@@ -234,6 +242,7 @@
 		return r.abandon(err)
 	}
 	r.lead = lead
+	r.h.block.ending = r.h.block.ending || mayEnd(r.u)
 	if res, goOn, err := r.keyAtEnd(); !goOn {
 		return res, err
 	}
@@ -353,6 +362,7 @@
 
 // hold keeps the connection for the open transaction.
 func (r *run) hold() {
+	r.h.block = block{ending: mayEnd(r.u)}
 	r.h.mu.Lock()
 	r.h.conn, r.h.t, r.h.grant = r.conn, r.t, r.grant
 	r.h.mu.Unlock()
@@ -363,7 +373,6 @@
 	r.h.mu.Lock()
 	had := r.h.conn != nil
 	r.h.conn, r.h.t, r.h.grant = nil, nil, nil
-	r.h.pending = pendingKey{}
 	r.h.mu.Unlock()
 	if had {
 		r.t.forget(r.h)
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -254,7 +254,7 @@
 	r.h.out = r.h.out[:0]
 	switch {
 	case errors.Is(cause, errSink):
-	case r.open && (!sent || r.lead == nil || !mayEnd(r.u)):
+	case r.open && (!sent || r.lead == nil || !r.h.block.ending):
 		return failed(r.u, rolledBackBy(cause.Error())), nil
 	case !sent:
 		return failed(r.u, refuse(jacinthtiller.ReasonTarget, "the connection to target %s failed: %v", r.t.name, cause)), nil
--- a/owner/helper_test.go
+++ b/owner/helper_test.go
@@ -36,6 +36,8 @@
 	// cut says where to break a connection that sends a message with the text.
 	cut   map[string]cutAt
 	conns []net.Conn
+	// idle is called before and after a stray message is written.
+	idle func()
 }
 
 type cutAt string
@@ -46,6 +48,7 @@
 	midReply    cutAt = "after the first row"
 	extraFrame  cutAt = "a frame that nobody asked for comes first"
 	lateError   cutAt = "a second ReadyForQuery follows"
+	strayError  cutAt = "a second ReadyForQuery comes when the connection is idle"
 )
 
 func newTap(t testing.TB, to string) *tap {
@@ -198,6 +201,11 @@
 		if _, err := s.in.Write(f); err != nil {
 			return
 		}
+		if at == strayError && f[0] == 'Z' {
+			s.p.idle()
+			_, _ = s.in.Write(f)
+			s.p.idle()
+		}
 	}
 }
 
--- a/owner/keys.go
+++ b/owner/keys.go
@@ -39,12 +39,10 @@
 // beginsBlock matches a text that begins with the start of an explicit transaction.
 var beginsBlock = regexp.MustCompile(`(?i)^\s*(begin|start\s+transaction)\b`)
 
-// pendingKey is the idempotency key of an open transaction.
-type pendingKey struct {
+// requestKey is an idempotency key with the request that it was given for.
+type requestKey struct {
 	team, key   string
 	fingerprint uint64
-	// inserted is true once the key is in the table; it goes with the transaction.
-	inserted bool
 }
 
 // opensBlock reports whether the unit begins with the start of an explicit transaction.
@@ -74,28 +72,25 @@
 	return "'" + strings.ReplaceAll(strings.ReplaceAll(s, "\x00", ""), "'", "''") + "'"
 }
 
-func (k pendingKey) where() string {
+func (k requestKey) where() string {
 	return "team = " + quote(k.team) + " AND request_key = " + quote(k.key)
 }
 
-func (k pendingKey) insert(frames []byte) string {
+func (k requestKey) insert(frames []byte) string {
 	return "INSERT INTO jacinth_requests (team, request_key, fingerprint, frames) VALUES (" +
 		quote(k.team) + ", " + quote(k.key) + ", " + quote(strconv.FormatUint(k.fingerprint, 10)) + ", " +
 		quote(hex.EncodeToString(frames)) + ")"
 }
 
-func keyOf(u jacinthtiller.Unit) pendingKey {
-	return pendingKey{team: u.Team, key: u.Key, fingerprint: u.Fingerprint}
+func keyOf(u jacinthtiller.Unit) requestKey {
+	return requestKey{team: u.Team, key: u.Key, fingerprint: u.Fingerprint}
 }
 
 // keyed runs a unit with a key outside an explicit transaction: the key, the work
 // and the recorded answer commit together.
 func (r *run) keyed() (jacinthtiller.Result, error) {
 	if startsBlock(r.u) {
-		r.h.mu.Lock()
-		r.h.pending = keyOf(r.u)
-		r.h.mu.Unlock()
-		return r.exchange()
+		return r.exchange() // the unit that ends the transaction brings the key again
 	}
 	key := keyOf(r.u)
 	// The layout is checked before anything is sent, so that an error of the unit leaves no block open.
@@ -137,7 +132,7 @@
 }
 
 // record commits the key with the answer, or rolls back when the unit failed.
-func (r *run) record(key pendingKey, x *exchange) (jacinthtiller.Result, error) {
+func (r *run) record(key requestKey, x *exchange) (jacinthtiller.Result, error) {
 	if x.failed != "" && x.status != 'I' {
 		if err := r.own("ROLLBACK"); err != nil {
 			return r.lostConnection(false, err)
@@ -193,7 +188,7 @@
 
 // keyRefused ends a unit whose key could not be inserted: because it is there
 // already, or because the target refuses the insert, which proves that nothing ran.
-func (r *run) keyRefused(key pendingKey, cause error) (jacinthtiller.Result, error) {
+func (r *run) keyRefused(key requestKey, cause error) (jacinthtiller.Result, error) {
 	refused := asRefusal(cause)
 	if refused == nil {
 		return r.lostConnection(false, cause)
@@ -306,18 +301,13 @@
 // commitTag is CommandComplete of COMMIT.
 var commitTag = []byte("C\x00\x00\x00\x0bCOMMIT\x00")
 
-// keyAtEnd inserts the key of an explicit transaction before the unit that may end
-// it. It returns false with the result when the unit must not run.
+// keyAtEnd inserts the key that comes with a unit of an explicit transaction, which
+// is the one that ends it. It returns false with the result when the unit must not run.
 func (r *run) keyAtEnd() (res jacinthtiller.Result, goOn bool, err error) {
-	r.h.mu.Lock()
-	if r.u.Key != "" && !r.h.pending.inserted {
-		r.h.pending = keyOf(r.u)
-	}
-	key := r.h.pending
-	r.h.mu.Unlock()
-	if r.lead == nil || key.key == "" || key.inserted || !mayEnd(r.u) {
+	if r.lead == nil || r.u.Key == "" || r.h.block.keyed {
 		return res, true, nil
 	}
+	key := keyOf(r.u)
 	if err := r.own(key.insert(commitTag)); err != nil {
 		refused := asRefusal(err)
 		switch {
@@ -331,9 +321,7 @@
 		res, err = r.keyRefused(key, err)
 		return res, false, err
 	}
-	r.h.mu.Lock()
-	r.h.pending.inserted = true
-	r.h.mu.Unlock()
+	r.h.block.keyed = true
 	return res, true, nil
 }
 
--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -83,6 +83,23 @@
 			tg.pool.mu.Unlock()
 			convey.So(s.query("INSERT INTO a VALUES (3, 'x')").says(), convey.ShouldEqual, "not-run JT003")
 		})
+		convey.Convey("when a portal bound earlier may have committed", func() {
+			portal := encode(&pgproto3.Parse{Query: "COMMIT"}, &pgproto3.Bind{DestinationPortal: "p"}, &pgproto3.Sync{})
+			convey.So(s.query("BEGIN").Status, convey.ShouldEqual, byte('T'))
+			convey.So(s.run(s.unit(portal)).says(), convey.ShouldEqual, "done 1 2 Z:T")
+			c.taps[0].breakAt("E p", beforeReply)
+			convey.So(s.run(s.unit(encode(&pgproto3.Execute{Portal: "p"}, &pgproto3.Sync{}))).says(), convey.ShouldEqual, "unknown 08007")
+		})
+		convey.Convey("by a message that comes while it is idle", func() {
+			turn := make(chan struct{})
+			c.taps[0].idle = func() { turn <- struct{}{} }
+			c.taps[0].breakAt("cut", strayError)
+			convey.So(s.query("SELECT 'cut'").says(), convey.ShouldEqual, "done T D:cut C:SELECT 1 Z:I")
+			<-turn // the connection is idle
+			<-turn // the message is written
+			convey.So(s.query("SELECT 'next'").says(), convey.ShouldEqual, "unknown 08007")
+			convey.So(s.query("SELECT 'last'").says(), convey.ShouldEqual, "done T D:last C:SELECT 1 Z:I")
+		})
 		convey.Convey("because the guest's side takes no more", func() {
 			u := s.unit(simple("SELECT v FROM a"))
 			_, err := s.h.Run(background, u, func([]byte) error { return fmt.Errorf("gone") })
