session: replicas that refused a read are tried again after a pause

A read that replicas had refused as behind stayed excluded from them while the primary could not run it, even after they had caught up.

Every pause forgets which replicas were tried. The new case fails without it; go test -race -count=2 ./session passes.

--- a/session/run.go
+++ b/session/run.go
@@ -92,7 +92,6 @@
 		if r.last == nil {
 			r.last = jacinthtiller.NotRun(jacinthtiller.CodeNotRunNoTarget, "", "database %q has no suitable target", r.s.database)
 		}
-		r.tried = nil
 		return false, r.pause(changed)
 	}
 	done, f := r.send(r.place(v, d.Target), d)
@@ -344,7 +343,9 @@
 }
 
 // pause waits a little, or until the view changes. It fails when the deadline has passed.
+// Replicas that did not run the request before may do so after it.
 func (r *run) pause(changed <-chan struct{}) *fault {
+	r.tried = nil
 	longest := min(firstBackoff<<min(r.pauses, 10), lastBackoff)
 	r.pauses++
 	timer := time.NewTimer(longest/2 + rand.N(longest/2+1))
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -234,6 +234,14 @@
 			w.set(func() { w.marks["writer"] = pos(7); w.positions["p"] = 7 })
 			return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.OutcomeNotRun, Err: jacinthtiller.NotRun("JT003", jacinthtiller.ReasonBehind, "")}
 		}, ok, 1, nil},
+		"a replica that has caught up while the primary fails": {"writer", "select value", 1e6, func(w *world, c *channel, u jacinthtiller.Unit) jacinthtiller.Result {
+			if u.Target == "p" {
+				w.set(func() { w.positions["r1"] = 7 })
+				return refused(u, jacinthtiller.ReasonNoLease)
+			}
+			r, _ := c.run(u, func([]byte) error { return nil })
+			return r
+		}, ok, 1, func(w *world) { w.marks["writer"], w.positions["p"] = pos(7), 7 }},
 		"a used key is final": {"writer", "insert", 1, func(_ *world, _ *channel, u jacinthtiller.Unit) jacinthtiller.Result {
 			return jacinthtiller.Result{Number: u.Number, Outcome: jacinthtiller.OutcomeNotRun, Err: jacinthtiller.NotRun("JT005", "", "")}
 		}, "JT005", 0, nil},
