--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -228,6 +228,17 @@
 			convey.So(o.says(), convey.ShouldEqual, "not-run JT003")
 			convey.So(o.Failed+o.answer, convey.ShouldEqual, "25006")
 		})
+		convey.Convey("a guest that takes its answer slowly keeps no slot", func() {
+			var g conc.WaitGroup
+			slow := make(chan struct{})
+			g.Go(func() {
+				_, _ = c.session("s3").h.Run(background, u, func([]byte) error { slow <- struct{}{}; <-slow; return nil })
+			})
+			<-slow
+			convey.So(c.o.find("d", "t2").gate.Stats().Running, convey.ShouldEqual, 0)
+			close(slow)
+			g.Wait()
+		})
 		convey.Convey("other units are refused", func() {
 			for name, change := range map[string]func(u *jacinthtiller.Unit){
 				"writes":                      func(u *jacinthtiller.Unit) { u.Access = jacinthtiller.AccessWrite },
