owner, link: tests that miss no break of moves, drains and loss

Four breaks made on purpose passed the tests: a move that does not wait for an open transaction, a target lost after one failed probe, a Drain that returns at once, and a server that does not tell idle connections to go. The tests now look for each of them before they go on.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -380,14 +380,18 @@
 		f.play = func(_ context.Context, u jacinthtiller.Unit, _ jacinthtiller.Sink) (jacinthtiller.Result, error) {
 			return done(u, status), nil
 		}
-		busy, idle := p.open(t), p.open(t)
+		busy, idle, told := p.open(t), p.open(t), p.open(t)
 		convey.So(run(busy, jacinthtiller.Unit{Number: 1}), convey.ShouldEqual, "done T: ")
 		status = 'I'
 		convey.So(run(idle, jacinthtiller.Unit{Number: 1}), convey.ShouldEqual, "done I: ")
+		convey.So(run(told, jacinthtiller.Unit{Number: 1}), convey.ShouldEqual, "done I: ")
 		convey.So(idle.Close(), convey.ShouldBeNil)
 		var g conc.WaitGroup
 		var drained error
 		g.Go(func() { drained = p.s.Drain(background) })
+		typ, _, err := told.(*channel).c.r.read()
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(typ, convey.ShouldEqual, byte(frameGoing))
 		eventually(t, func() bool { return disturbed(p.o.idle[idle.(*channel).c.address][0].raw) })
 		convey.So(p.o.take(idle.(*channel).c.address), convey.ShouldBeNil)
 		convey.So(run(busy, jacinthtiller.Unit{Number: 2}), convey.ShouldEqual, "done I: ")
--- a/owner/lead_test.go
+++ b/owner/lead_test.go
@@ -209,11 +209,15 @@
 		db.Moving = "t2"
 		c.apply(db)
 		convey.So(c.session("s2").query("SELECT 1").Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonDraining)
+		early := func() int {
+			time.Sleep(3 * reconcileEvery) // room for a move that would come too early
+			lost, _ := c.control.reports()
+			return lost
+		}
+		convey.So(early(), convey.ShouldEqual, 0)
 		c.targets[1].SetLag(time.Hour)
 		convey.So(s.query("COMMIT").says(), convey.ShouldEqual, "done C:COMMIT Z:I")
-		time.Sleep(3 * reconcileEvery) // room for a move that would come too early
-		lost, _ := c.control.reports()
-		convey.So(lost, convey.ShouldEqual, 0)
+		convey.So(early(), convey.ShouldEqual, 0)
 		c.targets[1].SetLag(0)
 		eventually(t, func() bool { lost, _ := c.control.reports(); return lost == 1 })
 		convey.So(c.targets[1].Position().Covers(c.targets[0].Position()), convey.ShouldBeTrue)
@@ -249,7 +253,7 @@
 		})
 		convey.Convey("a pause shorter than the limit is no loss", func() {
 			c.targets[0].Freeze()
-			time.Sleep(silenceLimit - probeLimit + 100*time.Millisecond)
+			time.Sleep(850 * time.Millisecond) // one probe times out and the next is answered
 			c.targets[0].Resume()
 			convey.So(s.query("SELECT 1").Outcome, convey.ShouldEqual, jacinthtiller.OutcomeDone)
 			lost, _ := c.control.reports()
--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -285,9 +286,14 @@
 		})
 		convey.Convey("a drain lets it end and takes nothing new", func() {
 			var g conc.WaitGroup
-			var drained error
-			g.Go(func() { drained = c.o.Drain(background) })
+			drained := errors.New("still draining")
+			g.Go(func() {
+				err := c.o.Drain(background)
+				_ = other.h.Close() // says in time that Drain has returned
+				drained = err
+			})
 			eventually(t, func() bool { return other.query("SELECT 1").says() == "not-run JT004" })
+			convey.So(other.query("SELECT 1").err, convey.ShouldBeNil)
 			convey.So(s.query("COMMIT").says(), convey.ShouldEqual, "done C:COMMIT Z:I")
 			g.Wait()
 			convey.So(drained, convey.ShouldBeNil)
