quorum: report replaced entries as unknown, refuse changes without a majority

An entry that is replaced in the proposer's own log can still be held and committed by another member, so its outcome is unknown; it was reported as not applied. Only a committed entry of another term at its index proves that.

A membership change whose voters have no reachable majority could never be committed and made the leader step down; it is now refused and may be retried. The election timeout must hold at least three heartbeats, and the number of remembered contacts is bounded.

--- a/quorum/drive.go
+++ b/quorum/drive.go
@@ -145,15 +145,17 @@
 		default:
 			delete(n.open, a.ID)
 			r.index, r.term = a.Index, a.Term
-			n.replaceAppended(r)
+			n.file(r)
 		}
 	}
 }
 
-// replaceAppended files a request. An earlier one at the same index was replaced in the log.
-func (n *Node) replaceAppended(r *request) {
+// file keeps a request under its index. An earlier entry at the same index was
+// replaced in this member's log, but another member may still hold and commit it.
+func (n *Node) file(r *request) {
 	if old := n.appended[r.index]; old != nil {
-		old.finish(outcome{index: old.index, err: n.core.notLeader()})
+		err := fmt.Errorf("the entry of term %d was replaced in this member's log", old.term)
+		old.finish(outcome{index: old.index, err: &UnknownOutcomeError{Index: old.index, Err: err}})
 	}
 	n.appended[r.index] = r
 }
@@ -188,7 +190,8 @@
 	}
 }
 
-// claim takes the requests that wait for the entries. Those whose entry has another term were replaced.
+// claim takes the requests that wait for the entries. A committed entry of another
+// term proves that the request's own will never be committed.
 func (n *Node) claim(entries []Entry) map[uint64]*request {
 	var out map[uint64]*request
 	for _, e := range entries {
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -9,6 +9,9 @@
 // foundingWindow is how many heartbeats old a hello may be when the group is founded or a member is admitted.
 const foundingWindow = 10
 
+// maxContacts bounds the names that are remembered; messages of further names are handled all the same.
+const maxContacts = 256
+
 // fresh reports whether a contact is recent enough to act on.
 func (c *Core) fresh(x contact) bool {
 	return x.identity != "" && !x.at.Before(c.now.Add(-foundingWindow*c.settings.heartbeat()))
@@ -16,6 +19,9 @@
 
 // meet remembers who uses the sender's name.
 func (c *Core) meet(m Message) {
+	if _, known := c.contacts[m.From]; !known && len(c.contacts) >= maxContacts {
+		return
+	}
 	x := contact{identity: m.Identity, group: m.Group, spare: m.Spare, at: c.now}
 	if old := c.contacts[m.From]; old.identity == m.Identity && m.Kind != KindHello {
 		x.echoed, x.names = old.echoed, old.names
@@ -120,6 +126,9 @@
 		return
 	}
 	m, err := c.changed(x)
+	if err == nil && !c.servable(m) {
+		err = &ChangeError{Kind: x.Kind, Name: x.Name, Retry: true, Reason: "no majority of the changed group was heard from"}
+	}
 	if err != nil {
 		c.answer(Answer{ID: x.ID, Err: err})
 		return
@@ -157,6 +166,18 @@
 	return m.With(Member{Name: x.Name, Identity: old.Identity, Voter: true}), nil
 }
 
+// servable reports whether a majority of the voters was heard from within an
+// election timeout. A change to other voters could never be committed.
+func (c *Core) servable(m Membership) bool {
+	n := 0
+	for _, x := range m.Members {
+		if x.Voter && (x.Name == c.settings.Name || !c.silent(x.Name)) {
+			n++
+		}
+	}
+	return n > m.Voters()/2
+}
+
 // withLearner admits the folder that was heard from under the name.
 func (c *Core) withLearner(x Change, refuse func(bool, string) (Membership, error)) (Membership, error) {
 	m, seen := c.membership(), c.contacts[x.Name]
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -59,8 +59,10 @@
 
 const (
 	defaultSnapshotEvery = 10000
-	inboxSize            = 4096
-	requestsSize         = 1024
+	// minHeartbeats is how many heartbeats an election timeout must hold, so that the loss of one costs no leader.
+	minHeartbeats = 3
+	inboxSize     = 4096
+	requestsSize  = 1024
 	// maxStepEvents bounds the events of one step and thus of one transaction.
 	maxStepEvents = 1024
 	// maxBacklog is how many committed entries may wait for the machine before no new requests are taken.
@@ -162,6 +164,11 @@
 	if c.Name == "" || c.Dir == "" || c.Machine == nil || c.Transport == nil {
 		return nil, errors.New("quorum: Config needs Name, Dir, Machine and Transport")
 	}
+	timing := Settings{HeartbeatMicroseconds: c.HeartbeatMicroseconds, ElectionMicroseconds: c.ElectionMicroseconds}
+	if timing.election() < minHeartbeats*timing.heartbeat() {
+		return nil, fmt.Errorf("quorum: election timeout %v is below %d heartbeats of %v",
+			timing.election(), minHeartbeats, timing.heartbeat())
+	}
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64()
 	}
@@ -260,9 +267,9 @@
 }
 
 // Propose appends a command and waits until it is committed and applied here. It
-// returns the result of Machine.Apply and the entry's index. *NotLeaderError and
-// *ClosedError prove that the command is not and will not be applied;
-// *UnknownOutcomeError means that it may or may not be.
+// returns the result of Machine.Apply and the entry's index. *UnknownOutcomeError
+// means that the command may or may not be applied; every other error proves that
+// it is not and will not be.
 func (n *Node) Propose(ctx context.Context, command []byte) (result []byte, index uint64, err error) {
 	o := n.do(ctx, func(id uint64) Event { return Propose{ID: id, Data: command} })
 	if o.err != nil {
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -25,42 +25,22 @@
 const patience = 30 * time.Second
 
 // counter adds up the commands, which are numbers.
-type counter struct {
-	mu   sync.Mutex
-	sum  uint64
-	last uint64
-}
+type counter struct{ sum atomic.Uint64 }
 
-func (c *counter) Apply(index uint64, command []byte) []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sum += binary.BigEndian.Uint64(command)
-	c.last = index
-	return binary.BigEndian.AppendUint64(nil, c.sum)
+func (c *counter) Apply(_ uint64, command []byte) []byte {
+	return number(c.sum.Add(binary.BigEndian.Uint64(command)))
 }
 
-func (c *counter) Snapshot() ([]byte, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return binary.BigEndian.AppendUint64(nil, c.sum), nil
-}
+func (c *counter) Snapshot() ([]byte, error) { return number(c.sum.Load()), nil }
 
 func (c *counter) Restore(b []byte) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if len(b) != 8 {
 		return fmt.Errorf("snapshot has %d bytes", len(b))
 	}
-	c.sum = binary.BigEndian.Uint64(b)
+	c.sum.Store(binary.BigEndian.Uint64(b))
 	return nil
 }
 
-func (c *counter) total() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.sum
-}
-
 func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
 
 // hub joins nodes of one process. Cut names get and send nothing.
@@ -220,7 +200,7 @@
 		convey.So(result, convey.ShouldResemble, number(5))
 		convey.So(c.nodes[first].ConfirmLeader(ctx), convey.ShouldBeNil)
 		c.until("replication", func() bool {
-			return c.machines["a"].total() == 5 && c.machines["b"].total() == 5 && c.machines["c"].total() == 5
+			return c.machines["a"].sum.Load() == 5 && c.machines["b"].sum.Load() == 5 && c.machines["c"].sum.Load() == 5
 		})
 
 		convey.Convey("a follower refuses and names the leader", func() {
@@ -255,7 +235,7 @@
 			}
 			c.start(c.names...)
 			convey.So(c.propose(2), convey.ShouldBeGreaterThan, index)
-			c.until("sum", func() bool { return c.machines["a"].total() == 7 })
+			c.until("sum", func() bool { return c.machines["a"].sum.Load() == 7 })
 		})
 	})
 }
@@ -323,7 +303,7 @@
 		_, term, leads := c.nodes[leader].Leadership()
 		convey.So(leads, convey.ShouldBeTrue)
 		c.hub.isolate(away, false)
-		c.until("catching up", func() bool { return c.machines[away].total() == sum })
+		c.until("catching up", func() bool { return c.machines[away].sum.Load() == sum })
 		_, after, leads := c.nodes[leader].Leadership()
 		convey.So(leads, convey.ShouldBeTrue)
 		convey.So(after, convey.ShouldEqual, term)
@@ -360,7 +340,7 @@
 			})
 			c.stop(leader)
 			c.propose(1)
-			c.until("sum", func() bool { return c.machines[lost].total() == 11 })
+			c.until("sum", func() bool { return c.machines[lost].sum.Load() == 11 })
 		})
 		convey.Convey("two empty folders found no second group beside the third member", func() {
 			group := c.nodes["c"].Status().Group
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -76,14 +76,13 @@
 	// configuration is the latest committed membership.
 	configuration quorum.Membership
 	reads         map[uint64]uint64
-	accepted      map[uint64]uint64 // proposals by index and their term
 }
 
 func newWorld(choose func(int) int, fail func(string, ...any), initial ...string) *world {
 	w := &world{
 		choose: choose, fail: fail, now: time.Unix(1000, 0), initial: initial, cut: map[string]bool{},
 		leaders: map[uint64]string{}, votes: map[string]string{}, committed: map[uint64]uint64{},
-		hashes: map[uint64]uint64{}, reads: map[uint64]uint64{}, accepted: map[uint64]uint64{},
+		hashes: map[uint64]uint64{}, reads: map[uint64]uint64{},
 	}
 	for _, n := range initial {
 		w.join(n)
@@ -143,11 +142,6 @@
 		w.checkVote(m, x)
 		w.wire = append(w.wire, x)
 	}
-	for _, a := range e.Answers {
-		if a.Err == nil && a.Index != 0 {
-			w.accepted[a.Index] = a.Term
-		}
-	}
 	w.apply(m, e)
 	for _, r := range e.Confirmed {
 		w.confirmed++
@@ -329,21 +323,12 @@
 	return c.Voters() >= 3
 }
 
-func (w *world) link(m quorum.Message) string { return m.From + ">" + m.To }
-
 func (w *world) deliver(i int, keep bool) {
 	m := w.wire[i]
 	if !keep {
 		w.wire = slices.Delete(w.wire, i, i+1)
 	}
-	if w.cut[w.link(m)] {
-		return
-	}
-	for _, x := range w.members {
-		if x.name == m.To {
-			w.step(x, w.maybeCrash(), quorum.Received{Message: m})
-		}
-	}
+	w.receive(m, w.maybeCrash)
 }
 
 // maybeCrash chooses a crash in one of 400 steps.
@@ -354,6 +339,14 @@
 	return crashBeforeSync + crash(w.choose(2))
 }
 
+func (w *world) receive(m quorum.Message, c func() crash) {
+	for _, x := range w.members {
+		if x.name == m.To && !w.cut[m.From+">"+m.To] {
+			w.step(x, c(), quorum.Received{Message: m})
+		}
+	}
+}
+
 func (w *world) tick(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, m := range w.members {
@@ -437,11 +430,7 @@
 		for n := len(w.wire); n > 0; n-- {
 			m := w.wire[0]
 			w.wire = w.wire[1:]
-			for _, x := range w.members {
-				if x.name == m.To && !w.cut[w.link(m)] {
-					w.step(x, noCrash, quorum.Received{Message: m})
-				}
-			}
+			w.receive(m, func() crash { return noCrash })
 		}
 	}
 }
@@ -558,7 +547,8 @@
 }
 
 // TestTermStart guards against entries of an older term that are committed by
-// counting, and against a membership change before the term's first entry is committed.
+// counting, and against a membership change before the term's first entry is
+// committed, beside another change, or to a group without a reachable majority.
 func TestTermStart(t *testing.T) {
 	convey.Convey("A new leader whose log ends in an older term", t, func() {
 		ids := quorum.Membership{Group: "g"}
@@ -585,6 +575,9 @@
 		convey.So(e.Answers[0].Err, convey.ShouldNotBeNil)
 
 		convey.So(c.Step(now, from(quorum.KindAppendResponse, 3)).Committed, convey.ShouldHaveLength, 2)
+		now = now.Add(500 * time.Millisecond) // c is silent, so that b cannot be removed
+		e = c.Step(now, from(quorum.KindAppendResponse, 3), quorum.Change{ID: 8, Kind: quorum.ChangeRemove, Name: "b"})
+		convey.So(e.Answers[0].Err, convey.ShouldNotBeNil)
 		convey.So(c.Step(now, change).Answers[0].Err, convey.ShouldBeNil)
 		convey.So(c.Step(now, change).Answers[0].Err, convey.ShouldNotBeNil)
 	})
