owner: follow a target that goes back in its log

A target that restarts from old data was taken to hold what it had reported before, so reads were sent to it and commits counted it as having them. An answer to SHOW log_position before the position known when it was asked now replaces it.

Measured: go test -race ./owner ./link passes.

--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -17,6 +17,8 @@
 	units   metric.Int64Counter
 	resets  metric.Int64Counter
 	settles metric.Float64Histogram
+	// regressions counts positions before an earlier one of the same target.
+	regressions metric.Int64Counter
 	// outcomes holds the options per outcome, made once because units are frequent.
 	outcomes map[jacinthtiller.Outcome]metric.MeasurementOption
 }
@@ -26,6 +28,7 @@
 	out := &meters{outcomes: map[jacinthtiller.Outcome]metric.MeasurementOption{}}
 	out.units, _ = m.Int64Counter("jacinthtiller.owner.units", metric.WithDescription("units by outcome"))
 	out.resets, _ = m.Int64Counter("jacinthtiller.owner.resets", metric.WithDescription("connections reset between sessions"))
+	out.regressions, _ = m.Int64Counter("jacinthtiller.owner.regressions", metric.WithDescription("targets that went back in their log"))
 	out.settles, _ = m.Float64Histogram("jacinthtiller.owner.settle",
 		metric.WithUnit("s"), metric.WithDescription("waits for a majority"))
 	for _, o := range []jacinthtiller.Outcome{jacinthtiller.OutcomeDone, jacinthtiller.OutcomeNotRun, jacinthtiller.OutcomeUnknown} {
--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -200,6 +200,11 @@
 			convey.So(o.Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonBehind)
 			convey.So(o.answer, convey.ShouldBeEmpty)
 		})
+		convey.Convey("a target that comes back with old data is not taken for what it was", func() {
+			tg := c.o.find("d", "t2")
+			tg.advance(jacinthtiller.Position{Term: 1, Index: 1000})
+			eventually(t, func() bool { return tg.position() == c.targets[1].Position() })
+		})
 		convey.Convey("a write in a read's clothes is refused without frames", func() {
 			for _, frames := range [][]byte{
 				simple("UPDATE a SET v = 'z'"),
--- a/owner/target.go
+++ b/owner/target.go
@@ -51,7 +51,7 @@
 	leaving    bool
 	// lost and gone never become false again: what follows is another epoch.
 	lost, gone bool
-	// known is the newest position that the target reported.
+	// known is the newest position that the target reported; it goes back only when the target does.
 	known jacinthtiller.Position
 	// moved is closed and replaced when known grows.
 	moved   chan struct{}
@@ -340,7 +340,10 @@
 	return t.waiters > 0
 }
 
+// readPosition asks for the position. An answer before what was known when it was
+// asked means that the target has lost entries, as after a restart from old data.
 func (t *target) readPosition(ctx context.Context, r *reserved) error {
+	known := t.position()
 	s, err := r.query(ctx, "SHOW log_position")
 	if err != nil {
 		return err
@@ -349,6 +352,13 @@
 	if err != nil {
 		return fmt.Errorf("position of target %s: %w", t.name, err)
 	}
+	if known.Compare(p) > 0 {
+		t.mu.Lock()
+		t.known = p
+		t.mu.Unlock()
+		t.o.meters.regressions.Add(ctx, 1)
+		return nil
+	}
 	t.advance(p)
 	return nil
 }
