quickstart: failover gap by cause, split by the trace events

A benchmark and a test run each cause of a lost primary at today's sizes, measure the gap at guests on hosts that are not hit, and split the time to the first acknowledged write by the events in the traces. The control leader is cut off and not killed, because Kill hands the leadership over first.

--- /dev/null
+++ b/quickstart/failover_test.go
@@ -0,0 +1,627 @@
+package quickstart
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/daemon"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/standin"
+	"github.com/jacinthtiller/jacinthtiller/trace"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+const (
+	// failoverRuns is the number of runs of each cause in the benchmark.
+	failoverRuns = 10
+	// failoverLimit is the requirement: a change of primary is over within 10 s.
+	failoverLimit = 10 * time.Second
+	// failoverGuests is the number of guests that write all the time.
+	failoverGuests = 8
+	// failoverWarm is how long the guests write before the fault.
+	failoverWarm = 300 * time.Millisecond
+	// failoverEnough is the number of writes, begun after the fault, that end a run.
+	failoverEnough = 20
+	// failoverAfter is how long the guests go on after that, so that a second interruption shows.
+	failoverAfter = 300 * time.Millisecond
+	// guestDomain is the guests' place on the network and guestLatency their one-way latency to the entry hosts.
+	guestDomain  = "guests"
+	guestLatency = 3 * time.Millisecond
+	// targetConnect is how long a new connection to a target takes.
+	targetConnect = 10 * time.Millisecond
+)
+
+// failoverDatabase is the database whose primary is hit.
+const failoverDatabase = "registru-1"
+
+// failoverLatencies are the one-way latencies between the failure domains.
+var failoverLatencies = map[string]time.Duration{
+	"1.5ms": 1500 * time.Microsecond,
+	"10ms":  10 * time.Millisecond,
+}
+
+// scene is what the causes act on.
+type scene struct {
+	c       *Cluster
+	primary string
+	// owner is the host that owns the primary.
+	owner *daemon.Process
+	// leader is the control process that leads.
+	leader *daemon.Process
+}
+
+// cause is one way to lose a primary.
+type cause struct {
+	do func(ctx context.Context, s scene) error
+	// spares reports whether guests may use the host; nil means every host.
+	spares func(s scene, h *daemon.Process) bool
+	// planned is true when the guests must see no error.
+	planned bool
+	// apart is true when each control process has a place of its own on the network and can be cut off alone.
+	apart bool
+}
+
+func (s scene) killPrimary() { s.c.Targets[failoverDatabase][s.primary].Kill() }
+
+func notOwner(s scene, h *daemon.Process) bool { return h != s.owner }
+
+var causes = map[string]cause{
+	"target-lost": {do: func(_ context.Context, s scene) error {
+		s.killPrimary()
+		return nil
+	}},
+	"owner-lost": {do: func(_ context.Context, s scene) error {
+		s.owner.Kill()
+		return nil
+	}, spares: notOwner},
+	"domain-cut-off": {do: func(_ context.Context, s scene) error {
+		s.c.CutOff(s.owner.Domain())
+		return nil
+	}, spares: func(s scene, h *daemon.Process) bool { return h.Domain() != s.owner.Domain() }},
+	"target-and-owner-lost": {do: func(_ context.Context, s scene) error {
+		together(s.killPrimary, s.owner.Kill)
+		return nil
+	}, spares: notOwner},
+	// The leader is cut off and not killed, because Kill of a leader hands the leadership over before it ends.
+	"leader-and-target-lost": {do: func(_ context.Context, s scene) error {
+		s.c.options.Network.Cut(s.leader.Name())
+		s.killPrimary()
+		return nil
+	}, apart: true},
+	"planned-move": {do: func(ctx context.Context, s scene) error {
+		for name := range s.c.Targets[failoverDatabase] {
+			if name == s.primary {
+				continue
+			}
+			r, err := s.c.Client().MovePrimary(ctx, control.MovePrimaryRequest{
+				Operator: control.Operator{Name: "failover"}, Database: failoverDatabase, Target: name,
+				WaitMicroseconds: failoverLimit.Microseconds(),
+			})
+			if err != nil {
+				return fmt.Errorf("move the primary: %w", err)
+			}
+			if r.Database.Primary != name {
+				return fmt.Errorf("the primary is %q after its move to %q", r.Database.Primary, name)
+			}
+			return nil
+		}
+		return errors.New("there is no other target")
+	}, planned: true},
+}
+
+// together calls both functions at the same time.
+func together(f, g func()) {
+	var group conc.WaitGroup
+	group.Go(f)
+	group.Go(g)
+	group.Wait()
+}
+
+// acknowledged is a write as its guest saw it.
+type acknowledged struct{ begun, at time.Time }
+
+// writers are guests that write without a pause.
+type writers struct {
+	group conc.WaitGroup
+
+	mu     sync.Mutex // guards the fields below
+	acks   []acknowledged
+	failed []failedWrite
+}
+
+// failedWrite is a write that was answered with an error.
+type failedWrite struct {
+	begun, at time.Time
+	text      string
+}
+
+// start starts the guests, each at the next of the URLs.
+func (w *writers) start(ctx context.Context, n *Network, urls []string) error {
+	for i := range failoverGuests {
+		cfg, err := pgx.ParseConfig(urls[i%len(urls)])
+		if err != nil {
+			return fmt.Errorf("parse the guest's URL: %w", err)
+		}
+		cfg.DialFunc = n.Dialer(guestDomain)
+		w.group.Go(func() { w.write(ctx, cfg, i) })
+	}
+	return nil
+}
+
+func (w *writers) write(ctx context.Context, cfg *pgx.ConnConfig, guest int) {
+	var c *pgx.Conn
+	defer func() {
+		if c != nil {
+			closing, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = c.Close(closing)
+		}
+	}()
+	for n := 0; ctx.Err() == nil; n++ {
+		begun := time.Now()
+		var err error
+		if c == nil || c.IsClosed() {
+			c, err = pgx.ConnectConfig(ctx, cfg)
+		}
+		if err == nil {
+			_, err = c.Exec(ctx, "INSERT INTO gaps VALUES ($1, $2)", guest, n)
+		}
+		at := time.Now()
+		w.mu.Lock()
+		if err == nil {
+			w.acks = append(w.acks, acknowledged{begun, at})
+		} else if ctx.Err() == nil {
+			w.failed = append(w.failed, failedWrite{begun, at, errorCode(err)})
+		}
+		w.mu.Unlock()
+		if err != nil {
+			_ = sleep(ctx, 5*time.Millisecond)
+		}
+	}
+}
+
+func errorCode(err error) string {
+	var p *pgconn.PgError
+	if errors.As(err, &p) {
+		return p.Code
+	}
+	return "connection"
+}
+
+// begunAfter counts the acknowledged writes that began after t.
+func (w *writers) begunAfter(t time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, a := range w.acks {
+		if a.begun.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// sample is what one run measured; its times are in milliseconds.
+type sample struct {
+	// gap is the longest time without an acknowledged write that ended after the fault.
+	gap float64
+	// recovery is the time from the fault to the first acknowledged write after the change.
+	recovery float64
+	// parts splits recovery: each part ends with the event that names it.
+	parts map[string]float64
+	// path lists the events of the split in their order.
+	path []string
+	// leader is the control process that led before the fault.
+	leader string
+	// errors counts the guests' errors by SQLSTATE.
+	errors map[string]int
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// fail runs an installation, causes the fault and measures.
+func fail(ctx context.Context, k cause, latency time.Duration, dir string) (sample, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	n := NewNetwork()
+	for i, p := range Places {
+		n.SetLatency(guestDomain, p.Domain, guestLatency)
+		for _, q := range Places[:i] {
+			n.SetLatency(p.Domain, q.Domain, latency)
+		}
+	}
+	o := Options{
+		Databases: []string{failoverDatabase, "registru-2", "registru-3"}, Slots: 5, Connections: 30,
+		LagMicroseconds: latency.Microseconds(), ConnectMicroseconds: targetConnect.Microseconds(),
+		TraceDir: dir, Network: n,
+	}
+	start := Start
+	if k.apart {
+		start = startApart
+		placeControl(n, latency)
+	}
+	c, err := start(ctx, o)
+	if c != nil {
+		defer c.Kill()
+	}
+	if err != nil {
+		return sample{}, fmt.Errorf("start: %w", err)
+	}
+	s, err := newScene(ctx, c)
+	if err != nil {
+		return sample{}, err
+	}
+	var urls []string
+	for _, h := range c.Hosts {
+		n.Place(h.GuestAddr(), h.Domain())
+		if k.spares == nil || k.spares(s, h) {
+			urls = append(urls, c.URL(h, DefaultLogins[0], failoverDatabase))
+		}
+	}
+	if err := createGaps(ctx, urls[0]); err != nil {
+		return sample{}, err
+	}
+	writing, stop := context.WithCancel(ctx)
+	defer stop()
+	var w writers
+	if err := w.start(writing, n, urls); err != nil {
+		return sample{}, err
+	}
+	began, err := hit(ctx, k, s, &w)
+	stop()
+	w.group.Wait()
+	if err != nil {
+		return sample{}, err
+	}
+	c.Kill()
+	files, err := filepath.Glob(filepath.Join(dir, "*.trace"))
+	if err != nil {
+		return sample{}, fmt.Errorf("list traces: %w", err)
+	}
+	records, err := trace.ReadFiles(files...)
+	if err != nil {
+		return sample{}, fmt.Errorf("read traces: %w", err)
+	}
+	return measure(records, s, &w, began)
+}
+
+// controlPlaces puts each control process at a place of its own, named like the process.
+func controlPlaces() []Place {
+	var out []Place
+	for i, p := range Places {
+		out = append(out, Place{Domain: fmt.Sprintf("control-%d", i+1), Region: p.Region})
+	}
+	return out
+}
+
+// placeControl gives the places of the control processes the latencies of the failure domains that they stand for.
+func placeControl(n *Network, latency time.Duration) {
+	all := controlPlaces()
+	for i, p := range all {
+		for j, q := range Places {
+			if i != j {
+				n.SetLatency(p.Domain, q.Domain, latency)
+				n.SetLatency(p.Domain, all[j].Domain, latency)
+			}
+		}
+	}
+}
+
+// startApart starts an installation like Start, with the control processes at places of their own. After an error the
+// caller ends the part that runs.
+func startApart(ctx context.Context, o Options) (*Cluster, error) {
+	dir, err := os.MkdirTemp("", "jacinthtiller-")
+	if err != nil {
+		return nil, fmt.Errorf("create data folder: %w", err)
+	}
+	c := &Cluster{options: o.withDefaults(), dir: dir, Targets: map[string]map[string]*standin.Target{}}
+	members, listeners, err := reserve(len(Places))
+	if err != nil {
+		return c, err
+	}
+	for _, p := range controlPlaces() {
+		if err := c.startControl(p.Domain, members, listeners[p.Domain], p); err != nil {
+			return c, err
+		}
+	}
+	c.client = control.NewClient(slices.Collect(maps.Values(members)), wire.NewHTTPClient())
+	if err := c.applyDocument(ctx); err != nil {
+		return c, err
+	}
+	for _, p := range Places {
+		for i := range p.Hosts {
+			if err := c.startHost(fmt.Sprintf("%s-entry-%d", p.Domain, i+1), p, members); err != nil {
+				return c, err
+			}
+		}
+	}
+	for _, d := range o.Databases {
+		if err := c.startDatabase(d); err != nil {
+			return c, err
+		}
+	}
+	return c, c.WaitReady(ctx)
+}
+
+// hit causes the fault once every guest writes and returns when it began.
+func hit(ctx context.Context, k cause, s scene, w *writers) (time.Time, error) {
+	if err := sleep(ctx, failoverWarm); err != nil {
+		return time.Time{}, fmt.Errorf("warm up: %w", err)
+	}
+	began := time.Now()
+	if err := k.do(ctx, s); err != nil {
+		return began, err
+	}
+	done := time.Now()
+	for w.begunAfter(done) < failoverEnough {
+		if time.Since(began) > failoverLimit {
+			return began, fmt.Errorf("writes did not resume within %v", failoverLimit)
+		}
+		if err := sleep(ctx, pollInterval); err != nil {
+			return began, fmt.Errorf("wait for writes: %w", err)
+		}
+	}
+	if err := sleep(ctx, failoverAfter); err != nil {
+		return began, fmt.Errorf("wait after the change: %w", err)
+	}
+	return began, nil
+}
+
+func newScene(ctx context.Context, c *Cluster) (scene, error) {
+	s := scene{c: c, primary: c.Primary(failoverDatabase)}
+	v := c.Hosts[0].View()
+	o, ok := v.Owner(failoverDatabase, s.primary)
+	if !ok {
+		return s, fmt.Errorf("%s has no owner", s.primary)
+	}
+	st, err := c.Client().Status(ctx)
+	if err != nil {
+		return s, fmt.Errorf("ask for the control leader: %w", err)
+	}
+	for _, h := range c.Hosts {
+		if h.Name() == o.Name {
+			s.owner = h
+		}
+	}
+	for _, p := range c.Control {
+		if p.Name() == st.Leader {
+			s.leader = p
+		}
+	}
+	if s.owner == nil || s.leader == nil {
+		return s, fmt.Errorf("owner %q or control leader %q is not a process", o.Name, st.Leader)
+	}
+	return s, nil
+}
+
+func createGaps(ctx context.Context, url string) error {
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return fmt.Errorf("connect to create the table: %w", err)
+	}
+	defer conn.Close(ctx)
+	if _, err := conn.Exec(ctx, "CREATE TABLE gaps (guest BIGINT, entry BIGINT)"); err != nil {
+		return fmt.Errorf("create the table: %w", err)
+	}
+	return nil
+}
+
+// Parts of a recovery, in the usual order. Each is the time up to the event in its comment.
+var failoverParts = []string{
+	"election",  // control-leading of a new control leader
+	"lease",     // control-host-gone of the owner
+	"start",     // control-move-started
+	"drain",     // handed-over
+	"detection", // target-lost
+	"open",      // control-promotion-opened, or control-targets-assigned when the term stays
+	"promotion", // control-promotion-committed
+	"lead",      // lead-begun
+	"settle",    // first unit-acknowledged of the new lead
+	"answer",    // first acknowledgement that a guest gets after that
+}
+
+// milestone names the part that ends with the record; empty when the record is none.
+func milestone(r trace.Record, s scene) string {
+	text := func(name string) string {
+		v, _ := r.Fields[name].(string)
+		return v
+	}
+	primary := text("database") == failoverDatabase && text("target") == s.primary
+	switch r.Number {
+	case event.ControlLeading.Number:
+		return "election"
+	case event.ControlHostGone.Number:
+		if text("name") == s.owner.Name() {
+			return "lease"
+		}
+	case event.TargetLost.Number:
+		if primary {
+			return "detection"
+		}
+	case event.HandedOver.Number:
+		if primary {
+			return "drain"
+		}
+	case event.ControlTargetsAssigned.Number:
+		if primary {
+			return "assigned"
+		}
+	}
+	if text("database") != failoverDatabase {
+		return ""
+	}
+	switch r.Number {
+	case event.ControlMoveStarted.Number:
+		return "start"
+	case event.ControlPromotionOpened.Number:
+		return "open"
+	case event.ControlPromotionCommitted.Number:
+		return "promotion"
+	case event.LeadBegun.Number:
+		return "lead"
+	case event.UnitAcknowledged.Number:
+		return "settle"
+	}
+	return ""
+}
+
+// measure splits the recovery by the events. The first event of each kind counts, and the chain ends with the
+// first acknowledgement of the first lead that began after the fault.
+func measure(records []trace.Record, s scene, w *writers, began time.Time) (sample, error) {
+	out := sample{parts: map[string]float64{}, errors: map[string]int{}, leader: s.leader.Name()}
+	slices.SortStableFunc(records, func(a, b trace.Record) int { return a.Time.Compare(b.Time) })
+	seen := map[string]bool{}
+	last, lead := began, ""
+	pass := func(part, place string, at time.Time) {
+		out.parts[part] += milliseconds(at.Sub(last))
+		out.path = append(out.path, fmt.Sprintf("%s %.0f (%s)", part, milliseconds(at.Sub(began)), place))
+		last = at
+	}
+	for _, r := range records {
+		part := milestone(r, s)
+		if part == "" || r.Time.Before(began) || seen[part] || part == "settle" && r.Host != lead {
+			continue
+		}
+		seen[part] = true
+		if part == "lead" {
+			lead = r.Host
+		}
+		if part == "assigned" {
+			part = "open"
+		}
+		pass(part, filepath.Base(r.Place()), r.Time)
+		if part == "settle" {
+			break
+		}
+	}
+	if !seen["settle"] {
+		return out, fmt.Errorf("the traces lack the acknowledgement of a new lead: %v", out.path)
+	}
+	settled := last
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slices.SortFunc(w.acks, func(a, b acknowledged) int { return a.at.Compare(b.at) })
+	for _, a := range w.acks {
+		if a.at.After(settled) {
+			pass("answer", "guest", a.at)
+			break
+		}
+	}
+	out.recovery = milliseconds(last.Sub(began))
+	for i := 1; i < len(w.acks); i++ {
+		if w.acks[i].at.After(began) {
+			out.gap = max(out.gap, milliseconds(w.acks[i].at.Sub(w.acks[i-1].at)))
+		}
+	}
+	for _, f := range w.failed {
+		out.errors[f.text]++
+	}
+	return out, nil
+}
+
+// traceDir returns a folder for the traces of one run; they are kept when JACINTH_TEST_TRACES names a folder.
+func traceDir(tb testing.TB, name string) string {
+	root := os.Getenv("JACINTH_TEST_TRACES")
+	if root == "" {
+		return tb.TempDir()
+	}
+	dir := filepath.Join(root, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		tb.Fatal(err)
+	}
+	return dir
+}
+
+// median returns the value in the middle, the upper one of two.
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// BenchmarkFailover measures the failover gap by cause. The runs of the causes are interleaved. Run it with
+// -benchtime 1x; it prints one line for each run and reports median, worst and the medians of the parts.
+func BenchmarkFailover(b *testing.B) {
+	for name, latency := range failoverLatencies {
+		b.Run(name, func(b *testing.B) {
+			samples := map[string][]sample{}
+			for run := range failoverRuns {
+				for k, c := range causes {
+					s, err := fail(b.Context(), c, latency, traceDir(b, fmt.Sprintf("%s-%s-%d", name, k, run+1)))
+					if err != nil {
+						b.Errorf("%s, run %d: %v", k, run+1, err)
+						continue
+					}
+					samples[k] = append(samples[k], s)
+					fmt.Fprintf(os.Stderr, "%s %s %d: gap %.0f recovery %.0f errors %v leader %s: %v\n",
+						name, k, run+1, s.gap, s.recovery, s.errors, s.leader, s.path)
+				}
+			}
+			for k := range causes {
+				b.Run(k, func(b *testing.B) { reportFailover(b, samples[k]) })
+			}
+		})
+	}
+}
+
+func reportFailover(b *testing.B, samples []sample) {
+	if len(samples) == 0 {
+		b.Skip("no run succeeded")
+	}
+	var gaps, recoveries []float64
+	parts := map[string][]float64{}
+	failed := 0
+	for _, s := range samples {
+		gaps, recoveries = append(gaps, s.gap), append(recoveries, s.recovery)
+		for _, p := range failoverParts {
+			parts[p] = append(parts[p], s.parts[p])
+		}
+		for _, n := range s.errors {
+			failed += n
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(len(samples)), "runs")
+	b.ReportMetric(median(gaps), "gap-median-ms")
+	b.ReportMetric(slices.Max(gaps), "gap-worst-ms")
+	b.ReportMetric(median(recoveries), "recovery-median-ms")
+	b.ReportMetric(slices.Max(recoveries), "recovery-worst-ms")
+	b.ReportMetric(float64(failed), "guest-errors")
+	for _, p := range failoverParts {
+		if slices.Max(parts[p]) > 0 {
+			b.ReportMetric(median(parts[p]), p+"-ms")
+		}
+	}
+}
+
+// TestFailoverGap guards against writes that stay away too long after a primary is lost, by cause, and against
+// errors that guests see when an operator moves a primary.
+func TestFailoverGap(t *testing.T) {
+	convey.Convey("Writes resume in time after", t, func() {
+		for name, k := range causes {
+			convey.Convey(name, func() {
+				s, err := fail(t.Context(), k, failoverLatencies["10ms"], traceDir(t, "test-"+name))
+				convey.So(err, convey.ShouldBeNil)
+				t.Logf("%s: gap %.0f ms, recovery %.0f ms, errors %v, %v", name, s.gap, s.recovery, s.errors, s.path)
+				convey.So(s.gap, convey.ShouldBeLessThan, milliseconds(gapLimit))
+				convey.So(s.recovery, convey.ShouldBeLessThan, milliseconds(gapLimit))
+				if k.planned {
+					convey.So(s.errors, convey.ShouldBeEmpty)
+				}
+			})
+		}
+	})
+}
