--- a/control/service_test.go
+++ b/control/service_test.go
@@ -24,7 +24,8 @@
 type fakeNode struct {
 	node
 	machine *machine
-	rounds  atomic.Int64
+	// replaced is true once another process leads and this one has not heard of it.
+	replaced atomic.Bool
 
 	mu          sync.Mutex
 	index       uint64
@@ -50,8 +51,7 @@
 }
 
 func (n *fakeNode) ConfirmLeader(context.Context) error {
-	n.rounds.Add(1)
-	if _, _, leads := n.Leadership(); !leads {
+	if _, _, leads := n.Leadership(); !leads || n.replaced.Load() {
 		return &quorum.NotLeaderError{Leader: n.leader}
 	}
 	return nil
@@ -160,7 +160,7 @@
 			out, err := c.Renew(ctx, renew)
 			so(err, convey.ShouldBeNil)
 			so(out.LeaseMicroseconds, eq, Lease.Microseconds())
-			n.set("", false)
+			n.replaced.Store(true)
 			short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 			defer cancel()
 			_, err = c.Renew(short, renew)
