owner, session, replica: serve reads in a failure domain that is cut off

Cause: the trace of a cut showed two faults. Reads of a read-only role in the domain of the primary got nothing for 10 s: its owner refused them for want of a lease, and each read first waited for the timeouts of replicas in other domains. And a process that was dialed before the test's network knew its domain was never cut (a fault of the test). Change: under serve-reads, a read that needs no mark from the primary may run on a primary whose owner's lease has ended, up to the team's stale age; a replica that cannot be reached is avoided for 2 to 8 s. Gaps are counted up to the end of the load.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -92,7 +92,7 @@
 		r := newResults(Plan{Seed: 3}, time.Now())
 		r.done("a", kindWrite, time.Now().Add(-time.Millisecond))
 		r.failed("a", jacinthtiller.OutcomeNotRun, &pgconn.PgError{Code: "JT001"})
-		r.loadEnded(time.Now(), time.Now())
+		r.loadEnded(time.Now())
 		path := filepath.Join(t.TempDir(), "r.json")
 		convey.So(r.sum().Write(path), convey.ShouldBeNil)
 		got, err := ReadResult(path)
--- a/bench/result.go
+++ b/bench/result.go
@@ -154,10 +154,13 @@
 	result Result
 	// wrote is when a write was last acknowledged.
 	wrote time.Time
+	// ends is when the last operation begins; a gap ends then at the latest.
+	ends time.Time
 }
 
 func newResults(p Plan, now time.Time) *results {
 	return &results{
+		ends: now.Add(time.Duration(p.Milliseconds) * time.Millisecond),
 		kinds: map[kind]*hdrhistogram.Histogram{kindRead: histogram(), kindWrite: histogram()},
 		teams: map[string]*hdrhistogram.Histogram{},
 		result: Result{
@@ -182,11 +185,19 @@
 	_ = r.kinds[k].RecordValue(latency)
 	_ = r.teams[team].RecordValue(latency)
 	if k == kindWrite {
-		r.result.WriteGapMilliseconds = max(r.result.WriteGapMilliseconds, now.Sub(r.wrote).Milliseconds())
+		r.noteGap(now)
 		r.wrote = now
 	}
 }
 
+// noteGap counts the time since the last acknowledged write; r.mu is held.
+func (r *results) noteGap(now time.Time) {
+	if now.After(r.ends) {
+		now = r.ends
+	}
+	r.result.WriteGapMilliseconds = max(r.result.WriteGapMilliseconds, now.Sub(r.wrote).Milliseconds())
+}
+
 // failed records an operation that failed with the outcome.
 func (r *results) failed(team string, o jacinthtiller.Outcome, err error) {
 	code := "connection"
@@ -233,14 +244,13 @@
 	r.result.Faults = append(r.result.Faults, text)
 }
 
-// loadEnded closes the measurement of gaps and of the duration. After ends no operation begins, so
-// that a missing write is no gap any more.
-func (r *results) loadEnded(ends, now time.Time) {
+// loadEnded closes the measurement of gaps and of the duration.
+func (r *results) loadEnded(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.result.Milliseconds = now.Sub(r.result.Started).Milliseconds()
 	if r.kinds[kindWrite].TotalCount() > 0 {
-		r.result.WriteGapMilliseconds = max(r.result.WriteGapMilliseconds, ends.Sub(r.wrote).Milliseconds())
+		r.noteGap(now)
 	}
 }
 
--- a/bench/run.go
+++ b/bench/run.go
@@ -30,11 +30,10 @@
 	if err := createTables(ctx, p); err != nil {
 		return Result{}, err
 	}
-	began := time.Now()
-	r := newResults(p, began)
+	r := newResults(p, time.Now())
 	guests := p.guests(r)
 	p.load(ctx, guests, r, w)
-	r.loadEnded(began.Add(time.Duration(p.Milliseconds)*time.Millisecond), time.Now())
+	r.loadEnded(time.Now())
 	fmt.Fprintf(w, "read back the entries of %d guests\n", len(guests))
 	verify(ctx, guests, r)
 	return r.sum(), nil
--- a/event/owner.go
+++ b/event/owner.go
@@ -38,6 +38,8 @@
 		"A unit was written to a target's connection.")
 	MarkAnswered = register(4033, "mark-answered", logrus.DebugLevel,
 		"The marks of guests were read and the lease was valid after that.")
+	ServedStale = register(4035, "served-stale", logrus.DebugLevel,
+		"A read was served by a primary whose owner's lease has ended, as its team allows; it may have seen writes of unknown outcome.")
 	KeyRepeated = register(4034, "key-repeated", logrus.InfoLevel,
 		"A request with a known idempotency key got the recorded answer.")
 )
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -224,8 +224,20 @@
 	r.grant.Done(false)
 }
 
-// acknowledge waits until the position is settled and then checks the lease.
+// acknowledge returns nil when the answer may go out: its position is settled and the lease was checked after that,
+// or the guest's team accepts it without a lease.
 func (r *run) acknowledge(p jacinthtiller.Position) error {
+	if !r.stale() {
+		if err := r.confirm(p); err == nil || !r.stale() {
+			return err
+		}
+	}
+	r.trace(event.ServedStale, event.Fields{"term": r.lead.term, "position": p.String()})
+	return nil
+}
+
+// confirm waits until the position is settled and then checks the lease.
+func (r *run) confirm(p jacinthtiller.Position) error {
 	begun := time.Now()
 	if err := r.lead.settle(r.ctx, p); err != nil {
 		return err
@@ -240,6 +252,11 @@
 	return nil
 }
 
+// stale reports whether the answer goes out without a lease, as the guest's team allows for a read.
+func (r *run) stale() bool {
+	return r.lead.ctx.Err() == nil && !r.t.o.leased() && r.t.o.acceptsStale(r.u)
+}
+
 func (r *run) unknown(res jacinthtiller.Result, cause error) jacinthtiller.Result {
 	r.h.out = r.h.out[:0]
 	res.Outcome = jacinthtiller.OutcomeUnknown
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -192,6 +192,15 @@
 
 func (o *Owner) leased() bool { return o.currentLease().Valid(time.Now()) }
 
+// acceptsStale reports whether the unit accepts data as old as the end of this host's lease.
+func (o *Owner) acceptsStale(u jacinthtiller.Unit) bool {
+	if u.Access != jacinthtiller.AccessRead || u.StaleMicroseconds <= 0 {
+		return false
+	}
+	ended := o.currentLease().Deadline
+	return !ended.IsZero() && time.Now().Before(ended.Add(time.Duration(u.StaleMicroseconds)*time.Microsecond))
+}
+
 // Announced takes the announcement of a target that this host owns; otherwise it returns false.
 func (o *Owner) Announced(a jacinthtiller.Announcement) bool {
 	t := o.find(a.Database, a.Target)
--- a/owner/target.go
+++ b/owner/target.go
@@ -233,12 +233,19 @@
 	if t.lead.term != u.Term {
 		return nil, refuse(jacinthtiller.ReasonNotOwner, "target %s leads term %d, not %d", t.name, t.lead.term, u.Term)
 	}
-	if !t.o.leased() {
+	if !t.o.leased() && (open || !t.servesStale(u)) {
 		return nil, refuse(jacinthtiller.ReasonNoLease, "the lease of host %s has ended", t.o.host)
 	}
 	return t.lead, nil
 }
 
+// servesStale reports whether a read may run although the lease has ended: its team accepts data of that age and the
+// guest's mark is covered. A domain that is cut off with its primary could serve no read otherwise, because the
+// writes that were under way leave the target with a position that is not settled. It is called with mu held.
+func (t *target) servesStale(u jacinthtiller.Unit) bool {
+	return t.o.acceptsStale(u) && t.known.Covers(u.Mark)
+}
+
 // checkReplica refuses writes, and reads on a target that may still take itself for a
 // primary: a function called by SELECT could write there, and that write would be lost.
 func (t *target) checkReplica(u jacinthtiller.Unit) *jacinthtiller.Error {
--- a/quickstart/cluster.go
+++ b/quickstart/cluster.go
@@ -139,7 +139,12 @@
 	if err != nil {
 		return err
 	}
-	for i, name := range slices.Sorted(maps.Keys(members)) {
+	names := slices.Sorted(maps.Keys(members))
+	// The network knows all of them before one of them dials another.
+	for i, name := range names {
+		c.place(Places[i%len(Places)].Domain, nil, listeners[name])
+	}
+	for i, name := range names {
 		if err := c.startControl(name, members, listeners[name], Places[i%len(Places)]); err != nil {
 			return err
 		}
--- a/replica/positions.go
+++ b/replica/positions.go
@@ -8,6 +8,11 @@
 )
 
 const (
+	// shortAvoid and longAvoid bound how long a target that could not be reached is not tried; the time doubles
+	// with each failure. It is longer than finding two silent hosts takes, so that a read finds what is left after one try
+	// of each. A domain that is reached again serves reads after longAvoid at the latest.
+	shortAvoid = 2 * time.Second
+	longAvoid  = 8 * time.Second
 	// sampleCount bounds the positions of a primary that are kept per database.
 	sampleCount = 32
 	// sampleGap is the time between two samples that are both kept; 32 of them reach back 3 s
@@ -34,6 +39,9 @@
 	slowFor   jacinthtiller.Position
 	// failures counts the positions not reached in time since the last one reached.
 	failures int
+	// avoidUntil is zero once the target has answered; unreachable counts the failures to reach it since then.
+	avoidUntil  time.Time
+	unreachable int
 	// fresh is the latest instant of a sample whose position the target covers; it never goes back.
 	fresh time.Time
 }
@@ -79,6 +87,7 @@
 	defer h.mu.Unlock()
 	k := h.target(target)
 	k.position = k.position.Max(at)
+	k.avoidUntil, k.unreachable = time.Time{}, 0
 	if k.position.Covers(k.slowFor) {
 		k.slowUntil, k.failures = time.Time{}, 0
 	}
@@ -110,6 +119,20 @@
 	k.failures++
 }
 
+// Unreachable records that a target or its owner could not be reached. Reads are not tried on it for a
+// while, because each of them would wait for the same timeout.
+func (p *Positions) Unreachable(database, target string, now time.Time) {
+	h := p.history(database)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	k := h.target(target)
+	if now.Before(k.avoidUntil) {
+		return // failures of reads that waited at the same time count once
+	}
+	k.avoidUntil = now.Add(min(shortAvoid<<min(k.unreachable, 10), longAvoid))
+	k.unreachable++
+}
+
 // Needed returns a position such that data which covers it is at least as new as since.
 func (p *Positions) Needed(database string, since time.Time) (jacinthtiller.Position, bool) {
 	h := p.history(database)
@@ -162,7 +185,7 @@
 			Usable: owned && !owner.Gone && !t.Lost && !tried[name] && t.State != jacinthtiller.StateLeaving,
 		}
 		if k := h.targets[name]; k != nil {
-			c.Position, c.Fresh, c.SlowUntil = k.position, k.fresh, k.slowUntil
+			c.Position, c.Fresh, c.SlowUntil, c.AvoidUntil = k.position, k.fresh, k.slowUntil, k.avoidUntil
 		}
 		out = insert(out, c)
 	}
--- a/replica/route.go
+++ b/replica/route.go
@@ -102,6 +102,8 @@
 	// SlowUntil is the time before which the target is not expected to reach any
 	// position beyond Position.
 	SlowUntil time.Time
+	// AvoidUntil is the time before which a replica is not tried, because it could not be reached.
+	AvoidUntil time.Time
 }
 
 // Distance orders targets by their owner's nearness.
@@ -138,7 +140,9 @@
 		return toPrimary(q, candidates, ReasonMark)
 	}
 	if !q.AgeUnknown {
-		if t := nearest(candidates, q.Spread, func(c Candidate) bool { return c.Position.Covers(q.Need) }); t != "" {
+		if t := nearest(candidates, q.Spread, func(c Candidate) bool {
+			return c.Position.Covers(q.Need) && !c.AvoidUntil.After(now)
+		}); t != "" {
 			return Decision{Action: ActionSend, Target: t, Reason: ReasonCovered, Need: q.Need}
 		}
 		if t := expected(q, candidates, now); t != "" {
@@ -149,7 +153,9 @@
 	if d.Action == ActionSend || hasPrimary(candidates) || q.Missing != document.MissingServeReads {
 		return d
 	}
-	if t := nearest(candidates, q.Spread, func(c Candidate) bool { return staleEnough(q, c) }); t != "" {
+	if t := nearest(candidates, q.Spread, func(c Candidate) bool {
+		return staleEnough(q, c) && !c.AvoidUntil.After(now)
+	}); t != "" {
 		return Decision{Action: ActionSend, Target: t, Reason: ReasonStale, Need: q.Mark}
 	}
 	return d
@@ -164,7 +170,9 @@
 	if !q.WaitUntil.After(now) {
 		return ""
 	}
-	return nearest(candidates, q.Spread, func(c Candidate) bool { return !c.SlowUntil.After(now) })
+	return nearest(candidates, q.Spread, func(c Candidate) bool {
+		return !c.SlowUntil.After(now) && !c.AvoidUntil.After(now)
+	})
 }
 
 // nearest returns the name of one of the nearest usable replicas that fit.
--- a/replica/route_test.go
+++ b/replica/route_test.go
@@ -35,6 +35,8 @@
 		q.Missing, q.StaleSince = m, now.Add(-time.Second)
 		return q
 	}
+	silent := near
+	silent.AvoidUntil = now.Add(time.Second)
 	cases := map[string]struct {
 		query      Query
 		candidates []Candidate
@@ -46,6 +48,8 @@
 		"one that will cover":                {waits, []Candidate{behind, primary}, "b", ReasonExpected},
 		"none that covers in time":           {read, []Candidate{behind, primary}, "p", ReasonBehind},
 		"a slow one is not waited for":       {waits, []Candidate{slow, primary}, "p", ReasonBehind},
+		"one that cannot be reached":         {read, []Candidate{silent, ahead, primary}, "a", ReasonCovered},
+		"none that can be reached":           {waits, []Candidate{silent, primary}, "p", ReasonBehind},
 		"a lost one is left out":             {read, []Candidate{lost, primary}, "p", ReasonNoReplica},
 		"write":                              {write, []Candidate{ahead, primary}, "p", ReasonWrite},
 		"refused by a replica":               {refused, []Candidate{ahead, primary}, "p", ReasonRefused},
--- a/session/run.go
+++ b/session/run.go
@@ -216,6 +216,12 @@
 	case r.refused:
 		u.Access = jacinthtiller.AccessWrite
 	}
+	if p.primary && r.harmless() && !r.refused && !r.asksMark() && r.team.PrimaryMissing == document.MissingServeReads {
+		u.StaleMicroseconds = r.team.StaleAgeMicroseconds
+		if age := r.class.MaxAgeMicroseconds; age > 0 {
+			u.StaleMicroseconds = min(u.StaleMicroseconds, age)
+		}
+	}
 	if p.primary && (!r.q.begins || r.q.commits) {
 		u.Key, u.Fingerprint = r.key(), r.q.digest.Sum64()
 	}
@@ -286,8 +292,11 @@
 		r.tried = map[string]bool{}
 	}
 	r.tried[at.target] = true
-	if at.err == nil || at.err.Reason == jacinthtiller.ReasonBehind {
+	switch {
+	case at.err == nil || at.err.Reason == jacinthtiller.ReasonBehind:
 		r.s.server.positions.Behind(r.s.database, at.target, at.unit.Mark, time.Now())
+	case at.err.Reason == jacinthtiller.ReasonTarget || at.err.Outcome == jacinthtiller.OutcomeUnknown:
+		r.s.server.positions.Unreachable(r.s.database, at.target, time.Now())
 	}
 }
 
--- a/unit.go
+++ b/unit.go
@@ -40,6 +40,9 @@
 	Primary bool `cbor:"primary,omitempty"`
 	// Mark is the position that a replica must have reached before it runs the unit.
 	Mark Position `cbor:"mark"`
+	// StaleMicroseconds is how long after the end of its owner's lease a primary may still serve this read; 0 means
+	// not at all. What such a read sees may include writes of unknown outcome that a promotion elsewhere drops.
+	StaleMicroseconds int64 `cbor:"stale-microseconds,omitempty"`
 	// Key is the idempotency key; empty means none.
 	Key string `cbor:"key,omitempty"`
 	// Fingerprint identifies the request that Key was given for.
