owner: test reads without a lease

Cause: the change that serves reads in a cut-off domain had no test at its own level. Change: a table of reads and a write after the end of the lease.

--- /dev/null
+++ b/owner/stale_test.go
@@ -0,0 +1,48 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestStale guards against a domain that is cut off and serves nothing, and against anything but a read that its team
+// allows being served without a lease.
+func TestStale(t *testing.T) {
+	const age = int64(time.Hour / time.Microsecond)
+	cases := map[string]struct {
+		change func(*jacinthtiller.Unit)
+		// ended is how long ago the lease ended; negative while it holds.
+		endedMilliseconds int64
+		served            bool
+	}{
+		"read that accepts the age":     {func(u *jacinthtiller.Unit) { u.StaleMicroseconds = age }, 1000, true},
+		"read that does not":            {func(*jacinthtiller.Unit) {}, 1000, false},
+		"read that is too old by now":   {func(u *jacinthtiller.Unit) { u.StaleMicroseconds = 500_000 }, 1000, false},
+		"read of a mark not reached":    {func(u *jacinthtiller.Unit) { u.StaleMicroseconds, u.Mark.Term = age, 9 }, 1000, false},
+		"write":                         {func(u *jacinthtiller.Unit) { u.StaleMicroseconds, u.Access = age, jacinthtiller.AccessWrite }, 1000, false},
+		"read that needs no stale data": {func(*jacinthtiller.Unit) {}, -60_000, true},
+	}
+	convey.Convey("After the lease has ended", t, func() {
+		c := newCluster(t, 3)
+		prepared(c)
+		for name, k := range cases {
+			convey.Convey(name, func() {
+				s := c.session("s-" + name)
+				u := s.unit(simple("SELECT v FROM a WHERE id = 1"))
+				u.Access, u.Primary = jacinthtiller.AccessRead, false
+				k.change(&u)
+				c.o.SetLease(jacinthtiller.Lease{Deadline: time.Now().Add(-time.Duration(k.endedMilliseconds) * time.Millisecond)})
+				o := s.run(u)
+				if k.served {
+					convey.So(o.Outcome, convey.ShouldEqual, jacinthtiller.OutcomeDone)
+					return
+				}
+				convey.So(o.Err.Reason, convey.ShouldEqual, jacinthtiller.ReasonNoLease)
+			})
+		}
+	})
+}
