control: survey only after a settled commit of the term

Right after a promotion the primary's owner has settled nothing in the new term, and a survey against that position would let a target be removed although the rest may lack commits of earlier terms. The survey now needs a settled position of its own term, which includes them.

TestSurvey fails without the check.

--- a/control/group_test.go
+++ b/control/group_test.go
@@ -264,6 +264,21 @@
 			convey.So(st.Sections["semintele"], convey.ShouldEqual, 1)
 			convey.So(st.Hosts[0].Lease, convey.ShouldEqual, LeaseHeld)
 		})
+		convey.Convey("goes on under another leader without losing a host", func() {
+			st, err := c.Status(ctx)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(g.servers[st.Leader].Close(), convey.ShouldBeNil)
+			after, err := c.Status(ctx)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(after.Leader, convey.ShouldNotEqual, st.Leader)
+			gap := eventually(t, "leases under the new leader", func() bool {
+				s, err := c.Status(ctx)
+				return err == nil && s.Hosts[0].Lease == LeaseHeld && s.Hosts[1].Lease == LeaseHeld && s.Hosts[2].Lease == LeaseHeld
+			})
+			t.Logf("leases held again under the new leader after %v", gap)
+			convey.So(db().Term, convey.ShouldEqual, 1)
+			convey.So(db().Primary, convey.ShouldEqual, "t1")
+		})
 		for _, h := range hosts {
 			h.mu.Lock()
 			back := h.back
--- a/control/server.go
+++ b/control/server.go
@@ -334,7 +334,8 @@
 	call, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	m, err := s.peers.Peer(c.primary).Mark(call, jacinthtiller.MarkRequest{Database: c.database})
-	if err != nil || m.Term != c.term {
+	// Before the first settled commit of the term the position says nothing about earlier ones.
+	if err != nil || m.Term != c.term || m.Position.Term != c.term {
 		return
 	}
 	var reached atomic.Int64
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -295,3 +295,53 @@
 		}
 	})
 }
+
+// surveyPeer stands for the owners of a primary and of its replicas.
+type surveyPeer struct {
+	jacinthtiller.Peer
+	settled jacinthtiller.Position
+	reached map[string]jacinthtiller.Position
+}
+
+type surveyPeers struct{ p surveyPeer }
+
+func (p surveyPeers) Peer(string) jacinthtiller.Peer { return p.p }
+
+func (p surveyPeer) Mark(context.Context, jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
+	return jacinthtiller.MarkResponse{Term: 1, Position: p.settled}, nil
+}
+
+func (p surveyPeer) WaitPosition(_ context.Context, r jacinthtiller.WaitPositionRequest) (jacinthtiller.WaitPositionResponse, error) {
+	return jacinthtiller.WaitPositionResponse{Position: p.reached[r.Target]}, nil
+}
+
+// TestSurvey guards against the removal of a target without which settled commits lack a majority.
+func TestSurvey(t *testing.T) {
+	at := func(term, index uint64) jacinthtiller.Position {
+		return jacinthtiller.Position{Term: term, Index: index}
+	}
+	cases := map[string]struct {
+		settled, replica jacinthtiller.Position
+		removed          bool
+	}{
+		"the rest has all commits":        {at(1, 9), at(1, 9), true},
+		"the rest is behind":              {at(1, 9), at(1, 8), false},
+		"no commit of the term is known":  {at(0, 0), at(1, 9), false},
+		"the settled commit is of before": {at(0, 9), at(1, 9), false},
+	}
+	convey.Convey("A target that has left is removed", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				w := standard()
+				w.do(Command{Leave: &leaveCommand{Database: "db", Target: "t3"}})
+				w.lose("t3")
+				p := surveyPeer{settled: c.settled, reached: map[string]jacinthtiller.Position{"t2": c.replica}}
+				s, n, _ := startFake(t, Config{Operators: &Operators{}, Peers: surveyPeers{p}}, false)
+				n.set("c1", true)
+				n.machine.s = w.s
+				s.survey(t.Context(), w.l.step(w.s, w.now).surveys[0])
+				convey.So(len(n.machine.state().View.Databases["db"].Targets) == 2, convey.ShouldEqual, c.removed)
+			})
+		}
+	})
+}
