quorum: detect lost keys and lost last entries in a damaged file

A trial with 8000 changed bytes crashed the process: bbolt checks the file in a goroutine of its own when it opens it for writing, and a value that had become a bucket passed our reading. Keys and the number of values on a page have no checksums either, so a page could have lost its last entries unnoticed.

The buckets and their keys must now be exactly those that a file has from its start, and the last index is stored apart from the entries. TestTermStart also refuses a second open membership change, which the schedules missed.

go test -race ./quorum passes.

--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -579,6 +579,7 @@
 		e = c.Step(now, from(quorum.KindAppendResponse, 3), quorum.Change{ID: 8, Kind: quorum.ChangeRemove, Name: "b"})
 		convey.So(e.Answers[0].Err, convey.ShouldNotBeNil)
 		convey.So(c.Step(now, change).Answers[0].Err, convey.ShouldBeNil)
+		change.Name = "b"
 		convey.So(c.Step(now, change).Answers[0].Err, convey.ShouldNotBeNil)
 	})
 }
--- a/quorum/store.go
+++ b/quorum/store.go
@@ -35,9 +35,11 @@
 var (
 	bucketMeta    = []byte("meta")
 	bucketEntries = []byte("entries")
+	bucketTail    = []byte("tail")
 	keyHead       = []byte("head")
 	keyState      = []byte("state")
 	keySnapshot   = []byte("snapshot")
+	keyLast       = []byte("last")
 )
 
 // head identifies the file and its owner. It is written once.
@@ -61,6 +63,9 @@
 	state    State
 	snapshot Snapshot
 	entries  []Entry
+	// last is the index of the last entry, or 0 when there are none. It is stored
+	// apart from the entries, so that a page which lost its last entries is detected.
+	last uint64
 	// transaction is the number of the last transaction.
 	transaction int
 }
@@ -168,7 +173,13 @@
 	if _, err := tx.CreateBucket(bucketEntries); err != nil {
 		return fmt.Errorf("bucket: %w", err)
 	}
-	return put(meta, keyHead, head{Format: formatName, Number: formatNumber, Name: name, Identity: hex.EncodeToString(id)})
+	tail, err := tx.CreateBucket(bucketTail)
+	if err != nil {
+		return fmt.Errorf("bucket: %w", err)
+	}
+	h := head{Format: formatName, Number: formatNumber, Name: name, Identity: hex.EncodeToString(id)}
+	return errors.Join(put(meta, keyHead, h), put(meta, keyState, State{}),
+		put(meta, keySnapshot, Snapshot{}), put(tail, keyLast, uint64(0)))
 }
 
 func syncFolders(dirs ...string) error {
@@ -200,6 +211,12 @@
 			s.head.Name, s.head.Format, s.head.Number, name, formatName, formatNumber)
 		return &FolderError{File: s.path, Advice: adviceFolder, Err: err}
 	}
+	if err := checkKeys(tx); err != nil {
+		return damaged(s.path, err)
+	}
+	if err := get(tx.Bucket(bucketTail), keyLast, &out.last); err != nil {
+		return damaged(s.path, err)
+	}
 	return s.loadLog(meta, entries, out)
 }
 
@@ -227,8 +244,53 @@
 	return nil
 }
 
+// checkKeys reports keys that are missing or unknown. A damaged page can lose or
+// rename a key or turn a value into a bucket, and values alone have checksums.
+func checkKeys(tx *bbolt.Tx) error {
+	want := map[string]int{string(bucketMeta): 3, string(bucketTail): 1, string(bucketEntries): -1}
+	return errors.Join(tx.ForEach(func(name []byte, b *bbolt.Bucket) error {
+		n, ok := want[string(name)]
+		if !ok {
+			return fmt.Errorf("unknown bucket %q", name)
+		}
+		keys := 0
+		err := b.ForEach(func(k, v []byte) error {
+			if v == nil {
+				return fmt.Errorf("bucket %q holds an unexpected bucket %q", name, k)
+			}
+			keys++
+			return nil
+		})
+		if err == nil && n >= 0 && keys != n {
+			err = fmt.Errorf("bucket %q has %d keys instead of %d", name, keys, n)
+		}
+		return err
+	}), required(tx, want))
+}
+
+// required reports buckets and keys that every file has from its start.
+func required(tx *bbolt.Tx, buckets map[string]int) error {
+	for name := range buckets {
+		if tx.Bucket([]byte(name)) == nil {
+			return fmt.Errorf("bucket %q is missing", name)
+		}
+	}
+	meta, tail := tx.Bucket(bucketMeta), tx.Bucket(bucketTail)
+	if meta.Get(keyState) == nil || meta.Get(keySnapshot) == nil || tail.Get(keyLast) == nil {
+		return errors.New("the state, the snapshot or the last index is missing")
+	}
+	return nil
+}
+
 // check reports what cannot be the result of whole writes.
 func (s stored) check() error {
+	last := uint64(0)
+	if n := len(s.entries); n > 0 {
+		last = s.entries[n-1].Index
+	}
+	if last != s.last {
+		return fmt.Errorf("entries end at %d instead of %d", last, s.last)
+	}
 	if s.snapshot.Index == 0 {
 		if len(s.entries) > 0 || s.state.Vote != "" {
 			return errors.New("there are entries or a vote but no founding record")
@@ -271,7 +333,10 @@
 				return fmt.Errorf("snapshot: %w", err)
 			}
 		}
-		return saveEntries(entries, e)
+		if err := saveEntries(entries, e); err != nil {
+			return err
+		}
+		return saveLast(tx.Bucket(bucketTail), entries, e)
 	})
 	if err != nil {
 		return &FolderError{File: s.path, Advice: adviceDisk, Err: fmt.Errorf("write: %w", err)}
@@ -298,6 +363,20 @@
 	return nil
 }
 
+func saveLast(tail, entries *bbolt.Bucket, e Effects) error {
+	if e.From == 0 && e.First == 0 {
+		return nil
+	}
+	last := uint64(0)
+	if k, _ := entries.Cursor().Last(); k != nil {
+		last = binary.BigEndian.Uint64(k)
+	}
+	if err := put(tail, keyLast, last); err != nil {
+		return fmt.Errorf("last index: %w", err)
+	}
+	return nil
+}
+
 // remove deletes the entries from an index up to but without another; 0 means no bound.
 func remove(b *bbolt.Bucket, from, to uint64) error {
 	var keys [][]byte
--- a/quorum/store_test.go
+++ b/quorum/store_test.go
@@ -114,7 +114,7 @@
 				detected++
 				continue
 			}
-			want.transaction = got.transaction
+			want.transaction, want.last = got.transaction, 39
 			if fmt.Sprint(got) != fmt.Sprint(want) {
 				t.Fatalf("byte %d was changed without detection", at)
 			}
