--- a/link/link_test.go
+++ b/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -216,6 +217,10 @@
 			})
 		}
 	})
+	convey.Convey("A length beyond the bound is refused before memory is taken for it", t, func() {
+		_, _, err := newReader(strings.NewReader("M\x7f\x00\x00\x04")).read()
+		convey.So(err.Error(), convey.ShouldContainSubstring, "not allowed")
+	})
 	convey.Convey("A host that cannot be reached proves that nothing ran", t, func() {
 		l, _ := net.Listen("tcp", "127.0.0.1:0")
 		_ = l.Close()
