link, replica: ask for marks over the link

Cause: a CPU profile of reads by a role that may write (go test ./quickstart -run xxx -bench Load/reads) spent 16% in the question for marks: an HTTP call, and a new goroutine for each batch whose stack grew in the decoder. Change: the question takes a pooled connection of the link, this host's own questions take no connection, and the goroutine of a database waits 5 s for the next read.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,6 +60,7 @@
 	sessions *session.Server
 	server   *link.Server
 	opener   *link.Opener
+	marks    *replica.Marks
 
 	mu sync.Mutex // guards the fields below
 	// stopping is true from the first Stop or Kill on; the process is then not ready.
@@ -229,11 +230,12 @@
 		Views: views, Owner: p.owner, Events: p.events,
 	})
 	positions := replica.NewPositions()
+	p.marks = replica.NewMarks(p.opener, views.View, positions, p.events)
 	p.sessions = session.NewServer(
 		session.WithHost(self), session.WithViews(views),
 		session.WithDirectory(func() session.Directory { return views.Directory() }),
 		session.WithOpener(p.opener), session.WithPositions(positions),
-		session.WithMarks(replica.NewMarks(peers, views.View, positions, p.events)),
+		session.WithMarks(p.marks),
 		session.WithEvents(p.events), session.WithTLS(p.guestConfig),
 	)
 	mux.Handle("/jacinthtiller.host/", wire.NewHostHandler(p.host))
@@ -462,6 +464,9 @@
 	if p.server != nil {
 		_ = p.server.Close()
 	}
+	if p.marks != nil {
+		p.marks.Close()
+	}
 	if p.opener != nil {
 		_ = p.opener.Close()
 	}
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -93,8 +93,8 @@
 
 // startLink makes both ends of the statement path between hosts.
 func (p *Process) startLink(self jacinthtiller.Host, views *entry.Views) {
-	server := []link.ServerOption{link.WithEvents(p.events)}
-	var opener []link.OpenerOption
+	server := []link.ServerOption{link.WithEvents(p.events), link.WithMarks(p.owner.Mark)}
+	opener := []link.OpenerOption{link.WithLocalMarks(p.owner.Mark)}
 	if p.dialer != nil {
 		opener = append(opener, link.WithDialer(p.dialer))
 	}
--- a/interfaces.go
+++ b/interfaces.go
@@ -21,6 +21,11 @@
 	Open(ctx context.Context, host string) (Channel, error)
 }
 
+// Marker asks the owner of a primary for the marks of guests, by the name of the owner host.
+type Marker interface {
+	AskMarks(ctx context.Context, host string, r MarkRequest) (MarkResponse, error)
+}
+
 // Platform gives orders to one target.
 type Platform interface {
 	// Position asks for the position of the last applied entry.
--- a/link/frame.go
+++ b/link/frame.go
@@ -32,6 +32,8 @@
 	frameCancel   = 'C' // entry host -> owner: the sequence of the unit to cancel
 	frameResult   = 'R' // owner -> entry host: CBOR reply
 	frameBeat     = 'B' // owner -> entry host: the unit is still running
+	frameAsk      = 'Q' // entry host -> owner: CBOR question for guests' marks, while no unit runs
+	frameMarks    = 'A' // owner -> entry host: CBOR answer to it
 	frameGoing    = 'G' // owner -> entry host: use another connection for the next channel
 )
 
@@ -58,6 +60,7 @@
 var maxBytes = map[byte]int{
 	frameHello: 4 << 10, frameUnit: maxHeaderBytes, frameMessages: wire.MaxMessageBytes,
 	frameCancel: numberBytes, frameResult: maxHeaderBytes, frameBeat: 0, frameGoing: 0,
+	frameAsk: maxHeaderBytes, frameMarks: maxHeaderBytes,
 }
 
 // hello is the first frame of a connection.
--- /dev/null
+++ b/link/mark.go
@@ -0,0 +1,112 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// MarkFunc answers a question for the marks of guests on a primary that this host owns.
+type MarkFunc func(ctx context.Context, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error)
+
+// WithMarks answers other hosts' questions for marks with f. Without it they are refused.
+func WithMarks(f MarkFunc) ServerOption { return func(s *Server) { s.marks = f } }
+
+// WithLocalMarks answers this host's own questions with f.
+func WithLocalMarks(f MarkFunc) OpenerOption { return func(o *Opener) { o.marks = f } }
+
+// marksAnswer answers a question for marks.
+type marksAnswer struct {
+	jacinthtiller.MarkResponse
+	// Fault says why there are no marks; empty otherwise.
+	Fault string `cbor:"fault,omitempty"`
+}
+
+var _ jacinthtiller.Marker = (*Opener)(nil)
+
+// AskMarks asks the host for the marks of guests. The question takes a connection of the statement path: an HTTP
+// call cost several times the processor time of the question itself, once for each batch of reads.
+func (o *Opener) AskMarks(ctx context.Context, host string, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
+	if host == o.self && o.marks != nil {
+		return o.marks(ctx, r)
+	}
+	c, err := o.connect(ctx, host)
+	if err != nil {
+		return jacinthtiller.MarkResponse{}, fmt.Errorf("ask for marks: %w", err)
+	}
+	stop := context.AfterFunc(ctx, c.close)
+	a, going, err := c.ask(r)
+	if !stop() || err != nil || going {
+		c.close()
+	} else {
+		o.put(c)
+	}
+	if err == nil && a.Fault != "" {
+		err = errors.New(a.Fault)
+	}
+	if err != nil {
+		return jacinthtiller.MarkResponse{}, fmt.Errorf("ask host %s for marks: %w", host, err)
+	}
+	return a.MarkResponse, nil
+}
+
+// ask sends a question and reads its answer. Going is true when the host asked for another connection.
+func (c *peerConn) ask(r jacinthtiller.MarkRequest) (a marksAnswer, going bool, err error) {
+	b, err := appendFrame(c.out, frameAsk, r)
+	if err != nil {
+		return a, false, err
+	}
+	_ = c.nc.SetDeadline(time.Now().Add(silenceLimit))
+	if _, err := c.nc.Write(b); err != nil {
+		return a, false, fmt.Errorf("send question: %w", err)
+	}
+	c.out = b[:0]
+	for {
+		typ, p, err := c.r.read()
+		if err != nil {
+			return a, false, err
+		}
+		switch typ {
+		case frameGoing:
+			going = true
+		case frameMarks:
+			if err := cbor.Unmarshal(p, &a); err != nil {
+				return a, going, fmt.Errorf("decode marks: %w", err)
+			}
+			return a, going, nil
+		default:
+			return a, going, fmt.Errorf("unexpected frame %q in place of marks", typ)
+		}
+	}
+}
+
+// answerMarks answers a question. The marks are in memory, so the reader of the connection does not wait.
+func (c *serverConn) answerMarks(p []byte) error {
+	var r jacinthtiller.MarkRequest
+	if err := cbor.Unmarshal(p, &r); err != nil {
+		return fmt.Errorf("decode question for marks: %w", err)
+	}
+	var a marksAnswer
+	if c.s.marks == nil {
+		a.Fault = "the host answers no questions for marks"
+	} else if m, err := c.s.marks(c.ctx, r); err != nil {
+		a.Fault = err.Error()
+	} else {
+		a.MarkResponse = m
+	}
+	b, err := appendFrame(nil, frameMarks, a)
+	if err != nil {
+		return err
+	}
+	return c.write(func() error {
+		if _, err := c.w.Write(b); err != nil {
+			return fmt.Errorf("write marks: %w", err)
+		}
+		return c.flush()
+	})
+}
--- a/link/opener.go
+++ b/link/opener.go
@@ -25,6 +25,8 @@
 	resolve func(host string) (address string, ok bool)
 	tls     *tls.Config
 	dialer  func(ctx context.Context, network, address string) (net.Conn, error)
+	// marks answers questions for marks that this host itself owns; nil sends them over a connection.
+	marks MarkFunc
 
 	mu sync.Mutex // guards the fields below
 	// idle holds, by address, connections whose last unit ended outside a transaction; the newest is last.
@@ -69,18 +71,27 @@
 		}
 		return c, nil
 	}
+	c, err := o.connect(ctx, host)
+	if err != nil {
+		return nil, fmt.Errorf("open channel: %w", err)
+	}
+	return &channel{o: o, c: c, status: 'I'}, nil
+}
+
+// connect returns an unused connection to another host.
+func (o *Opener) connect(ctx context.Context, host string) (*peerConn, error) {
 	address, ok := o.resolve(host)
 	if !ok || address == "" {
-		return nil, fmt.Errorf("open channel: %w", unreachable("host %q has no link address", host))
+		return nil, unreachable("host %q has no link address", host)
 	}
-	c := o.take(address)
-	if c == nil {
-		var err error
-		if c, err = o.dial(ctx, address); err != nil {
-			return nil, fmt.Errorf("open channel: %w", unreachable("host %s at %s: %v", host, address, err))
-		}
+	if c := o.take(address); c != nil {
+		return c, nil
 	}
-	return &channel{o: o, c: c, status: 'I'}, nil
+	c, err := o.dial(ctx, address)
+	if err != nil {
+		return nil, unreachable("host %s at %s: %v", host, address, err)
+	}
+	return c, nil
 }
 
 func unreachable(format string, args ...any) *jacinthtiller.Error {
--- a/link/server.go
+++ b/link/server.go
@@ -31,6 +31,7 @@
 	open   func(ctx context.Context) (jacinthtiller.Channel, error)
 	tls    *tls.Config
 	events *event.Log
+	marks  MarkFunc
 
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -302,6 +303,10 @@
 				return sequenced{}, errors.New("cancel without a sequence")
 			}
 			c.cancelUnit(binary.BigEndian.Uint64(p))
+		case frameAsk:
+			if err := c.answerMarks(p); err != nil {
+				return sequenced{}, err
+			}
 		default:
 			return sequenced{}, fmt.Errorf("unexpected frame %q", typ)
 		}
--- a/quickstart/path_test.go
+++ b/quickstart/path_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/jacinthtiller/jacinthtiller/bench"
 	"github.com/jacinthtiller/jacinthtiller/standin"
@@ -107,3 +109,80 @@
 		})
 	}
 }
+
+// throughputGuests is the number of connections in BenchmarkThroughput: as many as an owner opens to a target.
+const throughputGuests = 26
+
+// BenchmarkThroughput compares the reads and writes that guests get through an entry host with those that they get
+// from a target, with as many connections.
+func BenchmarkThroughput(b *testing.B) {
+	ctx := context.Background()
+	c, err := Start(ctx, Options{Slots: 26})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Kill()
+	alone, err := standin.Start(standin.Config{Name: "alone", Database: "alone", Domain: "cluj-a", Slots: 26})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer alone.Kill()
+	database := c.Databases()[0]
+	urls := map[string]string{
+		"direct":                  fmt.Sprintf("postgres://u@%s/alone?sslmode=disable", alone.Addr()),
+		"read-write-role":         c.URL(c.hostIn("iasi-a"), DefaultLogins[0], database),
+		"read-only-role":          c.URL(c.hostIn("iasi-a"), DefaultLogins[2], database),
+		"primary-read-write-role": c.URL(c.hostIn("cluj-a"), DefaultLogins[0], database),
+	}
+	for _, url := range []string{urls["direct"], urls["read-write-role"]} {
+		conn, err := pgx.Connect(ctx, url)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, sql := range []string{
+			"CREATE TABLE IF NOT EXISTS lots (id INTEGER PRIMARY KEY, viability INTEGER)", "INSERT INTO lots VALUES (1, 0)",
+		} {
+			if _, err := conn.Exec(ctx, sql); err != nil {
+				b.Fatal(err)
+			}
+		}
+		conn.Close(ctx)
+	}
+	for name, url := range urls {
+		b.Run("read/"+name, func(b *testing.B) { throughput(b, url, "SELECT viability FROM lots WHERE id = $1") })
+		if name == "direct" || name == "primary-read-write-role" {
+			b.Run("write/"+name, func(b *testing.B) { throughput(b, url, "UPDATE lots SET viability = viability + 1 WHERE id = $1") })
+		}
+	}
+}
+
+func throughput(b *testing.B, url, sql string) {
+	ctx := context.Background()
+	var conns []*pgx.Conn
+	for range throughputGuests {
+		conn, err := pgx.Connect(ctx, url)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close(ctx)
+		conns = append(conns, conn)
+	}
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	b.ResetTimer()
+	group := pool.New().WithErrors()
+	for _, conn := range conns {
+		group.Go(func() error {
+			for left.Add(-1) >= 0 {
+				if _, err := conn.Exec(ctx, sql, 1); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+}
--- a/replica/marks.go
+++ b/replica/marks.go
@@ -14,25 +14,32 @@
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
-// questionTime bounds one question; a read whose question failed goes to the primary.
-const questionTime = time.Second
+const (
+	// questionTime bounds one question; a read whose question failed goes to the primary.
+	questionTime = time.Second
+	// idleTime is how long the goroutine of a database waits for another read.
+	idleTime = 5 * time.Second
+)
 
 // Marks asks the owners of primaries for the marks of guests. At most one
 // question per database is outstanding; a read that arrives meanwhile is served
 // by the next one, because the outstanding one may have been answered before
 // the guest's newest write was acknowledged.
 type Marks struct {
-	peers     jacinthtiller.Peers
+	marker    jacinthtiller.Marker
 	view      func() jacinthtiller.View
 	positions *Positions
 	events    *event.Log
 	group     conc.WaitGroup
+	// closed ends the goroutines that wait for reads.
+	closed chan struct{}
 
 	mu sync.Mutex // guards the fields below
 	// next holds the batch that will be asked next, per database.
 	next map[string]*batch
-	// busy names the databases with an outstanding question.
-	busy map[string]bool
+	// busy holds, for each database with a goroutine that asks, a channel of capacity 1 that tells it of a new batch.
+	busy map[string]chan struct{}
+	done bool
 }
 
 // batch is the guests of one question.
@@ -46,10 +53,10 @@
 
 // NewMarks returns Marks that find owners in the current view. What the answers
 // say of the primaries' positions is recorded in positions, which may be nil.
-func NewMarks(peers jacinthtiller.Peers, view func() jacinthtiller.View, positions *Positions, events *event.Log) *Marks {
+func NewMarks(marker jacinthtiller.Marker, view func() jacinthtiller.View, positions *Positions, events *event.Log) *Marks {
 	return &Marks{
-		peers: peers, view: view, positions: positions, events: events,
-		next: map[string]*batch{}, busy: map[string]bool{},
+		marker: marker, view: view, positions: positions, events: events,
+		next: map[string]*batch{}, busy: map[string]chan struct{}{}, closed: make(chan struct{}),
 	}
 }
 
@@ -72,7 +79,15 @@
 }
 
 // Close waits for the questions that are outstanding.
-func (m *Marks) Close() { m.group.Wait() }
+func (m *Marks) Close() {
+	m.mu.Lock()
+	if !m.done {
+		m.done = true
+		close(m.closed)
+	}
+	m.mu.Unlock()
+	m.group.Wait()
+}
 
 func (m *Marks) join(database, guest string) *batch {
 	m.mu.Lock()
@@ -83,25 +98,39 @@
 		m.next[database] = b
 	}
 	b.guests[guest] = true
-	if !m.busy[database] {
-		m.busy[database] = true
-		m.group.Go(func() { m.run(database) })
+	if wake, ok := m.busy[database]; ok {
+		select {
+		case wake <- struct{}{}:
+		default: // it has been told already
+		}
+		return b
 	}
+	wake := make(chan struct{}, 1)
+	m.busy[database] = wake
+	m.group.Go(func() { m.run(database, wake) })
 	return b
 }
 
-// run asks batch after batch until no read waits.
-func (m *Marks) run(database string) {
+// run asks batch after batch until no read has come for idleTime. A goroutine for each burst of reads would
+// grow its stack anew each time, which took half of the processor time of a question.
+func (m *Marks) run(database string, wake <-chan struct{}) {
+	idle := time.NewTimer(idleTime)
+	defer idle.Stop()
 	for {
-		m.mu.Lock()
-		b := m.next[database]
-		delete(m.next, database)
+		b := m.take(database)
 		if b == nil {
-			delete(m.busy, database)
-			m.mu.Unlock()
-			return
+			idle.Reset(idleTime)
+			select {
+			case <-wake:
+				continue
+			case <-idle.C:
+			case <-m.closed:
+			}
+			if m.leave(database) {
+				return
+			}
+			continue
 		}
-		m.mu.Unlock()
 		b.response, b.err = m.question(database, slices.Sorted(maps.Keys(b.guests)))
 		if b.err != nil {
 			m.events.Emit(event.MarkFailed, event.Fields{"database": database, "error": b.err.Error()})
@@ -110,6 +139,26 @@
 	}
 }
 
+// take removes the batch that is to be asked next; nil when there is none.
+func (m *Marks) take(database string) *batch {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.next[database]
+	delete(m.next, database)
+	return b
+}
+
+// leave ends the duty for a database unless a batch has come.
+func (m *Marks) leave(database string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.next[database] != nil {
+		return false
+	}
+	delete(m.busy, database)
+	return true
+}
+
 func (m *Marks) question(database string, guests []string) (jacinthtiller.MarkResponse, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), questionTime)
 	defer cancel()
@@ -120,7 +169,7 @@
 		return jacinthtiller.MarkResponse{}, &MarkError{Database: database, Problem: "there is no primary with an owner"}
 	}
 	asked := time.Now()
-	r, err := m.peers.Peer(owner.RPC).Mark(ctx, jacinthtiller.MarkRequest{Database: database, Guests: guests})
+	r, err := m.marker.AskMarks(ctx, owner.Name, jacinthtiller.MarkRequest{Database: database, Guests: guests})
 	if err != nil {
 		return r, fmt.Errorf("ask host %q for marks in database %q: %w", owner.Name, database, err)
 	}
--- a/replica/positions_test.go
+++ b/replica/positions_test.go
@@ -143,10 +143,12 @@
 	answer chan jacinthtiller.MarkResponse
 }
 
-// fakePeers finds the same peer at every URL.
+// fakePeers asks the same peer for every host.
 type fakePeers struct{ peer *fakePeer }
 
-func (f fakePeers) Peer(string) jacinthtiller.Peer { return f.peer }
+func (f fakePeers) AskMarks(ctx context.Context, _ string, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
+	return f.peer.Mark(ctx, r)
+}
 
 func (f *fakePeer) Mark(_ context.Context, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
 	f.asked <- r
--- a/session/fake_test.go
+++ b/session/fake_test.go
@@ -126,7 +126,9 @@
 	w *world
 }
 
-func (w *world) Peer(string) jacinthtiller.Peer { return worldPeer{w: w} }
+func (w *world) AskMarks(ctx context.Context, _ string, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
+	return worldPeer{w: w}.Mark(ctx, r)
+}
 
 func (p worldPeer) Mark(_ context.Context, r jacinthtiller.MarkRequest) (jacinthtiller.MarkResponse, error) {
 	p.w.mu.Lock()
