--- a/control/state_test.go
+++ b/control/state_test.go
@@ -8,7 +8,6 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/jacinthtiller/jacinthtiller"
-	"github.com/jacinthtiller/jacinthtiller/document"
 )
 
 // TestSections guards against edits that overwrite each other, run twice or
@@ -189,13 +188,3 @@
 		}
 	})
 }
-
-// TestRolesTaken guards against a fault that names the wrong role.
-func TestRolesTaken(t *testing.T) {
-	convey.Convey("Only roles of other teams are taken", t, func() {
-		team := document.Team{Name: "a", Roles: []document.Role{{Name: "own"}, {Name: "app"}, {Name: "new"}}}
-		faults := document.RolesTaken(map[string]string{"own": "a", "app": "b"}, team)
-		convey.So(faults, convey.ShouldHaveLength, 1)
-		convey.So(faults[0].Value, convey.ShouldEqual, "app")
-	})
-}
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -139,6 +139,16 @@
 	})
 }
 
+// TestRolesTaken guards against a fault that names the wrong role.
+func TestRolesTaken(t *testing.T) {
+	convey.Convey("Only roles of other teams are taken", t, func() {
+		team := Team{Name: "a", Roles: []Role{{Name: "own"}, {Name: "app"}, {Name: "new"}}}
+		faults := RolesTaken(map[string]string{"own": "a", "app": "b"}, team)
+		convey.So(faults, convey.ShouldHaveLength, 1)
+		convey.So(faults[0].Value, convey.ShouldEqual, "app")
+	})
+}
+
 // TestVerifier guards against a verifier that does not match its password and against malformed ones.
 func TestVerifier(t *testing.T) {
 	convey.Convey("A made verifier lets only its password in", t, func() {
