--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -195,8 +195,23 @@
 		"--rpc-listen", strings.TrimPrefix(n.members[name], "http://"), "--data-dir", filepath.Join(n.dir, name))...)
 }
 
-func (n *installation) startHost(name string, p quickstart.Place) {
-	n.hosts[name] = n.run(name, "jacinthd", n.flags(name, p, "--role", daemon.RoleEntry)...)
+func (n *installation) startHost(name string, p quickstart.Place, args ...string) {
+	args = append([]string{"--role", daemon.RoleEntry}, args...)
+	n.hosts[name] = n.run(name, "jacinthd", n.flags(name, p, args...)...)
+}
+
+// restartHost starts a host that has ended on the addresses that it had, and waits until it is ready.
+func (n *installation) restartHost(name string) {
+	old := n.hosts[name]
+	for _, p := range quickstart.Places {
+		if strings.HasPrefix(name, p.Domain+"-") {
+			n.startHost(name, p, "--guest-listen", old.guests, "--rpc-listen", strings.TrimPrefix(old.rpc, "http://"))
+		}
+	}
+	n.eventually(name+" is ready", func(context.Context) error {
+		_, err := n.hosts[name].get("/readyz")
+		return err
+	})
 }
 
 func (n *installation) startTargets() {
--- a/entry/host.go
+++ b/entry/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	renewInterval = 400 * time.Millisecond
 	// renewTimeout bounds the tries of one renewal; the client asks another control process after 250 ms.
 	renewTimeout = 800 * time.Millisecond
+	// catchUpInterval is the pause before a renewal after one that waits for a newer view.
+	catchUpInterval = 20 * time.Millisecond
 	// retryInterval is the pause after a failed call to control.
 	retryInterval = 100 * time.Millisecond
 	// observeTimeout bounds the report of a target; the next announcement repeats it.
@@ -55,12 +58,17 @@
 	ctx    context.Context
 	group  conc.WaitGroup
 
+	// renewNow has capacity 1 and asks for a renewal at once; it is full when one has been asked for already.
+	renewNow chan struct{}
 	// observed carries reports to the goroutine that sends them to control.
 	observed chan jacinthtiller.ObserveRequest
 
 	mu sync.Mutex // guards the fields below
 	// lease is the newest lease granted; its deadline never goes back.
 	lease jacinthtiller.Lease
+	// applied is the index of the newest view that the owner has taken; control hands a target to another
+	// host only after this host has reported the index of the view that takes it away.
+	applied uint64
 	// controlSeen is when control last answered.
 	controlSeen time.Time
 	// registered is true once control recorded this incarnation.
@@ -73,7 +81,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
 		config: c, ctx: ctx, cancel: cancel,
-		observed: make(chan jacinthtiller.ObserveRequest, observeQueue),
+		observed: make(chan jacinthtiller.ObserveRequest, observeQueue), renewNow: make(chan struct{}, 1),
 	}
 	h.group.Go(h.follow)
 	h.group.Go(h.apply)
@@ -153,6 +161,7 @@
 // apply passes each new view to the owner.
 func (h *Host) apply() {
 	var seen uint64
+	var owned map[string]uint64
 	for {
 		changed := h.config.Views.Changed()
 		view := h.config.Views.View()
@@ -162,6 +171,11 @@
 				h.reportFaults()
 			}
 			h.config.Owner.Apply(view)
+			h.noteApplied(view.Index)
+			if now := h.owned(view); !maps.Equal(owned, now) {
+				owned = now
+				h.askRenewal()
+			}
 			h.config.Events.Emit(event.ViewApplied, event.Fields{"index": view.Index, "document": view.Document})
 		}
 		select {
@@ -172,6 +186,39 @@
 	}
 }
 
+func (h *Host) noteApplied(index uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.applied = index
+}
+
+func (h *Host) appliedIndex() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.applied
+}
+
+// owned returns the epochs of the targets that the view gives to this host, by database and target.
+func (h *Host) owned(view jacinthtiller.View) map[string]uint64 {
+	out := map[string]uint64{}
+	for name, d := range view.Databases {
+		for _, t := range d.Targets {
+			if t.Owner == h.config.Self.Name {
+				out[name+"/"+t.Name] = t.Epoch
+			}
+		}
+	}
+	return out
+}
+
+// askRenewal makes the host renew at once, so that control learns early which view is in force here.
+func (h *Host) askRenewal() {
+	select {
+	case h.renewNow <- struct{}{}:
+	default:
+	}
+}
+
 // reportFaults names sections that control accepted and this host cannot read, as after an upgrade of control alone.
 func (h *Host) reportFaults() {
 	for team, faults := range h.config.Views.Directory().Faults() {
@@ -188,13 +235,18 @@
 				continue
 			}
 		}
-		if err := h.renewOnce(); err != nil {
+		granted, err := h.renewOnce()
+		if err != nil {
 			h.noteLease()
 			h.pause(retryInterval)
 			continue
 		}
+		if !granted {
+			h.pause(catchUpInterval)
+			continue
+		}
 		// A tenth of jitter keeps the renewals of hosts that started together apart.
-		h.pause(renewInterval - time.Duration(rand.Int64N(int64(renewInterval/10))))
+		h.wait(renewInterval-time.Duration(rand.Int64N(int64(renewInterval/10))), h.renewNow)
 	}
 }
 
@@ -212,27 +264,30 @@
 	return nil
 }
 
-// renewOnce asks for the lease once. The deadline counts from before the request, so
-// that it never lies after the one that the leader keeps.
-func (h *Host) renewOnce() error {
+// renewOnce asks for the lease once and reports whether it was granted. The deadline counts from before the request,
+// so that it never lies after the one that the leader keeps.
+func (h *Host) renewOnce() (bool, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, renewTimeout)
 	defer cancel()
 	asked := time.Now()
 	r, err := h.config.Control.Renew(ctx, jacinthtiller.RenewRequest{
-		Host: h.config.Self.Name, Incarnation: h.config.Self.Incarnation, Index: h.config.Views.View().Index,
+		Host: h.config.Self.Name, Incarnation: h.config.Self.Incarnation, Index: h.appliedIndex(),
 	})
 	if err != nil {
-		return fmt.Errorf("renew the host's lease: %w", err)
+		return false, fmt.Errorf("renew the host's lease: %w", err)
 	}
 	h.sawControl()
 	if r.Unregistered {
 		h.mu.Lock()
 		h.registered = false
 		h.mu.Unlock()
-		return errors.New("control does not know this start of the host")
+		return false, errors.New("control does not know this start of the host")
+	}
+	if r.LeaseMicroseconds == 0 {
+		return false, nil // the view of the registration is not in force here yet
 	}
 	h.grant(asked.Add(time.Duration(r.LeaseMicroseconds) * time.Microsecond))
-	return nil
+	return true, nil
 }
 
 func (h *Host) grant(deadline time.Time) {
@@ -278,11 +333,15 @@
 }
 
 // pause waits for d or the end of the host.
-func (h *Host) pause(d time.Duration) {
+func (h *Host) pause(d time.Duration) { h.wait(d, nil) }
+
+// wait waits for d, for early, which may be nil, or for the end of the host.
+func (h *Host) wait(d time.Duration, early <-chan struct{}) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-early:
 	case <-h.ctx.Done():
 	}
 }
