owner: no data race in the test of remote positions

The test read a field of its fake while the call for the other replica could write it; 1 of 7 runs of go test -race ./owner under load failed.

--- a/owner/lead_test.go
+++ b/owner/lead_test.go
@@ -292,6 +292,8 @@
 		c.o.Apply(c.view)
 		s := c.ready()
 		convey.So(s.query("CREATE TABLE a (id int)").says(), convey.ShouldEqual, "done C:CREATE TABLE Z:I")
+		c.control.mu.Lock() // calls to the other replica may go on
+		defer c.control.mu.Unlock()
 		convey.So(p.url, convey.ShouldEqual, "http://far")
 	})
 }
