--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -365,6 +365,62 @@
 	n.stop()
 }
 
+// BenchmarkTargets measures the idle processor time and the memory of the entry processes by the number of targets that
+// they own: announcements, probes and leases, without statements.
+func BenchmarkTargets(b *testing.B) {
+	for range b.N {
+		n := start(b)
+		owned := 3
+		for _, databases := range []int{1, 7, 14} {
+			for ; owned < 3*databases; owned += 3 {
+				n.startTargets(fmt.Sprintf("registru-%d", owned/3+1))
+			}
+			n.eventually("all targets have an owner", func(ctx context.Context) error { return n.allOwned(ctx, databases) })
+			time.Sleep(settleFor)
+			before := n.hostsUsage(b)
+			time.Sleep(measureFor)
+			after := n.hostsUsage(b)
+			hosts := float64(len(n.hosts))
+			label := fmt.Sprintf("targets-%d", owned)
+			b.ReportMetric(100*(after.cpu-before.cpu)/measureFor.Seconds()/hosts, "%core/host-"+label)
+			b.ReportMetric(after.memory/1e6/hosts, "MB/host-"+label)
+		}
+		n.stop()
+	}
+}
+
+// hostsUsage adds up what all entry processes use.
+func (n *installation) hostsUsage(b testing.TB) usage {
+	var sum usage
+	for _, p := range n.hosts {
+		u := p.usage(b)
+		sum.cpu, sum.memory = sum.cpu+u.cpu, sum.memory+u.memory
+	}
+	return sum
+}
+
+// allOwned returns nil when there are that many databases, each with a primary and three owned targets.
+func (n *installation) allOwned(ctx context.Context, databases int) error {
+	s, err := n.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if len(s.Databases) != databases {
+		return fmt.Errorf("%d of %d databases", len(s.Databases), databases)
+	}
+	for _, d := range s.Databases {
+		if d.Primary == "" || len(d.Targets) != 3 {
+			return fmt.Errorf("database %s has primary %q and %d targets", d.Name, d.Primary, len(d.Targets))
+		}
+		for _, t := range d.Targets {
+			if t.Owner == "" {
+				return fmt.Errorf("target %s has no owner", t.Name)
+			}
+		}
+	}
+	return nil
+}
+
 // BenchmarkAnnouncements measures the processor time of an entry process for each announcement that it takes.
 func BenchmarkAnnouncements(b *testing.B) {
 	for range b.N {
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -118,7 +118,7 @@
 			n.startHost(fmt.Sprintf("%s-entry-%d", p.Domain, i+1), p)
 		}
 	}
-	n.startTargets()
+	n.startTargets(database)
 	n.waitReady()
 	return n
 }
@@ -214,7 +214,7 @@
 	})
 }
 
-func (n *installation) startTargets() {
+func (n *installation) startTargets(database string) {
 	follow := ""
 	for _, p := range quickstart.Places {
 		var announce []string
