owner: idle targets ask for less of their host

Cause: a host with 6 idle targets used 3.93% of a core, above the limit of 2.9% that control may cost a node. A CPU profile showed timers: 10 looks and 10 pool checks a second for each target, and 50 checks for each primary. Change: a target that does what the view says is looked at once a second (views and announcements ask for a look), the pool twice a second, and unsettled commits are watched only while there are some.

--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -17,7 +17,10 @@
 	// reservedConnections are kept out of the pool: probes, orders and positions have one each.
 	reservedConnections = 3
 	reconcileEvery      = 100 * time.Millisecond
-	warmEvery           = 100 * time.Millisecond
+	// agreedEvery is the time between looks at a target that does what the view says; views and announcements ask
+	// for a look of their own. Idle targets would otherwise cost their host more than control may.
+	agreedEvery = time.Second
+	warmEvery   = 500 * time.Millisecond
 	// orderLimit bounds one order, so that a target that hangs does not stop the loop.
 	orderLimit   = 2 * time.Second
 	probeEvery   = 250 * time.Millisecond
@@ -91,7 +94,11 @@
 			last, quietUntil = err.Error(), time.Now().Add(repeatLogAfter)
 			t.emit(event.OrderFailed, event.Fields{"error": last})
 		}
-		timer := time.NewTimer(reconcileEvery)
+		every := reconcileEvery
+		if err == nil && t.agreed() {
+			every = agreedEvery
+		}
+		timer := time.NewTimer(every)
 		select {
 		case <-t.ctx.Done():
 			timer.Stop()
@@ -103,6 +110,13 @@
 	}
 }
 
+// agreed reports whether the target has nothing to wait for: it is no primary, or it serves as one.
+func (t *target) agreed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.db.Moving == "" && (t.lead == nil || !t.lead.since().IsZero())
+}
+
 // agree gives the order that the view asks for, if any.
 func (t *target) agree() error {
 	t.mu.Lock()
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -51,6 +51,8 @@
 	// signal is dropped because the follower reads wanted anew.
 	wakes map[string]chan struct{}
 	held  bool
+	// unsettled has capacity 1 and is full when a commit has begun to wait; a second signal is dropped.
+	unsettled chan struct{}
 }
 
 type waitingSince struct {
@@ -59,7 +61,7 @@
 }
 
 func newLead(ctx context.Context, t *target, term uint64, group int) *lead {
-	l := &lead{t: t, term: term, group: group, ready: make(chan struct{}), wakes: map[string]chan struct{}{}}
+	l := &lead{t: t, term: term, group: group, ready: make(chan struct{}), wakes: map[string]chan struct{}{}, unsettled: make(chan struct{}, 1)}
 	l.ctx, l.end = context.WithCancel(ctx)
 	l.marks.limit = maxGuests
 	l.settled = replica.NewSettlement(term, group, t.name)
@@ -154,6 +156,10 @@
 		default:
 		}
 	}
+	select {
+	case l.unsettled <- struct{}{}:
+	default:
+	}
 }
 
 // settle waits until a majority has p.
@@ -188,11 +194,24 @@
 			}
 			l.t.emit(kind, event.Fields{"term": l.term})
 		}
+		if !l.waiting() {
+			select {
+			case <-l.unsettled:
+			case <-l.ctx.Done():
+			}
+		}
 		_ = pause(l.ctx, holdCheckEvery)
 	}
 	l.t.gate.HoldWrites(false)
 }
 
+// waiting reports whether a commit waits for a majority, or writes are held.
+func (l *lead) waiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waits) > 0 || l.held
+}
+
 func (l *lead) shouldHold(now time.Time) (held, changed bool) {
 	settled := l.settled.Settled()
 	l.mu.Lock()
