credential, control, entry: names of IP servers, verifiers, and hosts that stop

A killed control leader handed its leadership on, which a crash does not. Change: the client's configuration is made for the server's name or address; section texts are left out of dumps and need the operator's token; a released host asks for no lease; exit code 3 for refusals; Process.Kill aborts the control role; a report of a lost target tries another process after 250 ms.

--- a/control/client.go
+++ b/control/client.go
@@ -21,6 +21,9 @@
 	callTimeout = 500 * time.Millisecond
 	// renewTimeout bounds one attempt to renew; four of them fit into a lease when the leader is cut off.
 	renewTimeout = 250 * time.Millisecond
+	// lostTimeout bounds one attempt to report a lost target: a promotion waits for the report, and repeating it
+	// changes nothing.
+	lostTimeout = 250 * time.Millisecond
 	// slowCallTimeout bounds an attempt that may wait for a lease to end.
 	slowCallTimeout = 2*Lease + callTimeout
 	// retryPause is the pause after a round of attempts in which no process led.
@@ -231,7 +234,7 @@
 
 // Lost gives up a target. Repeating it changes nothing, because the epoch is past.
 func (c *Client) Lost(ctx context.Context, m jacinthtiller.LostRequest) error {
-	return c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
+	return c.call(ctx, lostTimeout, true, func(ctx context.Context, e *endpoint) error {
 		if _, err := e.lost.CallUnary(ctx, connect.NewRequest(&m)); err != nil {
 			return fmt.Errorf("report target %s as lost: %w", m.Target, err)
 		}
@@ -274,12 +277,12 @@
 var errSilent = errors.New("no heartbeat from the control process")
 
 // SectionGet returns a team's section.
-func (c *Client) SectionGet(ctx context.Context, team string) (SectionGetResponse, error) {
+func (c *Client) SectionGet(ctx context.Context, m SectionGetRequest) (SectionGetResponse, error) {
 	var out SectionGetResponse
 	err := c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
-		r, err := e.sectionGet.CallUnary(ctx, connect.NewRequest(&SectionGetRequest{Team: team}))
+		r, err := e.sectionGet.CallUnary(ctx, connect.NewRequest(&m))
 		if err != nil {
-			return fmt.Errorf("get section of %s: %w", team, err)
+			return fmt.Errorf("get section of %s: %w", m.Team, err)
 		}
 		out = *r.Msg
 		return nil
@@ -303,12 +306,12 @@
 }
 
 // SectionHistory returns the kept revisions of a team's section, oldest first.
-func (c *Client) SectionHistory(ctx context.Context, team string) (SectionHistoryResponse, error) {
+func (c *Client) SectionHistory(ctx context.Context, m SectionHistoryRequest) (SectionHistoryResponse, error) {
 	var out SectionHistoryResponse
 	err := c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
-		r, err := e.sectionHistory.CallUnary(ctx, connect.NewRequest(&SectionHistoryRequest{Team: team}))
+		r, err := e.sectionHistory.CallUnary(ctx, connect.NewRequest(&m))
 		if err != nil {
-			return fmt.Errorf("history of the section of %s: %w", team, err)
+			return fmt.Errorf("history of the section of %s: %w", m.Team, err)
 		}
 		out = *r.Msg
 		return nil
--- a/control/handler.go
+++ b/control/handler.go
@@ -271,6 +271,9 @@
 }
 
 func (s *Server) sectionGet(ctx context.Context, r *connect.Request[SectionGetRequest]) (*connect.Response[SectionGetResponse], error) {
+	if err := s.operators.allow(r.Msg.Operator, r.Msg.Team); err != nil {
+		return nil, s.refusal(err)
+	}
 	if _, err := s.confirmed(ctx); err != nil {
 		return nil, err
 	}
@@ -279,6 +282,9 @@
 }
 
 func (s *Server) sectionHistory(ctx context.Context, r *connect.Request[SectionHistoryRequest]) (*connect.Response[SectionHistoryResponse], error) {
+	if err := s.operators.allow(r.Msg.Operator, r.Msg.Team); err != nil {
+		return nil, s.refusal(err)
+	}
 	if _, err := s.confirmed(ctx); err != nil {
 		return nil, err
 	}
--- a/control/leader_test.go
+++ b/control/leader_test.go
@@ -446,16 +446,17 @@
 	}
 	cases := map[string]struct {
 		targets []target
-		wait    time.Duration
-		term    uint64
-		primary string
+		// waitSeconds is how long the announcements go on.
+		waitSeconds int
+		term        uint64
+		primary     string
 	}{
-		"no majority":                  {[]target{{"t1", primary, 1}}, time.Minute, 0, ""},
+		"no majority":                  {[]target{{"t1", primary, 1}}, 60, 0, ""},
 		"majority with primary":        {[]target{{"t1", primary, 4}, {"t2", replica, 4}}, 0, 4, "t1"},
 		"greatest term wins":           {[]target{{"t1", primary, 4}, {"t2", primary, 5}}, 0, 5, "t2"},
 		"a replica knows a newer term": {[]target{{"t1", primary, 4}, {"t2", replica, 5}}, 0, 0, ""},
-		"promotion after the wait":     {[]target{{"t1", primary, 4}, {"t2", replica, 5}}, 3 * time.Second, 6, "t2"},
-		"replicas only":                {[]target{{"t1", replica, 4}, {"t2", replica, 4}}, 3 * time.Second, 5, "t2"},
+		"promotion after the wait":     {[]target{{"t1", primary, 4}, {"t2", replica, 5}}, 3, 6, "t2"},
+		"replicas only":                {[]target{{"t1", replica, 4}, {"t2", replica, 4}}, 3, 5, "t2"},
 	}
 	convey.Convey("The first primary is chosen", t, func() {
 		for name, c := range cases {
@@ -469,7 +470,7 @@
 					a.Term = x.term
 					w.do(Command{Observe: &observeCommand{Announcement: a}})
 				}
-				w.run(c.wait, "a1")
+				w.run(time.Duration(c.waitSeconds)*time.Second, "a1")
 				term, name := w.primary()
 				convey.So(term, convey.ShouldEqual, c.term)
 				convey.So(name, convey.ShouldEqual, c.primary)
--- a/control/message.go
+++ b/control/message.go
@@ -23,9 +23,10 @@
 	Messages []quorum.Message `cbor:"messages"`
 }
 
-// SectionGetRequest asks for a team's section.
+// SectionGetRequest asks for a team's section, which holds the verifiers of its roles' passwords.
 type SectionGetRequest struct {
-	Team string `cbor:"team" json:"team"`
+	Operator Operator `cbor:"operator" json:"operator"`
+	Team     string   `cbor:"team" json:"team"`
 }
 
 // SectionGetResponse gives a section; its revision is 0 when the team has none yet.
@@ -76,7 +77,8 @@
 
 // SectionHistoryRequest asks for the kept revisions of a section.
 type SectionHistoryRequest struct {
-	Team string `cbor:"team" json:"team"`
+	Operator Operator `cbor:"operator" json:"operator"`
+	Team     string   `cbor:"team" json:"team"`
 }
 
 // SectionHistoryResponse gives the last revisions, oldest first.
--- a/control/server.go
+++ b/control/server.go
@@ -169,6 +169,11 @@
 		_ = s.node.TransferLeadership(ctx)
 		cancel()
 	}
+	return s.Abort()
+}
+
+// Abort ends the process without handing leadership on, as a crash would.
+func (s *Server) Abort() error {
 	s.cancel()
 	s.wg.Wait()
 	if err := s.node.Close(); err != nil {
@@ -184,7 +189,7 @@
 func (s *Server) Dump() any {
 	st := s.machine.state()
 	out := map[string]any{
-		"name": s.name, "log": s.node.Status(), "view": st.View, "handovers": len(st.Handovers),
+		"name": s.name, "log": s.node.Status(), "view": st.View.WithoutTexts(), "handovers": len(st.Handovers),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -204,9 +204,15 @@
 			}
 			so(lost.Outcome, eq, SectionConflict)
 			so(lost.Current.Revision, eq, 1)
-			got, err := c.SectionGet(ctx, "semintele")
+			got, err := c.SectionGet(ctx, SectionGetRequest{Operator: edit.Operator, Team: "semintele"})
 			so(err, convey.ShouldBeNil)
 			so(got.Section.Revision, eq, 1)
+			for _, who := range []Operator{{}, {Name: "ana", Token: "wrong"}} {
+				_, err = c.SectionGet(ctx, SectionGetRequest{Operator: who, Team: "semintele"})
+				so(connect.CodeOf(err), eq, connect.CodePermissionDenied)
+				_, err = c.SectionHistory(ctx, SectionHistoryRequest{Operator: who, Team: "semintele"})
+				so(connect.CodeOf(err), eq, connect.CodePermissionDenied)
+			}
 		},
 		"an invalid section is refused with all its faults": func(_ *Server, _ *fakeNode, c *Client, _ string) {
 			e := edit
--- a/credential/credential.go
+++ b/credential/credential.go
@@ -131,10 +131,12 @@
 	}
 }
 
-// Client returns a configuration that checks servers against the authority and shows the certificate, if there is one.
-func (s *Store) Client() *tls.Config {
+// Client returns a configuration for connections to the server of that name or IP address. It checks the server's
+// certificate against the authority and the name, and shows the store's certificate, if there is one.
+func (s *Store) Client(name string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS12,
+		ServerName: name,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 			if cert, _ := s.current(); cert != nil {
 				return cert, nil
@@ -144,22 +146,23 @@
 		// The authority may change while the process runs, so that the check is made here with the newest one;
 		// without an authority it is the system's.
 		InsecureSkipVerify: true,
-		VerifyConnection:   s.verify,
+		VerifyConnection:   func(state tls.ConnectionState) error { return s.verify(name, state) },
 	}
 }
 
-// verify checks a server's certificate, its validity and its name.
-func (s *Store) verify(state tls.ConnectionState) error {
+// verify checks a server's certificate, its validity and its name. The name in the state is of no use here: it is
+// empty for IP addresses.
+func (s *Store) verify(name string, state tls.ConnectionState) error {
 	_, authority := s.current()
 	if len(state.PeerCertificates) == 0 {
 		return errors.New("the server shows no certificate")
 	}
-	opts := x509.VerifyOptions{Roots: authority, DNSName: state.ServerName, Intermediates: x509.NewCertPool()}
+	opts := x509.VerifyOptions{Roots: authority, DNSName: name, Intermediates: x509.NewCertPool()}
 	for _, c := range state.PeerCertificates[1:] {
 		opts.Intermediates.AddCert(c)
 	}
 	if _, err := state.PeerCertificates[0].Verify(opts); err != nil {
-		return fmt.Errorf("certificate of %s: %w", state.ServerName, err)
+		return fmt.Errorf("certificate of %s: %w", name, err)
 	}
 	return nil
 }
--- a/credential/credential_test.go
+++ b/credential/credential_test.go
@@ -114,25 +114,28 @@
 	cases := map[string]struct {
 		client Files
 		auth   tls.ClientAuthType
+		name   string
 		good   bool
 	}{
-		"mutual":                     {ours.issue(dir, "client", 1), tls.RequireAndVerifyClientCert, true},
-		"client of another one":      {Files{Cert: stranger.Cert, Key: stranger.Key, CA: ours.file}, tls.RequireAndVerifyClientCert, false},
-		"client without a cert":      {Files{CA: ours.file}, tls.RequireAndVerifyClientCert, false},
-		"certificate not required":   {Files{CA: ours.file}, tls.VerifyClientCertIfGiven, true},
-		"server of another one":      {Files{CA: other.file}, tls.VerifyClientCertIfGiven, false},
-		"wrong certificate is given": {Files{Cert: stranger.Cert, Key: stranger.Key, CA: ours.file}, tls.VerifyClientCertIfGiven, false},
+		"mutual":                     {ours.issue(dir, "client", 1), tls.RequireAndVerifyClientCert, "127.0.0.1", true},
+		"client of another one":      {Files{Cert: stranger.Cert, Key: stranger.Key, CA: ours.file}, tls.RequireAndVerifyClientCert, "127.0.0.1", false},
+		"client without a cert":      {Files{CA: ours.file}, tls.RequireAndVerifyClientCert, "127.0.0.1", false},
+		"certificate not required":   {Files{CA: ours.file}, tls.VerifyClientCertIfGiven, "127.0.0.1", true},
+		"server of another one":      {Files{CA: other.file}, tls.VerifyClientCertIfGiven, "127.0.0.1", false},
+		"server of another address":  {Files{CA: ours.file}, tls.VerifyClientCertIfGiven, "10.9.9.9", false},
+		"server of another name":     {Files{CA: ours.file}, tls.VerifyClientCertIfGiven, "control.example", false},
+		"wrong certificate is given": {Files{Cert: stranger.Cert, Key: stranger.Key, CA: ours.file}, tls.VerifyClientCertIfGiven, "127.0.0.1", false},
 	}
 	convey.Convey("Both sides are checked", t, func() {
 		for name, c := range cases {
 			convey.Convey(name, func() {
-				_, err := handshake(open(server).Server(c.auth), open(c.client).Client())
+				_, err := handshake(open(server).Server(c.auth), open(c.client).Client(c.name))
 				convey.So(err == nil, convey.ShouldEqual, c.good)
 			})
 		}
 	})
 	convey.Convey("A renewed certificate is shown without a restart, and a damaged one is not taken", t, func() {
-		s, client := open(ours.issue(dir, "renewed", 10)), open(Files{CA: ours.file}).Client()
+		s, client := open(ours.issue(dir, "renewed", 10)), open(Files{CA: ours.file}).Client("127.0.0.1")
 		got, err := handshake(s.Server(tls.NoClientCert), client)
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(got, convey.ShouldEqual, 10)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -221,7 +221,7 @@
 		owner.WithWeights(func() map[string]int { return views.Directory().Weights() }),
 	}
 	if p.targetTLS != nil {
-		ownerOptions = append(ownerOptions, owner.WithTLS(p.targetTLS.Client()))
+		ownerOptions = append(ownerOptions, owner.WithTLS(p.targetTLS.Client))
 	}
 	p.owner = owner.New(ownerOptions...)
 	p.startLink(self, views)
@@ -443,7 +443,7 @@
 		_ = p.http.Close()
 	}
 	if p.control != nil {
-		_ = p.control.Close()
+		_ = p.control.Abort()
 	}
 	p.release()
 }
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -50,7 +50,7 @@
 func (p *Process) httpClient() *http.Client {
 	var opts []wire.HTTPOption
 	if p.peerTLS != nil {
-		opts = append(opts, wire.WithTLS(p.peerTLS.Client()))
+		opts = append(opts, wire.WithTLS(p.peerTLS.Client))
 	}
 	if p.dialer != nil {
 		opts = append(opts, wire.WithDialer(p.dialer))
@@ -100,7 +100,7 @@
 	}
 	if p.peerTLS != nil {
 		server = append(server, link.WithServerTLS(p.peerTLS.Server(tls.RequireAndVerifyClientCert)))
-		opener = append(opener, link.WithTLS(p.peerTLS.Client()))
+		opener = append(opener, link.WithTLS(p.peerTLS.Client))
 	}
 	p.server = link.NewServer(p.owner.Open, server...)
 	p.opener = link.NewOpener(self.Name, p.owner.Open, func(host string) (string, bool) {
--- a/e2e/restart_test.go
+++ b/e2e/restart_test.go
@@ -11,6 +11,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/jacinthtiller/jacinthtiller/bench"
+	"github.com/jacinthtiller/jacinthtiller/control"
 	"github.com/jacinthtiller/jacinthtiller/quickstart"
 )
 
@@ -65,7 +66,7 @@
 			n.startControl(name)
 		}
 		n.eventually("the edit is still in force", func(ctx context.Context) error { return n.inForce(ctx, 1) })
-		r, err := n.client.SectionGet(ctx, "breeding")
+		r, err := n.client.SectionGet(ctx, control.SectionGetRequest{Team: "breeding"})
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(r.Section.Text, convey.ShouldContainSubstring, "weight: 7")
 		convey.So(n.checkTraces(), convey.ShouldBeNil)
--- a/entry/host.go
+++ b/entry/host.go
@@ -226,9 +226,9 @@
 	}
 }
 
-// renew registers the host and keeps its lease.
+// renew registers the host and keeps its lease until it is released.
 func (h *Host) renew() {
-	for h.ctx.Err() == nil {
+	for h.ctx.Err() == nil && !h.isReleased() {
 		if !h.isRegistered() {
 			if err := h.register(); err != nil {
 				h.pause(retryInterval)
@@ -320,6 +320,13 @@
 	}
 }
 
+// isReleased reports whether the host has given its lease back; it must not ask for another one while it stops.
+func (h *Host) isReleased() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.released
+}
+
 func (h *Host) isRegistered() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -453,13 +460,7 @@
 
 // Dump returns the host's state. The text of sections is left out, because it holds password verifiers.
 func (h *Host) Dump() State {
-	view := h.config.Views.View()
-	sections := map[string]jacinthtiller.Section{}
-	for name, s := range view.Sections {
-		s.Text = ""
-		sections[name] = s
-	}
-	view.Sections = sections
+	view := h.config.Views.View().WithoutTexts()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return State{
--- a/link/opener.go
+++ b/link/opener.go
@@ -23,7 +23,7 @@
 	self    string
 	local   func(ctx context.Context) (jacinthtiller.Channel, error)
 	resolve func(host string) (address string, ok bool)
-	tls     *tls.Config
+	tls     func(host string) *tls.Config
 	dialer  func(ctx context.Context, network, address string) (net.Conn, error)
 	// marks answers questions for marks that this host itself owns; nil sends them over a connection.
 	marks MarkFunc
@@ -39,8 +39,8 @@
 // OpenerOption changes an Opener that is being made.
 type OpenerOption func(*Opener)
 
-// WithTLS makes connections to other hosts encrypted.
-func WithTLS(c *tls.Config) OpenerOption { return func(o *Opener) { o.tls = c } }
+// WithTLS encrypts connections with the configuration that f returns for the IP address or name of a host.
+func WithTLS(f func(host string) *tls.Config) OpenerOption { return func(o *Opener) { o.tls = f } }
 
 // WithDialer makes connections through f in place of the system's own dialer.
 func WithDialer(f func(ctx context.Context, network, address string) (net.Conn, error)) OpenerOption {
@@ -150,7 +150,12 @@
 	tune(raw, silenceLimit)
 	c := &peerConn{raw: raw, nc: raw, address: address}
 	if o.tls != nil {
-		t := tls.Client(raw, o.tls)
+		name, _, err := net.SplitHostPort(address)
+		if err != nil {
+			c.close()
+			return nil, fmt.Errorf("address of the host: %w", err)
+		}
+		t := tls.Client(raw, o.tls(name))
 		if err := t.HandshakeContext(ctx); err != nil {
 			c.close()
 			return nil, fmt.Errorf("TLS handshake: %w", err)
--- a/operator/command.go
+++ b/operator/command.go
@@ -65,8 +65,7 @@
 	// output is table or json.
 	output   string
 	operator string
-	// token proves the operator to control; it comes from the environment or a file, never from an argument that
-	// other users of the machine could see.
+	// tokenFile names the file with the operator's token; an argument could be seen by other users of the machine.
 	tokenFile string
 	// timeoutMilliseconds bounds one call.
 	timeoutMilliseconds int
@@ -176,7 +175,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open TLS files: %w", err)
 	}
-	return wire.NewHTTPClient(wire.WithTLS(s.Client())), nil
+	return wire.NewHTTPClient(wire.WithTLS(s.Client)), nil
 }
 
 // client returns a client of control and a context with the command's deadline.
--- a/operator/online.go
+++ b/operator/online.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"strings"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -67,8 +69,12 @@
 }
 
 func (t *tool) getSection(ctx context.Context, team string) error {
+	who, err := t.who()
+	if err != nil {
+		return err
+	}
 	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
-		r, err := c.SectionGet(ctx, team)
+		r, err := c.SectionGet(ctx, control.SectionGetRequest{Operator: who, Team: team})
 		if err != nil {
 			return err
 		}
@@ -121,7 +127,7 @@
 	}
 	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
 		if f.revision < 0 {
-			current, err := c.SectionGet(ctx, team)
+			current, err := c.SectionGet(ctx, control.SectionGetRequest{Operator: who, Team: team})
 			if err != nil {
 				return err
 			}
@@ -130,6 +136,9 @@
 		fmt.Fprintf(t.progress, "request id %s\n", m.Request)
 		r, err := c.SectionApply(ctx, m)
 		if err != nil {
+			if refusal := refused(err); errors.As(refusal, new(*exitError)) && connect.CodeOf(err) != connect.CodeDeadlineExceeded {
+				return refusal
+			}
 			return &exitError{code: ExitUnknown, err: fmt.Errorf("%w; repeat with --request-id %s --if-revision %d", err, m.Request, m.Replaces)}
 		}
 		return t.reportApply(r, f.wait)
@@ -177,8 +186,12 @@
 }
 
 func (t *tool) sectionHistory(ctx context.Context, team string) error {
+	who, err := t.who()
+	if err != nil {
+		return err
+	}
 	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
-		r, err := c.SectionHistory(ctx, team)
+		r, err := c.SectionHistory(ctx, control.SectionHistoryRequest{Operator: who, Team: team})
 		if err != nil {
 			return err
 		}
@@ -196,8 +209,12 @@
 	if err != nil {
 		return err
 	}
+	who, err := t.who()
+	if err != nil {
+		return err
+	}
 	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
-		r, err := c.SectionGet(ctx, team)
+		r, err := c.SectionGet(ctx, control.SectionGetRequest{Operator: who, Team: team})
 		if err != nil {
 			return err
 		}
@@ -357,7 +374,7 @@
 	return t.group("control", "Operate the control group.", list,
 		change("add", "Add a member; it votes once it has caught up.", control.MemberAdd, control.MemberPromote),
 		change("remove", "Remove a member.", control.MemberRemove),
-		change("repair", "Readmit a member that returned with an empty data folder.",
+		change("repair", "Take a member out and in again, when it stays a learner after it returned with an empty data folder.",
 			control.MemberRemove, control.MemberAdd, control.MemberPromote))
 }
 
--- a/owner/conn.go
+++ b/owner/conn.go
@@ -34,7 +34,7 @@
 type login struct {
 	user, password, database string
 	// tls is nil when connections to targets are not encrypted.
-	tls *tls.Config
+	tls func(host string) *tls.Config
 }
 
 // conn is one connection to a target. It is used by one goroutine at a time;
@@ -128,7 +128,11 @@
 	}
 }
 
-func (c *conn) encrypt(ctx context.Context, cfg *tls.Config) error {
+func (c *conn) encrypt(ctx context.Context, config func(host string) *tls.Config) error {
+	host, _, err := net.SplitHostPort(c.address)
+	if err != nil {
+		return fmt.Errorf("address of the target: %w", err)
+	}
 	if err := c.send(&pgproto3.SSLRequest{}); err != nil {
 		return err
 	}
@@ -139,7 +143,7 @@
 	if b[0] != 'S' {
 		return errors.New("target refuses TLS")
 	}
-	t := tls.Client(c.nc, cfg)
+	t := tls.Client(c.nc, config(host))
 	if err := t.HandshakeContext(ctx); err != nil {
 		return fmt.Errorf("TLS handshake: %w", err)
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -88,7 +88,7 @@
 func WithPassword(password string) Option { return func(o *Owner) { o.login.password = password } }
 
 // WithTLS makes connections to targets encrypted.
-func WithTLS(c *tls.Config) Option { return func(o *Owner) { o.login.tls = c } }
+func WithTLS(f func(host string) *tls.Config) Option { return func(o *Owner) { o.login.tls = f } }
 
 // New returns an Owner that owns nothing until it gets a view.
 func New(opts ...Option) *Owner {
--- a/quickstart/cluster.go
+++ b/quickstart/cluster.go
@@ -473,7 +473,7 @@
 // Apply replaces a team's section, whatever its revision is.
 func Apply(ctx context.Context, client *control.Client, team, text string) error {
 	for {
-		current, err := client.SectionGet(ctx, team)
+		current, err := client.SectionGet(ctx, control.SectionGetRequest{Team: team})
 		if err != nil {
 			return fmt.Errorf("read the section of %s: %w", team, err)
 		}
--- a/view.go
+++ b/view.go
@@ -177,6 +177,17 @@
 	Sections  map[string]Section  `cbor:"sections" json:"sections"`
 }
 
+// WithoutTexts returns a copy without the texts of the sections, which hold password verifiers.
+func (v View) WithoutTexts() View {
+	sections := make(map[string]Section, len(v.Sections))
+	for name, s := range v.Sections {
+		s.Text = ""
+		sections[name] = s
+	}
+	v.Sections = sections
+	return v
+}
+
 // Target finds a target of a database.
 func (v View) Target(database, target string) (Target, bool) {
 	t, ok := v.Databases[database].Targets[target]
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -121,8 +121,31 @@
 // HTTPOption changes an HTTP client that is being made.
 type HTTPOption func(*http.Transport)
 
-// WithTLS uses the configuration for URLs with https.
-func WithTLS(c *tls.Config) HTTPOption { return func(t *http.Transport) { t.TLSClientConfig = c } }
+// WithTLS uses the configuration that f returns for the host of a URL with https.
+func WithTLS(f func(host string) *tls.Config) HTTPOption {
+	return func(t *http.Transport) {
+		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			host, _, err := net.SplitHostPort(address)
+			if err != nil {
+				return nil, fmt.Errorf("address of a TLS connection: %w", err)
+			}
+			dial := t.DialContext
+			if dial == nil {
+				dial = (&net.Dialer{}).DialContext
+			}
+			raw, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			c := tls.Client(raw, f(host))
+			if err := c.HandshakeContext(ctx); err != nil {
+				_ = raw.Close()
+				return nil, fmt.Errorf("TLS handshake with %s: %w", address, err)
+			}
+			return c, nil
+		}
+	}
+}
 
 // WithDialer makes connections through d.
 func WithDialer(d Dialer) HTTPOption { return func(t *http.Transport) { t.DialContext = d } }
