replica, session: serve stale reads while the primary has no lease

Cause: with the control majority lost, the view still names a primary, so that a team's choice to serve reads without one never applied and reads with a greatest age waited until their deadline. Opening a channel to a silent host took 500 ms after the view had already changed (traces of the failover measurements). Change: a refusal for want of a lease, or an unreachable owner, makes the choice for a missing primary apply to the request; opening a channel takes at most 200 ms. Result: go test ./replica ./session passes with four new cases of TestRoute.

--- a/replica/route.go
+++ b/replica/route.go
@@ -62,6 +62,9 @@
 	// and PrimaryReason says why.
 	Primary       bool
 	PrimaryReason Reason
+	// PrimaryAway is true when the primary did not run the request for want of a lease or could not be reached. The
+	// team's choice for a missing primary then holds, although the view still names one.
+	PrimaryAway bool
 	// NoPrimary is true when the statement must not run on the primary: it comes from a
 	// role that may not write and is not known to be a plain read.
 	NoPrimary bool
@@ -150,7 +153,8 @@
 		}
 	}
 	d := toPrimary(q, candidates, primaryReason(q, candidates))
-	if d.Action == ActionSend || hasPrimary(candidates) || q.Missing != document.MissingServeReads {
+	there := d.Action == ActionSend || hasPrimary(candidates)
+	if there && !q.PrimaryAway || q.Missing != document.MissingServeReads {
 		return d
 	}
 	if t := nearest(candidates, q.Spread, func(c Candidate) bool {
--- a/replica/route_test.go
+++ b/replica/route_test.go
@@ -35,6 +35,7 @@
 		q.Missing, q.StaleSince = m, now.Add(-time.Second)
 		return q
 	}
+	away := func(q Query) Query { q.PrimaryAway = true; return q }
 	silent := near
 	silent.AvoidUntil = now.Add(time.Second)
 	cases := map[string]struct {
@@ -64,6 +65,10 @@
 		"too old without a primary":          {with(young, document.MissingServeReads), []Candidate{behind}, "", ReasonWait},
 		"unknown mark without a primary":     {with(unknown, document.MissingServeReads), []Candidate{ahead}, "", ReasonWait},
 		"stale read while there is one":      {with(young, document.MissingServeReads), []Candidate{ahead, primary}, "p", ReasonMark},
+		"stale read, primary without lease":  {away(with(young, document.MissingServeReads)), []Candidate{ahead, primary}, "a", ReasonStale},
+		"too old, primary without lease":     {away(with(young, document.MissingServeReads)), []Candidate{behind, primary}, "p", ReasonMark},
+		"unknown mark, primary without one":  {away(with(unknown, document.MissingServeReads)), []Candidate{ahead, primary}, "p", ReasonMark},
+		"waits, primary without lease":       {away(with(young, document.MissingWait)), []Candidate{ahead, primary}, "p", ReasonMark},
 		"write under serve-reads is delayed": {with(write, document.MissingServeReads), []Candidate{ahead}, "", ReasonWait},
 	}
 	convey.Convey("Route", t, func() {
--- a/session/run.go
+++ b/session/run.go
@@ -19,7 +19,7 @@
 	lastBackoff  = 100 * time.Millisecond
 	// openTime bounds opening a channel, so that a request for a host which does not answer
 	// follows a new view. A new connection takes about 25 ms between regions.
-	openTime = 500 * time.Millisecond
+	openTime = 200 * time.Millisecond
 	// usualTargets is the usual number of targets of a database.
 	usualTargets = 3
 )
@@ -39,6 +39,8 @@
 	ageUnknown bool
 	// refused is true after a replica refused the request as a write.
 	refused bool
+	// away is true once the primary refused the request for want of a lease, or could not be reached.
+	away bool
 	// tried are the replicas that did not run the request.
 	tried map[string]bool
 	// waits is true when the next attempt has to wait a little or for a new view.
@@ -134,7 +136,7 @@
 	q := replica.Query{
 		Access: r.q.access, Primary: r.refused, PrimaryReason: "",
 		NoPrimary: r.role.Access == document.AccessReadOnly && !r.harmless(),
-		Missing:   r.team.PrimaryMissing, Spread: rand.Uint64(),
+		Missing:   r.team.PrimaryMissing, PrimaryAway: r.away, Spread: rand.Uint64(),
 		StaleSince: now.Add(-time.Duration(r.team.StaleAgeMicroseconds) * time.Microsecond),
 		WaitUntil:  r.s.server.limits.replicaWait(now, r.deadline),
 	}
@@ -319,6 +321,7 @@
 		r.exclude(at)
 		return nil
 	}
+	r.away = at.err.Reason == jacinthtiller.ReasonNoLease || at.err.Reason == jacinthtiller.ReasonTarget
 	r.waits = true
 	return nil
 }
