--- a/bench/result.go
+++ b/bench/result.go
@@ -160,7 +160,7 @@
 
 func newResults(p Plan, now time.Time) *results {
 	return &results{
-		ends: now.Add(time.Duration(p.Milliseconds) * time.Millisecond),
+		ends:  now.Add(time.Duration(p.Milliseconds) * time.Millisecond),
 		kinds: map[kind]*hdrhistogram.Histogram{kindRead: histogram(), kindWrite: histogram()},
 		teams: map[string]*hdrhistogram.Histogram{},
 		result: Result{
