--- a/session/classify_test.go
+++ b/session/classify_test.go
@@ -96,6 +96,31 @@
 	return strings.Join(out, " ")
 }
 
+// TestFingerprint guards against a resend that is refused because its key came in another way, and against different
+// requests that count as one.
+func TestFingerprint(t *testing.T) {
+	const insert = "INSERT INTO t VALUES (1)"
+	cases := map[string]struct {
+		sql  string
+		same bool
+	}{
+		"the same text":          {insert, true},
+		"key in a comment":       {"/* idempotency-key: k */ " + insert, true},
+		"other key in a comment": {"/* idempotency-key: k2 */" + insert, true},
+		"another value":          {"INSERT INTO t VALUES (2)", false},
+		"another comment":        {"/* note */ " + insert, false},
+	}
+	convey.Convey("Fingerprints", t, func() {
+		want := classify(insert)
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				got := classify(c.sql)
+				convey.So(simple(&got).digest.Sum64() == simple(&want).digest.Sum64(), convey.ShouldEqual, c.same)
+			})
+		}
+	})
+}
+
 // FuzzClassify guards against SQL that makes the lexer panic or hang, that loses
 // characters of the text, or whose write counts as a read.
 func FuzzClassify(f *testing.F) {
--- a/session/request.go
+++ b/session/request.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -86,8 +88,10 @@
 	}
 }
 
+// hash adds a statement to the fingerprint. The space at its ends does not count: it is what a comment with the
+// idempotency key leaves, and a resend may give the key in another way.
 func (q *request) hash(c *class, types []uint32, parameters []byte) {
-	hashString(&q.digest, c.sql)
+	hashString(&q.digest, strings.TrimSpace(c.sql))
 	hashTypes(&q.digest, types)
 	q.hashBytes(parameters)
 }
