--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -1,8 +1,11 @@
 package e2e_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -183,7 +186,7 @@
 	n := startControlOnly(b)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
-	var bytes atomic.Int64
+	var sent atomic.Int64
 	var urls []string
 	for _, u := range n.members {
 		urls = append(urls, u)
@@ -195,7 +198,7 @@
 				Name: fmt.Sprintf("host-%d", i), Domain: fmt.Sprintf("domain-%d", i%6), Region: fmt.Sprintf("region-%d", i%2),
 				RPC: "http://127.0.0.1:1", Link: "127.0.0.1:1", Guests: "127.0.0.1:1", Incarnation: fmt.Sprintf("%016x", i),
 			},
-			client: control.NewClient(urls, countingClient(&bytes)),
+			client: control.NewClient(urls, countingClient(&sent)),
 		}
 		all[i] = h
 		h.run(ctx, &group)
@@ -228,13 +231,13 @@
 			follower = p
 		}
 	}
-	l, f, sent := leader.usage(b), follower.usage(b), bytes.Load()
+	l, f, before := leader.usage(b), follower.usage(b), sent.Load()
 	time.Sleep(measureFor)
 	seconds := measureFor.Seconds()
 	b.ReportMetric(100*(leader.usage(b).cpu-l.cpu)/seconds, "leader-%core")
 	b.ReportMetric(100*(follower.usage(b).cpu-f.cpu)/seconds, "follower-%core")
-	b.ReportMetric(float64(bytes.Load()-sent)/seconds/float64(hosts), "B/s/host")
-	spread, perEdit := editAndWait(b, n, all, &bytes)
+	b.ReportMetric(float64(sent.Load()-before)/seconds/float64(hosts), "B/s/host")
+	spread, perEdit := editAndWait(b, n, all, &sent)
 	b.ReportMetric(spread, "edit-ms-median")
 	b.ReportMetric(perEdit, "B/edit/host")
 	b.ReportMetric(leader.usage(b).memory/1e6, "leader-MB")
@@ -246,12 +249,12 @@
 
 // editAndWait applies edits and returns the median time in milliseconds until all hosts have one, and the bytes
 // that one edit costs a host beyond its renewals.
-func editAndWait(b *testing.B, n *installation, all []*fakeHost, bytes *atomic.Int64) (float64, float64) {
+func editAndWait(b *testing.B, n *installation, all []*fakeHost, sent *atomic.Int64) (float64, float64) {
 	const edits = 11
 	var times []float64
 	var spent int64
 	for i := range edits {
-		before := bytes.Load()
+		before := sent.Load()
 		began := time.Now()
 		text := fmt.Sprintf("weight: %d\ndatabases: [%s]\n", i+1, database)
 		if err := quickstart.Apply(context.Background(), n.client, fmt.Sprintf("team-%d", i), text); err != nil {
@@ -271,7 +274,7 @@
 			last = max(last, h.appliedAt.Load())
 		}
 		times = append(times, float64(last-began.UnixNano())/1e6)
-		spent += bytes.Load() - before
+		spent += sent.Load() - before
 	}
 	slices.Sort(times)
 	return times[len(times)/2], float64(spent) / edits / float64(len(all))
@@ -317,7 +320,7 @@
 
 // BenchmarkStatements measures the processor time of the processes for each statement, at several rates.
 func BenchmarkStatements(b *testing.B) {
-	for _, rate := range []float64{500, 1000, 2000} {
+	for _, rate := range []float64{500, 2000, 8000} {
 		for name, share := range map[string]float64{"reads": 1, "mixed": 0.8, "writes": 0} {
 			b.Run(fmt.Sprintf("%s/rate=%.0f", name, rate), func(b *testing.B) {
 				for range b.N {
@@ -431,18 +434,26 @@
 		}
 		t := d.Targets[d.Primary]
 		owner := n.hosts[t.Owner]
-		client := wire.NewHostClient(wire.NewHTTPClient(), owner.rpc)
+		var sent atomic.Int64
+		client := countingClient(&sent)
 		a := jacinthtiller.Announcement{
 			Database: d.Name, Target: t.Name, Address: t.Address, Domain: t.Domain, GroupSize: 3,
 			Position: fmt.Sprintf("%d/1", d.Term), Term: d.Term, Role: jacinthtiller.RolePrimary, State: jacinthtiller.StateServing,
 		}
+		body, err := json.Marshal(a)
+		if err != nil {
+			b.Fatal(err)
+		}
 		const count = 5000
 		before := owner.usage(b)
 		idle := time.Now()
 		for range count {
-			if _, err := client.Announce(context.Background(), a); err != nil {
+			r, err := client.Post(owner.rpc+wire.ProcAnnounce, "application/json", bytes.NewReader(body))
+			if err != nil {
 				b.Fatal(err)
 			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = r.Body.Close()
 		}
 		took := time.Since(idle)
 		spent := owner.usage(b).cpu - before.cpu
@@ -450,6 +461,7 @@
 		time.Sleep(took)
 		spent -= owner.usage(b).cpu - base.cpu
 		b.ReportMetric(1e6*spent/count, "cpu-us/announcement")
+		b.ReportMetric(float64(sent.Load())/count, "B/announcement")
 		n.stop()
 	}
 }
--- /dev/null
+++ b/quickstart/fairness_test.go
@@ -0,0 +1,45 @@
+package quickstart
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller/bench"
+)
+
+// TestFairness guards the whole path against a team whose crowd takes the slots of another: while 300 guests of one team
+// write without a pause, 10 guests of another get their fair share within 5 points.
+func TestFairness(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	convey.Convey("A small team keeps its share beside a crowd", t, func() {
+		c, err := Start(ctx, Options{Slots: 2, ServiceMicroseconds: 5000})
+		convey.So(err, convey.ShouldBeNil)
+		defer c.Kill()
+		logins := c.BenchLogins(10)
+		small, crowd := logins[0], logins[1]
+		crowd.Guests = 300
+		load := func(l ...bench.Login) bench.Result {
+			r, err := bench.Run(ctx, bench.Plan{Logins: l, Milliseconds: 4000, Roam: 0.02, Seed: 5}, io.Discard)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(r.Violations, convey.ShouldBeEmpty)
+			convey.So(r.Failed, convey.ShouldBeEmpty)
+			return r
+		}
+		alone := rate(load(small), small.Team)
+		r := load(small, crowd)
+		got, total := rate(r, small.Team), rate(r, small.Team)+rate(r, crowd.Team)
+		t.Logf("small team: %.0f/s alone, %.0f of %.0f/s beside the crowd; median %d us, crowd's %d us",
+			alone, got, total, r.Teams[small.Team].Median, r.Teams[crowd.Team].Median)
+		convey.So(got, convey.ShouldBeGreaterThan, min(alone, total/2)-0.05*total)
+	})
+}
+
+// rate returns the operations a second of a team.
+func rate(r bench.Result, team string) float64 {
+	return float64(r.Teams[team].Count) * 1000 / float64(r.Milliseconds)
+}
