bench: guests of a run have names of their own

Cause: TestFairness runs two loads on one installation; the second one's guests had the first one's names, so that their entries were counted twice and reported as doubled. Ruled out: doubled writes; the violations began with entry 1 of every guest of the first load and ended with its last. Change: names hold the start of the run.

--- a/bench/run.go
+++ b/bench/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -70,13 +71,15 @@
 	return nil
 }
 
-// guests makes the guests of all logins, spread over the login's databases.
+// guests makes the guests of all logins, spread over the login's databases. Their names hold the start of the run, so that
+// a second run on the same databases does not count the first one's entries or reuse its idempotency keys.
 func (p *Plan) guests(r *results) []*guest {
+	run := strconv.FormatInt(r.result.Started.UnixNano(), 36)
 	var out []*guest
 	for i, l := range p.Logins {
 		databases := slices.Sorted(maps.Keys(l.URLs))
 		for n := range l.Guests {
-			name := fmt.Sprintf("%s-%d-%d", l.Team, i, n)
+			name := fmt.Sprintf("%s-%d-%d-%s", l.Team, i, n, run)
 			out = append(out, newGuest(name, databases[n%len(databases)], l, p, r, uint64(len(out))))
 		}
 	}
