entry, standin: a target announces itself to its owner every 2 s

Cause: announcements every 500 ms took 5.0 of the 8 KB/s that control may cost a host, and with probes and renewals the limit was missed by 1%. Change: the owner's answer names the next announcement, 2 s off while the view agrees, because the owner probes its target itself; changes of role and state are announced at once as before.

--- a/entry/host.go
+++ b/entry/host.go
@@ -34,6 +34,9 @@
 	forwardTimeout = 400 * time.Millisecond
 	// peerTimeout bounds asking one peer for its view.
 	peerTimeout = 500 * time.Millisecond
+	// ownedAnnounceMilliseconds is the interval of announcements to a target's owner, which probes the target itself. At
+	// 500 ms they took 5 of the 8 KB/s that control may cost a host.
+	ownedAnnounceMilliseconds = 2000
 	// observeQueue bounds the reports that wait for control; when it is full the report is dropped,
 	// because the target announces itself again 500 ms later.
 	observeQueue = 256
@@ -403,7 +406,11 @@
 	view := h.config.Views.View()
 	if h.config.Owner.Announced(a) {
 		h.observe(view, a, false)
-		return jacinthtiller.AnnounceResponse{Owner: h.config.Self.RPC}, nil
+		r := jacinthtiller.AnnounceResponse{Owner: h.config.Self.RPC}
+		if !differs(view, a) {
+			r.NextMilliseconds = ownedAnnounceMilliseconds
+		}
+		return r, nil
 	}
 	o, ok := view.Owner(a.Database, a.Target)
 	if !ok || a.Forwarded || o.Name == h.config.Self.Name {
--- a/message.go
+++ b/message.go
@@ -97,4 +97,6 @@
 type AnnounceResponse struct {
 	// Owner is the URL of the owner host's service, which should get the next announcements; empty when unknown.
 	Owner string `cbor:"owner" json:"owner"`
+	// NextMilliseconds is when the next announcement is due if nothing changes; 0 means the target's own interval.
+	NextMilliseconds int64 `cbor:"next-milliseconds,omitempty" json:"next-milliseconds,omitempty"`
 }
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -15,6 +15,9 @@
 	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
+// longestInterval bounds the interval that an answer may ask for.
+const longestInterval = 10 * time.Second
+
 // announceNow asks for an announcement at once.
 func (t *Target) announceNow() {
 	select {
@@ -37,26 +40,30 @@
 func (t *Target) announce() {
 	client := wire.NewHTTPClient()
 	defer client.CloseIdleConnections()
-	tick := time.NewTicker(time.Duration(t.cfg.AnnounceMicroseconds) * time.Microsecond)
-	defer tick.Stop()
+	interval := time.Duration(t.cfg.AnnounceMicroseconds) * time.Microsecond
+	due := time.NewTimer(interval)
+	defer due.Stop()
 	owner, next := "", 0
 	for {
 		to := owner
 		if to == "" {
 			to = t.cfg.Announce[next%len(t.cfg.Announce)]
 		}
-		o, err := t.post(client, to)
+		r, err := t.post(client, to)
+		wait := interval
 		switch {
-		case err == nil && o != "":
-			owner = o
+		case err == nil && r.Owner != "":
+			owner = r.Owner
+			wait = max(wait, min(time.Duration(r.NextMilliseconds)*time.Millisecond, longestInterval))
 		case err != nil && owner == "":
 			next++
 		case err != nil:
 			owner = ""
 			t.announceNow()
 		}
+		due.Reset(wait)
 		select {
-		case <-tick.C:
+		case <-due.C:
 		case <-t.kick:
 		case <-t.ctx.Done():
 			return
@@ -64,12 +71,12 @@
 	}
 }
 
-// post sends one announcement and returns the owner's URL from the answer.
-func (t *Target) post(client *http.Client, to string) (string, error) {
+// post sends one announcement and returns the answer.
+func (t *Target) post(client *http.Client, to string) (jacinthtiller.AnnounceResponse, error) {
 	t.thaw()
 	u, err := url.Parse(to)
 	if err != nil {
-		return "", fmt.Errorf("announce URL: %w", err)
+		return jacinthtiller.AnnounceResponse{}, fmt.Errorf("announce URL: %w", err)
 	}
 	if !strings.HasSuffix(u.Path, wire.ProcAnnounce) {
 		u = u.JoinPath(wire.ProcAnnounce)
@@ -78,45 +85,45 @@
 	cut := t.isCut([]string{u.Host, u.Hostname()})
 	t.mu.Unlock()
 	if cut {
-		return "", errCut
+		return jacinthtiller.AnnounceResponse{}, errCut
 	}
 	a := t.announcement()
 	body, err := json.Marshal(a)
 	if err != nil {
-		return "", fmt.Errorf("encode announcement: %w", err)
+		return jacinthtiller.AnnounceResponse{}, fmt.Errorf("encode announcement: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(body))
 	if err != nil {
-		return "", fmt.Errorf("make announcement: %w", err)
+		return jacinthtiller.AnnounceResponse{}, fmt.Errorf("make announcement: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	owner, err := answer(client.Do(req))
+	r, err := answer(client.Do(req))
 	if err == nil {
 		t.mu.Lock()
 		t.told = a.State
 		t.mu.Unlock()
 	}
-	return owner, err
+	return r, err
 }
 
 // answer reads the answer to an announcement.
-func answer(resp *http.Response, err error) (string, error) {
+func answer(resp *http.Response, err error) (jacinthtiller.AnnounceResponse, error) {
+	var r jacinthtiller.AnnounceResponse
 	if err != nil {
-		return "", fmt.Errorf("announce: %w", err)
+		return r, fmt.Errorf("announce: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
 	if err != nil {
-		return "", fmt.Errorf("read answer to announcement: %w", err)
+		return r, fmt.Errorf("read answer to announcement: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return "", fmt.Errorf("announcement answered %s", resp.Status)
+		return r, fmt.Errorf("announcement answered %s", resp.Status)
 	}
-	var r jacinthtiller.AnnounceResponse
 	if err := json.Unmarshal(b, &r); err != nil {
-		return "", fmt.Errorf("decode answer to announcement: %w", err)
+		return r, fmt.Errorf("decode answer to announcement: %w", err)
 	}
-	return r.Owner, nil
+	return r, nil
 }
--- /dev/null
+++ b/standin/interval_test.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestInterval guards against a target that goes on at its own interval although its owner asked for a longer one, and
+// one that keeps a change of its state back until the longer interval is over.
+func TestInterval(t *testing.T) {
+	convey.Convey("The owner's answer sets the interval", t, func() {
+		var announced atomic.Int64
+		leaving := make(chan struct{}, 1)
+		var s *httptest.Server
+		s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			announced.Add(1)
+			body := make([]byte, 1024)
+			n, _ := r.Body.Read(body)
+			if strings.Contains(string(body[:n]), string(jacinthtiller.StateLeaving)) {
+				select {
+				case leaving <- struct{}{}:
+				default:
+				}
+			}
+			w.Header().Set("Content-Type", "application/json")
+			fmt.Fprintf(w, `{"owner":%q,"next-milliseconds":60000}`, s.URL)
+		}))
+		defer s.Close()
+		x, err := Start(Config{Name: "t", Database: "d", Domain: "z", Announce: []string{s.URL}, AnnounceMicroseconds: 5000})
+		convey.So(err, convey.ShouldBeNil)
+		defer x.Kill()
+		for end := time.Now().Add(10 * time.Second); announced.Load() == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond) // room for 40 announcements at the target's own interval
+		convey.So(announced.Load(), convey.ShouldBeBetweenOrEqual, 1, 3)
+		x.SetState(jacinthtiller.StateLeaving)
+		select {
+		case <-leaving:
+		case <-time.After(10 * time.Second):
+			t.Error("the change of state was not announced")
+		}
+	})
+}
