--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -145,31 +145,6 @@
 	})
 }
 
-// startControlOnly starts the control processes alone.
-func startControlOnly(b testing.TB) *installation {
-	bin, err := build()
-	if err != nil {
-		b.Fatal(err)
-	}
-	n := &installation{
-		t: b, bin: bin, dir: b.TempDir(), members: map[string]string{},
-		control: map[string]*process{}, hosts: map[string]*process{}, targets: map[string]*process{},
-	}
-	b.Cleanup(n.stop)
-	var urls []string
-	for i := range 3 {
-		u := "http://" + freeAddress(b)
-		n.members[fmt.Sprintf("control-%d", i+1)] = u
-		urls = append(urls, u)
-	}
-	for name := range n.members {
-		n.startControl(name)
-	}
-	n.client = control.NewClient(urls, wire.NewHTTPClient())
-	n.applyDocument()
-	return n
-}
-
 // BenchmarkControl measures the control processes under registered, renewing and watching hosts: processor time
 // and memory of the leader and of a follower, bytes for each host, and the time until an accepted edit has reached all hosts.
 func BenchmarkControl(b *testing.B) {
@@ -187,10 +162,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	var sent atomic.Int64
-	var urls []string
-	for _, u := range n.members {
-		urls = append(urls, u)
-	}
 	all := make([]*fakeHost, hosts)
 	for i := range all {
 		h := &fakeHost{
@@ -198,7 +169,7 @@
 				Name: fmt.Sprintf("host-%d", i), Domain: fmt.Sprintf("domain-%d", i%6), Region: fmt.Sprintf("region-%d", i%2),
 				RPC: "http://127.0.0.1:1", Link: "127.0.0.1:1", Guests: "127.0.0.1:1", Incarnation: fmt.Sprintf("%016x", i),
 			},
-			client: control.NewClient(urls, countingClient(&sent)),
+			client: control.NewClient(n.urls(), countingClient(&sent)),
 		}
 		all[i] = h
 		h.run(ctx, &group)
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -9,11 +9,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -91,7 +93,8 @@
 	return dir, nil
 })
 
-func start(t testing.TB) *installation {
+// startControlOnly starts the control processes alone and applies the document.
+func startControlOnly(t testing.TB) *installation {
 	bin, err := build()
 	if err != nil {
 		t.Fatal(err)
@@ -107,12 +110,17 @@
 	for name := range n.members {
 		n.startControl(name)
 	}
-	var urls []string
-	for _, u := range n.members {
-		urls = append(urls, u)
-	}
-	n.client = control.NewClient(urls, wire.NewHTTPClient())
+	n.client = control.NewClient(n.urls(), wire.NewHTTPClient())
 	n.applyDocument()
+	return n
+}
+
+// urls returns the services of the control processes.
+func (n *installation) urls() []string { return slices.Collect(maps.Values(n.members)) }
+
+// start starts all processes and waits until every host serves writes.
+func start(t testing.TB) *installation {
+	n := startControlOnly(t)
 	for _, p := range quickstart.Places {
 		for i := range p.Hosts {
 			n.startHost(fmt.Sprintf("%s-entry-%d", p.Domain, i+1), p)
--- a/operator/online.go
+++ b/operator/online.go
@@ -48,6 +48,15 @@
 	return nil
 }
 
+// callAs is call with the operator of the command line.
+func (t *tool) callAs(ctx context.Context, f func(context.Context, *control.Client, control.Operator) error) error {
+	who, err := t.who()
+	if err != nil {
+		return err
+	}
+	return t.call(ctx, func(ctx context.Context, c *control.Client) error { return f(ctx, c, who) })
+}
+
 // section holds the commands for a team's section of the document.
 func (t *tool) section() *ffcli.Command {
 	get := t.command("section get", "TEAM", "Print a team's section.", 1, t.online,
@@ -69,11 +78,7 @@
 }
 
 func (t *tool) getSection(ctx context.Context, team string) error {
-	who, err := t.who()
-	if err != nil {
-		return err
-	}
-	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+	return t.callAs(ctx, func(ctx context.Context, c *control.Client, who control.Operator) error {
 		r, err := c.SectionGet(ctx, control.SectionGetRequest{Operator: who, Team: team})
 		if err != nil {
 			return err
@@ -186,11 +191,7 @@
 }
 
 func (t *tool) sectionHistory(ctx context.Context, team string) error {
-	who, err := t.who()
-	if err != nil {
-		return err
-	}
-	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+	return t.callAs(ctx, func(ctx context.Context, c *control.Client, who control.Operator) error {
 		r, err := c.SectionHistory(ctx, control.SectionHistoryRequest{Operator: who, Team: team})
 		if err != nil {
 			return err
@@ -209,11 +210,7 @@
 	if err != nil {
 		return err
 	}
-	who, err := t.who()
-	if err != nil {
-		return err
-	}
-	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+	return t.callAs(ctx, func(ctx context.Context, c *control.Client, who control.Operator) error {
 		r, err := c.SectionGet(ctx, control.SectionGetRequest{Operator: who, Team: team})
 		if err != nil {
 			return err
@@ -312,11 +309,7 @@
 func (t *tool) target() *ffcli.Command {
 	leave := t.command("target leave", "DATABASE TARGET", "Give a target no new work and move the primary away from it.", 2, t.online,
 		func(ctx context.Context, args []string) error {
-			who, err := t.who()
-			if err != nil {
-				return err
-			}
-			return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+			return t.callAs(ctx, func(ctx context.Context, c *control.Client, who control.Operator) error {
 				return c.TargetLeave(ctx, control.TargetLeaveRequest{Operator: who, Database: args[0], Target: args[1]})
 			})
 		})
@@ -391,11 +384,7 @@
 
 // changeMember runs the actions one after another, each until it succeeds or the command's time is over.
 func (t *tool) changeMember(ctx context.Context, name string, actions []control.MemberAction) error {
-	who, err := t.who()
-	if err != nil {
-		return err
-	}
-	return t.call(ctx, func(ctx context.Context, c *control.Client) error {
+	return t.callAs(ctx, func(ctx context.Context, c *control.Client, who control.Operator) error {
 		for _, a := range actions {
 			fmt.Fprintf(t.progress, "%s %s\n", a, name)
 			for {
--- a/quickstart/fairness_test.go
+++ b/quickstart/fairness_test.go
@@ -11,18 +11,18 @@
 	"github.com/jacinthtiller/jacinthtiller/bench"
 )
 
-// TestFairness guards the whole path against a team whose crowd takes the slots of another: while 300 guests of one team
-// write without a pause, 10 guests of another get their fair share within 5 points.
+// TestFairness guards the whole path against a large team that takes the slots of a small one: while 300 guests of one
+// team write without a pause, 10 guests of another get their fair share within 5 points.
 func TestFairness(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	convey.Convey("A small team keeps its share beside a crowd", t, func() {
+	convey.Convey("A small team keeps its share beside a large one", t, func() {
 		c, err := Start(ctx, Options{Slots: 2, ServiceMicroseconds: 5000})
 		convey.So(err, convey.ShouldBeNil)
 		defer c.Kill()
 		logins := c.BenchLogins(10)
-		small, crowd := logins[0], logins[1]
-		crowd.Guests = 300
+		small, large := logins[0], logins[1]
+		large.Guests = 300
 		load := func(l ...bench.Login) bench.Result {
 			r, err := bench.Run(ctx, bench.Plan{Logins: l, Milliseconds: 4000, Roam: 0.02, Seed: 5}, io.Discard)
 			convey.So(err, convey.ShouldBeNil)
@@ -31,10 +31,10 @@
 			return r
 		}
 		alone := rate(load(small), small.Team)
-		r := load(small, crowd)
-		got, total := rate(r, small.Team), rate(r, small.Team)+rate(r, crowd.Team)
-		t.Logf("small team: %.0f/s alone, %.0f of %.0f/s beside the crowd; median %d us, crowd's %d us",
-			alone, got, total, r.Teams[small.Team].Median, r.Teams[crowd.Team].Median)
+		r := load(small, large)
+		got, total := rate(r, small.Team), rate(r, small.Team)+rate(r, large.Team)
+		t.Logf("small team: %.0f/s alone, %.0f of %.0f/s beside the large one; median %d us, the large one's %d us",
+			alone, got, total, r.Teams[small.Team].Median, r.Teams[large.Team].Median)
 		convey.So(got, convey.ShouldBeGreaterThan, min(alone, total/2)-0.05*total)
 	})
 }
