--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -131,14 +132,31 @@
 	return n
 }
 
-// freeAddress returns an address that was free a moment ago; control processes must know each other's before they start.
+// firstPort and ports are below the range from which the system takes ports for listeners on port 0 and for outgoing
+// connections, so that no process of another test case takes one between its choice and its use.
+const (
+	firstPort = 20000
+	ports     = 10000
+)
+
+// nextPort counts the ports given out; tests of several runs begin at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 37) }
+
+// freeAddress returns an address that nothing listens on; control processes must know each other's before they start.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return a
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // run starts a program and reads its output until it says that it has started.
