control: tests of judging, succession, reports, editions and upkeep

Change: tables and generated histories: verdicts on primaries, successor and synchronous commits, leases cleared, late and reborn reports, racing editions, upkeep that ends and keeps a majority. Break tried: complete() with >= lets TestSuccessorKeepsSyncedCommits fail.

--- /dev/null
+++ b/control/registry_test.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+func saying(target, database, address string, born int64, sequence uint64) jacinthtiller.TargetReport {
+	return jacinthtiller.TargetReport{
+		Target: target, Database: database, Address: address, Role: jacinthtiller.RoleReplica,
+		State: jacinthtiller.StateServing, BornMilliseconds: born, Sequence: sequence,
+	}
+}
+
+// TestEnlist guards against reports that arrive late, from another incarnation, or from an address that another
+// target has taken over.
+func TestEnlist(t *testing.T) {
+	convey.Convey("A group of one target", t, func() {
+		s := newState()
+		do := func(c Command) answer {
+			next, out, _ := apply(s, s.View.Index+1, c)
+			s = next
+			return out
+		}
+		enlist := func(r jacinthtiller.TargetReport) answer { return do(Command{Enlist: &enlistCommand{Report: r}}) }
+		targets := func(database string) []string { return s.View.Databases[database].TargetNames() }
+		enlist(saying("a", "db", "10.0.0.1:1", 100, 5))
+		convey.So(s.View.Databases["db"].Direct, convey.ShouldBeTrue)
+		convey.Convey("follows a change of state, and not a late report of the former one", func() {
+			leaving := saying("a", "db", "10.0.0.1:1", 100, 7)
+			leaving.State = jacinthtiller.StateLeaving
+			enlist(leaving)
+			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 100, 6)).Code, convey.ShouldEqual, codeStale)
+			convey.So(s.View.Databases["db"].Targets["a"].State, convey.ShouldEqual, jacinthtiller.StateLeaving)
+		})
+		convey.Convey("takes a younger incarnation of the name, and not an older one", func() {
+			enlist(saying("a", "db", "10.0.0.1:1", 200, 1))
+			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 100, 9)).Code, convey.ShouldEqual, codeStale)
+			convey.So(s.View.Databases["db"].Targets["a"].BornMilliseconds, convey.ShouldEqual, 200)
+		})
+		convey.Convey("loses the target whose address a younger one uses, also in another group", func() {
+			enlist(saying("z", "other", "10.0.0.1:1", 300, 1))
+			convey.So(targets("db"), convey.ShouldBeEmpty)
+			convey.So(targets("other"), convey.ShouldResemble, []string{"z"})
+			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 100, 9)).Code, convey.ShouldEqual, codeStale)
+			convey.So(targets("other"), convey.ShouldResemble, []string{"z"})
+		})
+		convey.Convey("does not take back a target that has left, but its next incarnation", func() {
+			do(Command{Delist: &delistCommand{Target: "a", BornMilliseconds: 100}})
+			convey.So(targets("db"), convey.ShouldBeEmpty)
+			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 100, 9)).Code, convey.ShouldEqual, codeStale)
+			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 101, 1)).Code, convey.ShouldEqual, codeDone)
+		})
+		convey.Convey("keeps the younger incarnation when the leave of the former one comes late", func() {
+			enlist(saying("a", "db", "10.0.0.1:1", 200, 1))
+			convey.So(do(Command{Delist: &delistCommand{Target: "a", BornMilliseconds: 100}}).Code, convey.ShouldEqual, codeStale)
+			convey.So(targets("db"), convey.ShouldResemble, []string{"a"})
+		})
+		convey.Convey("does not change for a report without news", func() {
+			index := s.View.Index
+			enlist(saying("a", "db", "10.0.0.1:1", 100, 8))
+			convey.So(s.View.Index, convey.ShouldEqual, index)
+		})
+	})
+}
+
+// TestPrimaryCommands guards against decisions that were made about a state which has passed.
+func TestPrimaryCommands(t *testing.T) {
+	convey.Convey("A group led by a in term 3", t, func() {
+		s := newState()
+		s.View.Databases["db"] = directGroup()
+		do := func(c Command) code {
+			next, out, _ := apply(s, s.View.Index+1, c)
+			s = next
+			return out.Code
+		}
+		yield := Command{Yield: &yieldCommand{Database: "db", Primary: "a", Term: 3}}
+		crown := func(target string, from, term uint64) Command {
+			return Command{Crown: &crownCommand{Database: "db", From: from, Term: term, Target: target}}
+		}
+		convey.So(do(crown("b", 3, 4)), convey.ShouldEqual, codeStale)
+		convey.So(do(Command{Elect: &electCommand{Database: "db", Term: 3, Target: "b"}}), convey.ShouldEqual, codeStale)
+		convey.So(do(yield), convey.ShouldEqual, codeDone)
+		convey.So(s.View.Databases["db"].Changed, convey.ShouldEqual, s.View.Index)
+		convey.So(do(yield), convey.ShouldEqual, codeStale)
+		convey.So(do(Command{Elect: &electCommand{Database: "db", Term: 3, Target: "b"}}), convey.ShouldEqual, codeDone)
+		convey.So(do(crown("b", 2, 4)), convey.ShouldEqual, codeStale)
+		convey.So(do(crown("x", 3, 4)), convey.ShouldEqual, codeStale)
+		convey.So(do(crown("b", 3, 4)), convey.ShouldEqual, codeDone)
+		d := s.View.Databases["db"]
+		convey.So(d.Primary, convey.ShouldEqual, "b")
+		convey.So(d.Former+d.Candidate, convey.ShouldEqual, "")
+	})
+}
+
+// TestEditions guards against an edition that goes back, or whose content changes under its number, over generated
+// orders of editions that race, repeat and arrive late.
+func TestEditions(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := newState()
+		first := map[uint64]string{}
+		var highest uint64
+		for i := range rapid.IntRange(1, 40).Draw(r, "orders") {
+			number := rapid.Uint64Range(1, 10).Draw(r, "number")
+			text := fmt.Sprint(i)
+			var out answer
+			s, out, _ = apply(s, s.View.Index+1, Command{Edition: &editionCommand{
+				Edition: jacinthtiller.Edition{Number: number}, Text: []byte(text),
+			}})
+			if number > highest {
+				highest, first[number] = number, text
+				if out.Code != codeDone {
+					r.Fatalf("edition %d was not put in force: %s", number, out.Code)
+				}
+			} else if out.Code != codeOlder {
+				r.Fatalf("edition %d after %d was answered %q", number, highest, out.Code)
+			}
+			if s.View.Edition.Number != highest || string(s.EditionText) != first[highest] {
+				r.Fatalf("edition %d with %s is in force, not %d with %s", s.View.Edition.Number, s.EditionText, highest, first[highest])
+			}
+		}
+		b, err := encode(s)
+		if err != nil {
+			r.Fatal(err)
+		}
+		restored := newState()
+		if err := decode(b, restored); err != nil {
+			r.Fatal(err)
+		}
+		if restored.View.Edition.Number != highest || string(restored.EditionText) != first[highest] {
+			r.Fatalf("a snapshot loses the edition")
+		}
+	})
+}
--- /dev/null
+++ b/control/succession_test.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// directGroup returns a direct group of three serving targets led by a in term 3.
+func directGroup() jacinthtiller.Database {
+	d := jacinthtiller.Database{Name: "db", Direct: true, Term: 3, Primary: "a"}
+	for _, n := range []string{"a", "b", "c"} {
+		d = d.WithTarget(jacinthtiller.Target{
+			Name: n, Database: "db", Address: "10.0.0.1:1" + n, State: jacinthtiller.StateServing, Role: jacinthtiller.RoleReplica,
+		})
+	}
+	return d
+}
+
+// withState returns the group with the state of one target changed.
+func withState(d jacinthtiller.Database, target string, s jacinthtiller.TargetState) jacinthtiller.Database {
+	t := d.Targets[target]
+	t.State = s
+	return d.WithTarget(t)
+}
+
+// TestJudge guards against primaries that are replaced although they serve, and against dead ones that stay.
+func TestJudge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	doubts := func(ages ...time.Duration) map[string]time.Time {
+		out := map[string]time.Time{}
+		for i, age := range ages {
+			out[string(rune('p'+i))] = now.Add(-age)
+		}
+		return out
+	}
+	young, old := 100*time.Millisecond, 2*time.Second
+	group := directGroup()
+	alone := withState(withState(group, "b", jacinthtiller.StateLeaving), "c", jacinthtiller.StateLeaving)
+	cases := map[string]struct {
+		group    jacinthtiller.Database
+		evidence *evidence
+		hosts    int
+		want     verdict
+	}{
+		"nothing is known":                    {group, nil, 7, verdictStays},
+		"one host doubts, the leader reaches": {group, &evidence{target: "a", doubts: doubts(young), answered: true, role: jacinthtiller.RolePrimary}, 7, verdictStays},
+		"the process is gone":                 {group, &evidence{target: "a", doubts: doubts(young), refusals: 2}, 7, verdictDown},
+		"one refusal may be a restart":        {group, &evidence{target: "a", doubts: doubts(young), refusals: 1}, 7, verdictStays},
+		"refused, but no host doubts any more": {
+			group, &evidence{target: "a", doubts: doubts(old), refusals: 5}, 7, verdictStays,
+		},
+		"silent to all": {group, &evidence{target: "a", doubts: doubts(young, young, young, young), silences: 2}, 7, verdictSilent},
+		"cut off from control only, one host is slow": {
+			group, &evidence{target: "a", doubts: doubts(young), silences: 9}, 7, verdictStays,
+		},
+		"cut off from most hosts": {
+			group, &evidence{target: "a", doubts: doubts(young, young, young, young, young), answered: true, role: jacinthtiller.RolePrimary}, 7, verdictCutOff,
+		},
+		"cut off from a few hosts": {
+			group, &evidence{target: "a", doubts: doubts(young, young, young), answered: true, role: jacinthtiller.RolePrimary}, 7, verdictStays,
+		},
+		"evidence about a former primary": {group, &evidence{target: "b", doubts: doubts(young), refusals: 9}, 7, verdictStays},
+		"answers as a replica":            {group, &evidence{target: "a", answered: true, role: jacinthtiller.RoleReplica}, 7, verdictDemoted},
+		"leaving":                         {withState(group, "a", jacinthtiller.StateLeaving), nil, 7, verdictLeaving},
+		"leaving, but nobody could follow": {
+			withState(alone, "a", jacinthtiller.StateLeaving), nil, 7, verdictStays,
+		},
+		"departed":                        {group.WithoutTarget("a"), nil, 7, verdictDeparted},
+		"gone, but nobody could follow":   {alone, &evidence{target: "a", doubts: doubts(young), refusals: 9}, 7, verdictStays},
+		"the process is gone, no host up": {group, &evidence{target: "a", doubts: doubts(old), refusals: 2}, 0, verdictDown},
+	}
+	convey.Convey("Each kind of evidence has its verdict", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				convey.So(judge(c.group, c.evidence, c.hosts, now), convey.ShouldEqual, c.want)
+			})
+		}
+	})
+}
+
+func status(role jacinthtiller.Role, term, index uint64) jacinthtiller.TargetStatus {
+	return jacinthtiller.TargetStatus{Role: role, Term: term, Received: jacinthtiller.Position{Term: term, Index: index}}
+}
+
+// TestSuccessor guards against a new primary that lacks commits which another candidate has, or that is leaving, and
+// against the loss of commits that a synchronous replica holds.
+func TestSuccessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := directGroup()
+	d.Primary, d.Former = "", "a"
+	convey.Convey("Of the targets that answered", t, func() {
+		v := directSurvey{
+			"a": status(jacinthtiller.RolePrimary, 3, 99),
+			"b": status(jacinthtiller.RoleReplica, 3, 50),
+			"c": status(jacinthtiller.RoleReplica, 3, 51),
+		}
+		convey.Convey("the one with the most of the log leads", func() {
+			convey.So(v.successor(d, nil, now), convey.ShouldEqual, "c")
+		})
+		convey.Convey("one that is leaving does not", func() {
+			convey.So(v.successor(withState(d, "c", jacinthtiller.StateLeaving), nil, now), convey.ShouldEqual, "b")
+		})
+		convey.Convey("one that could not be promoted a moment ago comes last", func() {
+			avoid := map[string]time.Time{"c": now.Add(time.Second)}
+			convey.So(v.successor(d, avoid, now), convey.ShouldEqual, "b")
+			convey.So(v.successor(d, map[string]time.Time{"c": now}, now), convey.ShouldEqual, "c")
+		})
+		convey.Convey("the former primary is never chosen, but known to lead still", func() {
+			delete(v, "b")
+			delete(v, "c")
+			convey.So(v.successor(d, nil, now), convey.ShouldEqual, "")
+			convey.So(v.stillLeads(d), convey.ShouldBeTrue)
+			convey.So(v.stillLeads(withState(d, "a", jacinthtiller.StateLeaving)), convey.ShouldBeFalse)
+		})
+		convey.Convey("one that leads a later term already is found", func() {
+			convey.So(v.leading(d), convey.ShouldEqual, "")
+			v["b"] = status(jacinthtiller.RolePrimary, 4, 51)
+			convey.So(v.leading(d), convey.ShouldEqual, "b")
+		})
+		convey.Convey("a planned change waits for the last commits of a former primary that answers", func() {
+			convey.So(v.caughtUp(d, "c"), convey.ShouldBeFalse)
+			v["c"] = status(jacinthtiller.RoleReplica, 3, 99)
+			convey.So(v.caughtUp(d, "c"), convey.ShouldBeTrue)
+			delete(v, "a")
+			convey.So(v.caughtUp(d, "b"), convey.ShouldBeTrue)
+		})
+		convey.Convey("with a synchronous replica all that may hold its commits must have answered", func() {
+			sync := jacinthtiller.Group{SyncReplicas: 1}
+			convey.So(v.complete(d, sync), convey.ShouldBeTrue)
+			delete(v, "b")
+			convey.So(v.complete(d, sync), convey.ShouldBeFalse)
+			convey.So(v.complete(d, jacinthtiller.Group{}), convey.ShouldBeTrue)
+		})
+	})
+}
+
+// TestSuccessorKeepsSyncedCommits guards against a promotion that loses a commit which SyncReplicas replicas had when
+// it was acknowledged, over generated groups and answers.
+func TestSuccessorKeepsSyncedCommits(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		d := jacinthtiller.Database{Name: "db", Direct: true, Term: 3, Former: "a"}
+		n := rapid.IntRange(2, 5).Draw(r, "targets")
+		sync := rapid.IntRange(1, n-1).Draw(r, "sync")
+		v := directSurvey{}
+		var received []uint64
+		for i := range n {
+			name := string(rune('a' + i))
+			d = d.WithTarget(jacinthtiller.Target{Name: name, State: jacinthtiller.StateServing})
+			if name == d.Former {
+				continue
+			}
+			index := rapid.Uint64Range(0, 9).Draw(r, "index")
+			received = append(received, index)
+			if rapid.Bool().Draw(r, "answers") {
+				v[name] = status(jacinthtiller.RoleReplica, 3, index)
+			}
+		}
+		if !v.complete(d, jacinthtiller.Group{SyncReplicas: sync}) {
+			return
+		}
+		best := v[v.successor(d, nil, time.Unix(0, 0))].Received.Index
+		for acknowledged := uint64(9); acknowledged > best; acknowledged-- {
+			holders := 0
+			for _, x := range received {
+				if x >= acknowledged {
+					holders++
+				}
+			}
+			if holders >= sync {
+				r.Fatalf("commit %d is on %d replicas, and the successor has %d", acknowledged, holders, best)
+			}
+		}
+	})
+}
+
+// TestCleared guards against a promotion while a host may still acknowledge work of the former primary.
+func TestCleared(t *testing.T) {
+	now := time.Unix(1000, 0)
+	convey.Convey("With two hosts that hold leases", t, func() {
+		s := newState()
+		for _, n := range []string{"h1", "h2"} {
+			s, _, _ = apply(s, s.View.Index+1, Command{Register: &registerCommand{Host: jacinthtiller.Host{Name: n, Incarnation: "i"}}})
+		}
+		l := newLeader()
+		l.follow(s, now)
+		renew := func(host string, index uint64, at time.Time) {
+			l.renew(s, jacinthtiller.RenewRequest{Host: host, Incarnation: "i", Index: index}, at)
+		}
+		renew("h1", 2, now)
+		renew("h2", 2, now)
+		convey.So(l.leased(now), convey.ShouldEqual, 2)
+		convey.Convey("a view counts once both have it in force", func() {
+			convey.So(l.cleared(s, 5, now), convey.ShouldBeFalse)
+			renew("h1", 5, now)
+			convey.So(l.cleared(s, 5, now), convey.ShouldBeFalse)
+			renew("h2", 6, now)
+			convey.So(l.cleared(s, 5, now), convey.ShouldBeTrue)
+		})
+		convey.Convey("a silent host counts until its lease has ended", func() {
+			renew("h1", 5, now)
+			convey.So(l.cleared(s, 5, now.Add(Lease)), convey.ShouldBeFalse)
+			convey.So(l.cleared(s, 5, now.Add(Lease+ClockRateBound)), convey.ShouldBeTrue)
+		})
+		convey.Convey("a new leader counts leases that its predecessor may have granted", func() {
+			l = newLeader()
+			convey.So(l.cleared(s, 5, now), convey.ShouldBeFalse)
+			renew("h1", 5, now)
+			renew("h2", 5, now)
+			convey.So(l.cleared(s, 5, now), convey.ShouldBeTrue)
+		})
+		convey.Convey("a host that has started again counts anew", func() {
+			renew("h1", 5, now)
+			renew("h2", 5, now)
+			s, _, _ = apply(s, 7, Command{Register: &registerCommand{Host: jacinthtiller.Host{Name: "h2", Incarnation: "j", Exclusive: true}}})
+			convey.So(l.cleared(s, 5, now), convey.ShouldBeFalse)
+		})
+	})
+}
--- /dev/null
+++ b/control/upkeep_test.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthtiller/jacinthtiller/quorum"
+)
+
+func member(name string, voter bool, heard time.Time, match uint64) quorum.MemberStatus {
+	return quorum.MemberStatus{Member: quorum.Member{Name: name, Voter: voter}, Match: match, Heard: heard}
+}
+
+// TestNextUpkeep guards against a group that stays without a voter, and against changes that are not called for.
+func TestNextUpkeep(t *testing.T) {
+	now := time.Unix(1000, 0)
+	gone := now.Add(-time.Minute)
+	cases := map[string]struct {
+		members []quorum.MemberStatus
+		want    upkeep
+	}{
+		"all voters answer": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, now, 100)}, upkeep{},
+		},
+		"a voter is gone and nobody can replace it": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, gone, 100)}, upkeep{},
+		},
+		"a voter is gone and a learner has caught up": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, gone, 100), member("d", false, now, 100)},
+			upkeep{action: MemberPromote, name: "d"},
+		},
+		"the learner lacks entries": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, gone, 100), member("d", false, now, 20)},
+			upkeep{},
+		},
+		"the learner has taken the place": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, gone, 100), member("d", true, now, 100)},
+			upkeep{action: MemberRemove, name: "c"},
+		},
+		"the voter is back before it was removed": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, now, 100), member("d", true, now, 100)},
+			upkeep{action: MemberRemove, name: "d"},
+		},
+		"too few voters": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("d", false, now, 100)},
+			upkeep{action: MemberPromote, name: "d"},
+		},
+		"a spare learner is kept": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, now, 100), member("d", false, now, 100)},
+			upkeep{},
+		},
+		"a silent learner is forgotten": {
+			[]quorum.MemberStatus{member("a", true, now, 100), member("b", true, now, 100), member("c", true, now, 100), member("d", false, gone, 100)},
+			upkeep{action: MemberRemove, name: "d"},
+		},
+	}
+	convey.Convey("The leader a changes", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				u, ok := nextUpkeep(quorum.Status{Name: "a", Last: 150, Members: c.members}, 3, now)
+				convey.So(ok, convey.ShouldEqual, c.want != upkeep{})
+				u.reason = ""
+				convey.So(u, convey.ShouldResemble, c.want)
+			})
+		}
+	})
+}
+
+// TestUpkeepEnds guards against changes that undo each other for ever, and against a group that loses its majority
+// of voters that answer, over generated groups.
+func TestUpkeepEnds(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		now := time.Unix(1000, 0)
+		s := quorum.Status{Name: "a", Last: 100, Members: []quorum.MemberStatus{member("a", true, now, 100)}}
+		wanted := 2*rapid.IntRange(1, 2).Draw(r, "tolerate") + 1
+		voters, live := 1, 1
+		for i := range rapid.IntRange(0, 7).Draw(r, "others") {
+			m := member(string(rune('b'+i)), rapid.Bool().Draw(r, "voter"), now, 100)
+			if rapid.Bool().Draw(r, "gone") {
+				m.Heard = now.Add(-time.Minute)
+			}
+			s.Members = append(s.Members, m)
+			if m.Voter {
+				voters++
+				if m.Heard == now {
+					live++
+				}
+			}
+		}
+		if live <= voters/2 {
+			return // there would be no leader
+		}
+		for range 40 {
+			u, ok := nextUpkeep(s, wanted, now)
+			if !ok {
+				return
+			}
+			for i, m := range s.Members {
+				if m.Name != u.name {
+					continue
+				}
+				if u.action == MemberPromote {
+					s.Members[i].Voter = true
+				} else {
+					s.Members = append(s.Members[:i:i], s.Members[i+1:]...)
+				}
+				break
+			}
+			voters, live = 0, 0
+			for _, m := range s.Members {
+				if m.Voter {
+					voters++
+					if m.Heard == now {
+						live++
+					}
+				}
+			}
+			if live <= voters/2 {
+				r.Fatalf("after %v only %d of %d voters answer", u, live, voters)
+			}
+		}
+		r.Fatalf("the changes do not end: %v", s.Members)
+	})
+}
