--- a/clock/clock.go
+++ b/clock/clock.go
@@ -25,10 +25,11 @@
 // readings is what the last reading found. Asking the system for suspensions takes two calls, so it is done only when
 // the wall clock has moved by more than the steady one, and now and then.
 var readings struct {
-	mu        sync.Mutex
-	last      time.Time
-	checked   time.Time
-	suspended time.Duration
+	mu      sync.Mutex
+	last    time.Time
+	checked time.Time
+	// suspendedNanoseconds is for how long the machine was suspended since the start of the process; it never falls.
+	suspendedNanoseconds int64
 }
 
 // origin is the time that the machine had been suspended for at the start of the process.
@@ -42,12 +43,12 @@
 	parted := t.Round(0).Sub(readings.last.Round(0)) - t.Sub(readings.last)
 	if parted.Abs() > tolerance || t.Sub(readings.checked) > checkEvery || t.Before(readings.checked) {
 		readings.checked = t
-		if found := suspended() - origin; found-readings.suspended > shortest {
-			readings.suspended = found
+		if found := suspended() - origin; found > time.Duration(readings.suspendedNanoseconds)+shortest {
+			readings.suspendedNanoseconds = int64(found)
 		}
 	}
 	readings.last = t
-	return t.Add(readings.suspended)
+	return t.Add(time.Duration(readings.suspendedNanoseconds))
 }
 
 // Until returns how long it is until a deadline that was made from Now.
--- a/control/direct.go
+++ b/control/direct.go
@@ -264,12 +264,7 @@
 
 // watchPrimary replaces a primary that has to be replaced, and asks one that is doubted.
 func (s *Server) watchPrimary(ctx context.Context, wg *conc.WaitGroup, d jacinthtiller.Database, now time.Time) {
-	s.mu.Lock()
-	hosts := 0
-	if s.leader != nil {
-		hosts = s.leader.leased(now)
-	}
-	s.mu.Unlock()
+	hosts := s.witnesses(d, now)
 	x := s.direct
 	x.mu.Lock()
 	e := x.evidence[d.Name]
@@ -296,6 +291,27 @@
 	}
 }
 
+// witnesses counts the hosts that hold a lease and connect to the primary themselves: only these can miss it.
+func (s *Server) witnesses(d jacinthtiller.Database, now time.Time) int {
+	s.direct.mu.Lock()
+	asked := s.direct.evidence[d.Name] != nil
+	s.direct.mu.Unlock()
+	if !asked {
+		return 0 // without evidence the number decides nothing
+	}
+	v := s.machine.state().View
+	gateways := v.Gateways(d.Targets[d.Primary], v.Connections(d.Name))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, h := range gateways {
+		if s.leader != nil && s.leader.live(h.Name, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // question asks a doubted primary for its state once and notes the answer as evidence.
 func (s *Server) question(ctx context.Context, d jacinthtiller.Database) {
 	defer s.end(s.direct.judged, d.Name)
--- a/control/succession.go
+++ b/control/succession.go
@@ -62,7 +62,8 @@
 	verdictCutOff   verdict = "cut-off"  // the leader reaches it, but most hosts do not
 )
 
-// judge decides whether the primary of a direct group has to be replaced. Hosts is how many hosts hold a lease.
+// judge decides whether the primary of a direct group has to be replaced. Hosts is how many hosts hold a lease and
+// connect to the primary themselves.
 func judge(d jacinthtiller.Database, e *evidence, hosts int, now time.Time) verdict {
 	t, ok := d.Targets[d.Primary]
 	if !ok {
@@ -189,14 +190,3 @@
 	}
 	return true
 }
-
-// leased counts the hosts that hold a lease which this leader granted.
-func (l *leader) leased(now time.Time) int {
-	n := 0
-	for name := range l.leases {
-		if l.live(name, now) {
-			n++
-		}
-	}
-	return n
-}
--- a/control/succession_test.go
+++ b/control/succession_test.go
@@ -193,7 +193,6 @@
 		}
 		renew("h1", 2, now)
 		renew("h2", 2, now)
-		convey.So(l.leased(now), convey.ShouldEqual, 2)
 		convey.Convey("a view counts once both have it in force", func() {
 			convey.So(l.cleared(s, 5, now), convey.ShouldBeFalse)
 			renew("h1", 5, now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/jacinthtiller/jacinthtiller/link"
 	"github.com/jacinthtiller/jacinthtiller/owner"
 	"github.com/jacinthtiller/jacinthtiller/pool"
+	"github.com/jacinthtiller/jacinthtiller/relay"
 	"github.com/jacinthtiller/jacinthtiller/replica"
 	"github.com/jacinthtiller/jacinthtiller/session"
 	"github.com/jacinthtiller/jacinthtiller/statement"
@@ -57,8 +58,9 @@
 	pages []*http.Server
 	// group is the client of the control processes; nil before it is needed.
 	groupClient *control.Client
-	// pool and statements are nil unless an adapter serves guests.
+	// pool, relays and statements are nil unless an adapter serves guests.
 	pool       *pool.Pool
+	relays     *relay.Server
 	statements *statement.Server
 
 	// control is nil without the control role.
@@ -523,6 +525,9 @@
 	if p.statements != nil {
 		p.statements.Close()
 	}
+	if p.relays != nil {
+		p.relays.Close()
+	}
 	if p.pool != nil {
 		p.pool.Close()
 	}
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthtiller/jacinthtiller/entry"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/pool"
+	"github.com/jacinthtiller/jacinthtiller/relay"
 	"github.com/jacinthtiller/jacinthtiller/statement"
 )
 
@@ -42,19 +43,26 @@
 	if p.guests, err = net.Listen("tcp", p.settings.GuestListen); err != nil {
 		return fmt.Errorf("listen for guests: %w", err)
 	}
+	if p.links, err = net.Listen("tcp", p.settings.LinkListen); err != nil {
+		return fmt.Errorf("listen for statements of other hosts: %w", err)
+	}
 	self := jacinthtiller.Host{
 		Name: p.settings.Name, Domain: p.settings.Domain, Region: p.settings.Region,
-		RPC: p.RPCURL(), Guests: p.guests.Addr().String(), Incarnation: incarnation(), Exclusive: true,
+		RPC: p.RPCURL(), Link: p.links.Addr().String(), Guests: p.guests.Addr().String(), Incarnation: incarnation(), Exclusive: true,
 	}
 	p.groupClient = control.NewClient(slices.Sorted(maps.Values(p.settings.Control)), client)
-	p.pool = pool.New(p.adapter, pool.WithPlace(p.settings.Domain, p.settings.Regions), pool.WithEvents(p.events))
-	p.statements = statement.New(p.pool, p.adapter.Dialect(), p.adapter.Guest,
+	dialect := p.adapter.Dialect()
+	p.pool = pool.New(p.adapter, dialect, pool.WithHost(self.Name), pool.WithRelays(relay.Dialer{}),
+		pool.WithPlace(p.settings.Domain, p.settings.Regions), pool.WithEvents(p.events))
+	p.relays = relay.NewServer(p.pool, dialect.Rollback(), p.events)
+	p.statements = statement.New(p.pool, dialect, p.adapter.Guest,
 		statement.WithHost(self.Name), statement.WithControl(p.groupClient), statement.WithEvents(p.events))
 	p.host = entry.Start(entry.Config{
 		Self: self, Control: p.groupClient, Views: entry.NewViews(), Events: p.events,
 		Followers:    []jacinthtiller.ViewFollower{p.statements},
 		FoundMembers: p.groupClient.SetURLs,
 	})
+	p.group.Go(func() { _ = p.relays.Serve(p.links) })
 	p.group.Go(func() { _ = p.statements.Serve(p.guests) })
 	return nil
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -84,7 +84,7 @@
 	// Regions maps failure domains to their regions.
 	Regions              map[string]string
 	Check, PrintSettings bool
-	printed                           [][2]string
+	printed              [][2]string
 }
 
 // SettingsError lists every fault of the settings.
@@ -118,7 +118,7 @@
 // values are the flags that need parsing beyond their own form.
 type values struct {
 	roles, control, peers, seeds, regions list
-	level                 string
+	level                                 string
 }
 
 // flags returns the flags of a process, bound to s and v.
--- a/direct.go
+++ b/direct.go
@@ -284,6 +284,62 @@
 	Close() error
 }
 
+// PreparedStatement is a prepared statement under the name that it has at targets.
+type PreparedStatement struct {
+	_ struct{} `cbor:",toarray"`
+	// Name is unique by Access and Shape.
+	Name   string
+	Access Access
+	Shape  string
+}
+
+// Errand is an order with all that a connection must hold before it runs.
+type Errand struct {
+	Order
+	// Values are the session values of the guest; the connection must hold these and no others.
+	Values map[string]string
+	// Statement is the prepared statement that the order runs; nil when it runs none.
+	Statement *PreparedStatement
+	// Route and Guest are for a fair share among those who wait for the target.
+	Route, Guest string
+	// Opens is true when the order begins a transaction.
+	Opens bool
+	// Repeatable is true when the order may run again elsewhere, so that its answer may be given up early.
+	Repeatable bool
+	Deadline   time.Time
+}
+
+// NotSentError proves that an order did not reach its target, or was not admitted to it.
+type NotSentError struct {
+	Cause error
+	// Unreached is true when the host that relays could not reach the target.
+	Unreached bool
+}
+
+// Error names the cause.
+func (e *NotSentError) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// RelayConn is a path to one target through another host. It is used by one goroutine at a time.
+type RelayConn interface {
+	// Start sends an errand. An error proves that it did not run.
+	Start(e Errand) error
+	// Receive reads the answer to the errand. A timeout leaves the path usable. A *NotSentError comes from the other
+	// host and leaves it usable for another errand; after another error it must be closed.
+	Receive(deadline time.Time) (Reply, error)
+	// Stale reports whether the other host has closed the path.
+	Stale() bool
+	Close() error
+}
+
+// RelayDialer opens paths through other hosts.
+type RelayDialer interface {
+	// DialRelay opens a path to the target through the host at the address.
+	DialRelay(ctx context.Context, address string, t Target) (RelayConn, error)
+}
+
 // TargetDialer opens connections to targets of direct groups.
 type TargetDialer interface {
 	// Dial connects and logs in. The error is a *FailError when the target refused.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -20,6 +20,8 @@
 	shedCost = 300_000
 	// behindCost makes reads prefer a target that is known to hold the wanted position, in microseconds.
 	behindCost = 40_000
+	// lackedCost makes reads avoid a target that lacked the position a moment ago, in microseconds.
+	lackedCost = 500_000
 )
 
 // Choice says what a read wants.
@@ -83,11 +85,11 @@
 
 // cost returns the expected time of one more statement, in microseconds, and false when the target cannot be used.
 func (t *Target) cost(c Choice, now time.Time) (int64, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.retired || now.Before(t.retryAt) {
+	if !t.Usable(now) {
 		return 0, false
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	latency := t.latency
 	if latency == 0 {
 		latency = unknownLatency
@@ -100,7 +102,11 @@
 	if now.Before(t.shedUntil) {
 		cost += shedCost
 	}
-	if !c.After.IsZero() && !t.seen.Covers(c.After) {
+	switch {
+	case c.After.IsZero() || t.seen.Covers(c.After):
+	case now.Before(t.lackedUntil) && c.After.Covers(t.lacked):
+		cost += lackedCost
+	default:
 		cost += behindCost
 	}
 	return cost, true
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -2,171 +2,188 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/admission"
 )
 
-// cleanLimit bounds the cleaning of a connection after its work; a target that takes longer costs a new connection.
-const cleanLimit = 300 * time.Millisecond
+// statementsKept bounds the prepared statements of one connection, after which it is reset.
+const statementsKept = 200
 
-// Target returns the target that the connection leads to.
-func (c *Conn) Target() *Target { return c.t }
+// conn is a connection of this host to a target. It is used by one goroutine at a time.
+type conn struct {
+	t  *Target
+	tc jacinthtiller.TargetConn
+	// grant is the admission of the present work; nil while the connection is idle.
+	grant *admission.Grant
+	// rests is true when the work has ended its statement and needs a slot for the next one.
+	rests bool
+	// values and statements are what the target holds for this connection.
+	values     map[string]string
+	statements map[string]bool
+	// dirty is true when values or statements are not certain, so that a reset must come first.
+	dirty     bool
+	idleSince time.Time
+}
+
+// openOwn waits for the target to have room and returns a connection of this host.
+func (t *Target) openOwn(e jacinthtiller.Errand) (*conn, error) {
+	g, err := t.gate.Acquire(context.Background(), admission.Request{
+		Team: e.Route, Guest: e.Guest, Opens: e.Opens, Deadline: e.Deadline,
+	})
+	if err != nil {
+		return nil, &NoTargetError{Target: t.spec.Name, Cause: err}
+	}
+	c, err := t.connect(e.Deadline)
+	if err != nil {
+		g.Done(false)
+		return nil, &NoTargetError{Target: t.spec.Name, Cause: err}
+	}
+	c.grant, c.rests = g, false
+	return c, nil
+}
 
-// Statement is a prepared statement that an order uses.
-type Statement struct {
-	// Name is unique by Access and Shape.
-	Name string
-	// Prepare is the order that prepares it.
-	Prepare string
+// connect returns an idle connection or opens one.
+func (t *Target) connect(deadline time.Time) (*conn, error) {
+	for {
+		t.mu.Lock()
+		n := len(t.idle)
+		if n == 0 {
+			break
+		}
+		c := t.idle[n-1]
+		t.idle = t.idle[:n-1]
+		t.mu.Unlock()
+		if time.Since(c.idleSince) > hangUpAge && c.tc.Stale() {
+			t.close(c, "closed by target")
+			continue
+		}
+		return c, nil
+	}
+	now := time.Now()
+	if t.retired || now.Before(t.fullUntil) {
+		t.mu.Unlock()
+		return nil, &jacinthtiller.FailError{Code: jacinthtiller.FailConnections, Text: "no free connection a moment ago"}
+	}
+	t.open++
+	spec := t.spec
+	t.mu.Unlock()
+	tc, err := t.p.dial(spec, deadline)
+	if err != nil {
+		t.mu.Lock()
+		t.open--
+		if f := isRefusal(err); f != nil {
+			t.fullUntil = time.Now().Add(fullPause)
+		}
+		t.mu.Unlock()
+		if f := isRefusal(err); f != nil && f.Code != jacinthtiller.FailWrongTarget {
+			t.reached(t.own)
+		} else {
+			t.unreached(t.own, err)
+		}
+		return nil, err
+	}
+	t.p.metrics.opened()
+	t.reached(t.own)
+	return &conn{t: t, tc: tc, values: map[string]string{}, statements: map[string]bool{}}, nil
+}
+
+// start makes the connection ready for the errand and sends its order. An error proves that it did not run.
+func (c *conn) start(e jacinthtiller.Errand) error {
+	if c.rests {
+		if err := c.grant.Continue(context.Background(), e.Deadline); err != nil {
+			return fmt.Errorf("continue on %s: %w", c.t.spec.Name, err)
+		}
+		c.rests = false
+	}
+	if err := c.align(e); err != nil {
+		return fmt.Errorf("prepare the connection to %s: %w", c.t.spec.Name, err)
+	}
+	if err := c.tc.Send(e.Deadline, e.Order); err != nil {
+		c.t.unreached(c.t.own, err)
+		return fmt.Errorf("send to %s: %w", c.t.spec.Name, err)
+	}
+	return nil
 }
 
-// Align makes the connection hold the guest's values and the statement, and no other values. Order gives the order
-// that sets a value, and for an empty name the one that resets the connection.
-func (c *Conn) Align(deadline time.Time, values map[string]string, order func(name, value string) string, s *Statement) error {
+// align makes the connection hold the errand's values and its statement, and no other values.
+func (c *conn) align(e jacinthtiller.Errand) error {
+	d := c.t.p.dialect
 	var orders []jacinthtiller.Order
 	foreign := false
 	for name := range c.values {
-		if _, ok := values[name]; !ok {
+		if _, ok := e.Values[name]; !ok {
 			foreign = true // there is no order that takes back a single value
 		}
 	}
 	if c.dirty || foreign || len(c.statements) > statementsKept {
-		orders = append(orders, jacinthtiller.Order{Text: order("", "")})
+		orders = append(orders, jacinthtiller.Order{Text: d.Reset()})
 		c.values, c.statements = map[string]string{}, map[string]bool{}
 	}
 	c.dirty = true
-	for _, name := range slices.Sorted(maps.Keys(values)) {
-		if v, ok := c.values[name]; !ok || v != values[name] {
-			orders = append(orders, jacinthtiller.Order{Text: order(name, values[name])})
-			c.values[name] = values[name]
+	for _, name := range slices.Sorted(maps.Keys(e.Values)) {
+		if v, ok := c.values[name]; !ok || v != e.Values[name] {
+			orders = append(orders, jacinthtiller.Order{Text: d.Set(name, e.Values[name])})
+			c.values[name] = e.Values[name]
 		}
 	}
-	if s != nil && !c.statements[s.Name] {
-		orders = append(orders, jacinthtiller.Order{Text: s.Prepare})
+	if s := e.Statement; s != nil && !c.statements[s.Name] {
+		orders = append(orders, jacinthtiller.Order{Text: d.Prepare(s.Name, s.Access, s.Shape)})
 		c.statements[s.Name] = true
 	}
 	if len(orders) > 0 {
-		if err := c.conn.Send(deadline, orders...); err != nil {
-			return fmt.Errorf("prepare the connection to %s: %w", c.t.spec.Name, err)
+		if err := c.tc.Send(e.Deadline, orders...); err != nil {
+			return err
 		}
-		for range orders {
-			r, err := c.conn.Receive(deadline)
-			if err != nil {
-				return fmt.Errorf("prepare the connection to %s: %w", c.t.spec.Name, err)
-			}
-			if r.Fail != "" {
-				return fmt.Errorf("prepare the connection to %s: %w", c.t.spec.Name,
-					&jacinthtiller.FailError{Code: r.Fail, Text: r.FailText})
-			}
+	}
+	for range orders {
+		r, err := c.tc.Receive(e.Deadline)
+		if err != nil {
+			return err
+		}
+		if r.Fail != "" {
+			return &jacinthtiller.FailError{Code: r.Fail, Text: r.FailText}
 		}
 	}
 	c.dirty = false
 	return nil
 }
 
-// Send sends one order. An error proves that it did not run.
-func (c *Conn) Send(deadline time.Time, o jacinthtiller.Order) error {
-	c.sentAt = time.Now()
-	if err := c.conn.Send(deadline, o); err != nil {
-		return fmt.Errorf("send to %s: %w", c.t.spec.Name, err)
+// done ends the statement that runs on the connection, which stays reserved for its transaction.
+func (c *conn) done() {
+	if !c.rests {
+		c.rests = true
+		c.grant.Done(true)
 	}
-	return nil
 }
 
-// Receive waits for the answer to the order sent last. After a timeout it may be called again.
-func (c *Conn) Receive(deadline time.Time) (jacinthtiller.Reply, error) {
-	r, err := c.conn.Receive(deadline)
-	if err != nil {
-		return r, fmt.Errorf("receive from %s: %w", c.t.spec.Name, err)
-	}
-	c.t.answered(r, time.Since(c.sentAt))
-	return r, nil
+// put gives the connection back for other work.
+func (c *conn) put() {
+	c.grant.Release()
+	c.grant = nil
+	c.t.keep(c)
 }
 
-// answered takes note of an answer.
-func (t *Target) answered(r jacinthtiller.Reply, took time.Duration) {
+// keep makes a connection idle, or closes it when its target has left the view.
+func (t *Target) keep(c *conn) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.failures, t.retryAt, t.failingSince = 0, time.Time{}, time.Time{}
-	if r.Position.Compare(t.seen) > 0 {
-		t.seen = r.Position
-	}
-	if r.Fail != "" {
-		return
-	}
-	us := took.Microseconds()
-	if t.latency == 0 {
-		t.latency = us
-		return
-	}
-	t.latency += (us - t.latency) * latencyWeight / 100
-}
-
-// Done ends the statement that runs on the connection, which stays reserved for its transaction.
-func (c *Conn) Done() {
-	c.t.mu.Lock()
-	c.t.running--
-	c.t.mu.Unlock()
-	c.grant.Done(true)
-}
-
-// Continue waits for room for the next statement of the transaction.
-func (c *Conn) Continue(deadline time.Time) error {
-	if err := c.grant.Continue(context.Background(), deadline); err != nil {
-		return fmt.Errorf("continue on %s: %w", c.t.spec.Name, err)
-	}
-	c.t.mu.Lock()
-	c.t.running++
-	c.t.mu.Unlock()
-	return nil
-}
-
-// Put gives the connection back for other work after Done. It must be outside a transaction and without an answer
-// that is still to come.
-func (c *Conn) Put() {
-	c.grant.Release()
-	c.t.mu.Lock()
-	retired := c.t.retired
+	retired := t.retired
 	if !retired {
-		c.idleSince, c.reused = time.Now(), false
-		c.t.idle = append(c.t.idle, c)
+		c.idleSince = time.Now()
+		t.idle = append(t.idle, c)
 	}
-	c.t.mu.Unlock()
+	t.mu.Unlock()
 	if retired {
-		c.t.close(c, "target left the view")
+		t.close(c, "target left the view")
 	}
 }
 
-// Drop closes the connection after Done, which rolls back what is open on it.
-func (c *Conn) Drop(reason string) {
+// drop closes the connection, which rolls back what is open on it.
+func (c *conn) drop(reason string) {
 	c.t.close(c, reason)
 	c.grant.Release()
 }
-
-// Clean rolls back the transaction that is open on the connection and gives it back. It waits for the target for a
-// short time only. It follows Done.
-func (c *Conn) Clean(rollback string) {
-	deadline := time.Now().Add(cleanLimit)
-	if err := c.conn.Send(deadline, jacinthtiller.Order{Text: rollback}); err != nil {
-		c.Drop("rollback not sent")
-		return
-	}
-	r, err := c.conn.Receive(deadline)
-	if err != nil || r.State != jacinthtiller.StateIdle {
-		c.Drop("rollback not answered")
-		return
-	}
-	c.Put()
-}
-
-// IsTimeout reports whether err is the end of a wait for an answer.
-func IsTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
--- a/pool/dump.go
+++ b/pool/dump.go
@@ -18,7 +18,7 @@
 	Waiting             map[string]int         `json:"waiting"`
 	LatencyMicroseconds int64                  `json:"latency-microseconds"`
 	Seen                jacinthtiller.Position `json:"seen"`
-	Failures            int                    `json:"failures"`
+	Direct              bool                   `json:"direct"`
 	FailingSince        time.Time              `json:"failing-since"`
 }
 
@@ -30,7 +30,7 @@
 		t.mu.Lock()
 		out = append(out, TargetState{
 			Target: t.spec, Open: t.open, Idle: len(t.idle), Fair: t.fair, Running: t.running, Waiting: waiting,
-			LatencyMicroseconds: t.latency, Seen: t.seen, Failures: t.failures, FailingSince: t.failingSince,
+			LatencyMicroseconds: t.latency, Seen: t.seen, Direct: t.direct, FailingSince: t.own.failing(),
 		})
 		t.mu.Unlock()
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -19,16 +19,13 @@
 	// sweepEvery is the time between looks for idle connections to close.
 	sweepEvery = 250 * time.Millisecond
 	// surplusIdle is how long a connection above the host's fair share may stay idle: other hosts may want it.
-	surplusIdle = 500 * time.Millisecond
+	surplusIdle = 1500 * time.Millisecond
 	// keepIdle is how long one connection of the fair share may stay idle; targets close theirs after a minute.
 	keepIdle = 40 * time.Second
 	// hangUpAge is the idle time after which a connection is checked for a close by the target before use.
 	hangUpAge = 10 * time.Millisecond
 	// dialLimit bounds the opening of one connection: two round trips between regions and a short wait for a slot.
 	dialLimit = 400 * time.Millisecond
-	// fairPercent is the part of a target's connections that the hosts share out; the rest is for control's
-	// questions and for hosts whose number is not known yet.
-	fairPercent = 85
 	// greedyPercent is the part of a target's connections that one host may hold while others do not want them.
 	greedyPercent = 50
 	// defaultConnections is used until the document names a target's connections.
@@ -42,6 +39,12 @@
 // Pool holds the targets of all direct groups. It is safe for concurrent use.
 type Pool struct {
 	dialer  jacinthtiller.TargetDialer
+	dialect jacinthtiller.Dialect
+	// relays is nil when no other host relays.
+	relays jacinthtiller.RelayDialer
+	host   string
+	// salt makes each host begin at another gateway.
+	salt    uint64
 	events  *event.Log
 	domain  string
 	region  string
@@ -70,12 +73,20 @@
 	return func(p *Pool) { p.domain, p.region, p.regions = domain, regions[domain], regions }
 }
 
+// WithHost sets the name of the host, by which views name gateways.
+func WithHost(name string) Option {
+	return func(p *Pool) { p.host, p.salt = name, xxhash.Sum64String(name) }
+}
+
+// WithRelays sets how targets are reached through other hosts.
+func WithRelays(d jacinthtiller.RelayDialer) Option { return func(p *Pool) { p.relays = d } }
+
 // WithEvents sets the log of events.
 func WithEvents(l *event.Log) Option { return func(p *Pool) { p.events = l } }
 
 // New returns a pool without targets.
-func New(d jacinthtiller.TargetDialer, opts ...Option) *Pool {
-	p := &Pool{dialer: d, targets: map[targetKey]*Target{}, group: conc.NewWaitGroup(), metrics: newMetrics()}
+func New(d jacinthtiller.TargetDialer, dialect jacinthtiller.Dialect, opts ...Option) *Pool {
+	p := &Pool{dialer: d, dialect: dialect, targets: map[targetKey]*Target{}, group: conc.NewWaitGroup(), metrics: newMetrics()}
 	for _, o := range opts {
 		o(p)
 	}
@@ -88,22 +99,14 @@
 func (p *Pool) Apply(v jacinthtiller.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	hosts := 0
-	for _, h := range v.Hosts {
-		if !h.Gone {
-			hosts++
-		}
-	}
 	seen := map[targetKey]bool{}
 	for _, d := range v.Databases {
 		if !d.Direct {
 			continue
 		}
-		connections := defaultConnections
-		if v.Edition != nil {
-			if g, ok := v.Edition.Groups[d.Name]; ok && g.Connections > 0 {
-				connections = g.Connections
-			}
+		connections := v.Connections(d.Name)
+		if connections <= 0 {
+			connections = defaultConnections
 		}
 		for _, spec := range d.Targets {
 			k := targetKey{d.Name, spec.Name, spec.Address, spec.BornMilliseconds}
@@ -113,7 +116,7 @@
 				t = p.newTarget(spec)
 				p.targets[k] = t
 			}
-			t.follow(spec, connections, max(1, hosts))
+			t.follow(spec, connections, v.Gateways(spec, connections))
 		}
 	}
 	for k, t := range p.targets {
@@ -124,6 +127,20 @@
 	}
 }
 
+// FindNamed returns the youngest incarnation of a target that the pool has; nil when it has none.
+func (p *Pool) FindNamed(database, name string) *Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out *Target
+	var born int64
+	for k, t := range p.targets {
+		if k.database == database && k.name == name && (out == nil || k.born > born) {
+			out, born = t, k.born
+		}
+	}
+	return out
+}
+
 // Find returns the target as the view names it; nil when the pool has not applied that view.
 func (p *Pool) Find(spec jacinthtiller.Target) *Target {
 	p.mu.Lock()
@@ -172,20 +189,7 @@
 
 // dial opens a connection before the deadline.
 func (p *Pool) dial(spec jacinthtiller.Target, deadline time.Time) (jacinthtiller.TargetConn, error) {
-	limit := time.Now().Add(dialLimit)
-	if deadline.Before(limit) {
-		limit = deadline
-	}
-	ctx, cancel := context.WithDeadline(p.ctx, limit)
+	ctx, cancel := context.WithDeadline(p.ctx, earlier(deadline, time.Now().Add(dialLimit)))
 	defer cancel()
 	return p.dialer.Dial(ctx, spec)
 }
-
-// isRefusal returns the target's refusal in the chain of err, or nil.
-func isRefusal(err error) *jacinthtiller.FailError {
-	var f *jacinthtiller.FailError
-	if errors.As(err, &f) {
-		return f
-	}
-	return nil
-}
--- a/pool/target.go
+++ b/pool/target.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -9,52 +8,55 @@
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/admission"
-	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
 const (
 	// fullPause is how long a target that had no free connection is not asked for one.
 	fullPause = 40 * time.Millisecond
-	// firstPause and longestPause bound how long a target that could not be reached is passed over; the pause doubles.
-	firstPause   = 100 * time.Millisecond
-	longestPause = time.Second
 	// shedPause is how long a target that shed work is passed over by reads that have another choice.
 	shedPause = 50 * time.Millisecond
-	// inFlightFactor is how many times a target's slots the hosts together may keep in flight: more only moves the
+	// behindPause is how long a target that lacked a position is passed over by reads that want as much or more.
+	behindPause = 100 * time.Millisecond
+	// inFlightFactor is how many times a target's slots its gateways together may keep in flight: more only moves the
 	// queue from the hosts, which order it, to the target, which does not.
 	inFlightFactor = 3
-	// leastInFlight lets one host use a target whose slots are fewer than the hosts.
+	// leastInFlight lets one host use a target whose slots are fewer than its gateways.
 	leastInFlight = 2
 	// latencyWeight is the weight of a new measurement in the smoothed latency, in percent.
 	latencyWeight = 20
-	// statementsKept bounds the prepared statements of one connection, after which it is reset.
-	statementsKept = 200
+	// waysKept bounds the hosts through which a target is tried.
+	waysKept = 4
 )
 
 // Target is one incarnation of a target as this host sees it. It is safe for concurrent use.
 type Target struct {
 	p    *Pool
 	gate *admission.Gate
+	// own is the way of this host's own connections.
+	own *way
 
 	mu   sync.Mutex // guards the fields below
 	spec jacinthtiller.Target
+	// direct is true when this host is a gateway of the target.
+	direct bool
+	// ways lead through other hosts, the preferred one first: to gateways, or, when this host is one itself, to other
+	// gateways that are used while it cannot reach the target.
+	ways []*way
 	// fair is how many connections the host may keep idle.
 	fair int
 	// open counts connections, those being opened included.
 	open int
 	// idle holds connections that no work uses, the one used last at the end.
-	idle []*Conn
+	idle []*conn
 	// coldUntil is when the target is warm.
 	coldUntil time.Time
-	// failures counts failed attempts in a row to reach the target, and retryAt is when it may be tried again.
-	failures int
-	retryAt  time.Time
-	// failingSince is the time of the first of the failures; zero when the last attempt succeeded.
-	failingSince time.Time
 	// fullUntil is when the target may be asked for another connection.
 	fullUntil time.Time
 	// shedUntil is until when reads prefer other targets because this one shed work.
 	shedUntil time.Time
+	// lacked is the lowest position that the target was found to lack, and lackedUntil until when that counts.
+	lacked      jacinthtiller.Position
+	lackedUntil time.Time
 	// latency is the smoothed time of one statement in microseconds; 0 before the first.
 	latency int64
 	// running counts statements in flight from this host.
@@ -62,13 +64,11 @@
 	// seen is the newest log position that the target reported.
 	seen    jacinthtiller.Position
 	retired bool
-	// probing is true while somebody tries the target on a connection of its own.
-	probing bool
 }
 
 func (p *Pool) newTarget(spec jacinthtiller.Target) *Target {
 	t := &Target{
-		p: p, spec: spec,
+		p: p, spec: spec, own: &way{},
 		gate: admission.NewGate(admission.WithCapacity(queueCapacity), admission.WithLog(p.events, spec.Name)),
 	}
 	if spec.ColdMilliseconds > 0 {
@@ -77,18 +77,45 @@
 	return t
 }
 
-// follow takes over what the view says.
-func (t *Target) follow(spec jacinthtiller.Target, connections, hosts int) {
+// follow takes over what the view says. Gateways are those of the target, and hosts all that may relay.
+func (t *Target) follow(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host) {
 	slots := spec.Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
+	n := max(1, len(gateways))
+	direct := len(gateways) == 0 || slices.ContainsFunc(gateways, func(h jacinthtiller.Host) bool { return h.Name == t.p.host })
 	t.mu.Lock()
-	t.spec = spec
-	t.fair = max(1, connections*fairPercent/100/hosts)
+	t.spec, t.direct = spec, direct
+	t.fair = jacinthtiller.ShareOf(connections, n)
 	most := max(t.fair, connections*greedyPercent/100)
+	t.ways = t.waysTo(gateways)
 	t.mu.Unlock()
-	t.gate.SetCapacity(max(leastInFlight, (inFlightFactor*slots+hosts-1)/hosts), most)
+	t.gate.SetCapacity(max(leastInFlight, (inFlightFactor*slots+n-1)/n), most)
+}
+
+// waysTo returns the ways through the gateways, those that are known already with what is known of them. Each host
+// begins at another gateway. t.mu is held.
+func (t *Target) waysTo(gateways []jacinthtiller.Host) []*way {
+	var out []*way
+	start := 0
+	if len(gateways) > 0 {
+		start = int(t.p.salt % uint64(len(gateways)))
+	}
+	for i := range gateways {
+		h := gateways[(start+i)%len(gateways)]
+		if h.Name == t.p.host || h.Link == "" || len(out) == waysKept {
+			continue
+		}
+		w := &way{host: h.Name, address: h.Link}
+		for _, old := range t.ways {
+			if old.host == h.Name && old.address == h.Link {
+				w = old
+			}
+		}
+		out = append(out, w)
+	}
+	return out
 }
 
 // Spec returns the target as the view names it.
@@ -104,18 +131,22 @@
 	t.retired = true
 	idle := t.idle
 	t.idle = nil
+	ways := t.ways
 	t.mu.Unlock()
 	for _, c := range idle {
 		t.close(c, "target left the view")
 	}
+	for _, w := range ways {
+		w.closeIdle(time.Time{})
+	}
 	t.gate.Close()
 }
 
 // sweep closes connections that are idle for too long.
 func (t *Target) sweep(now time.Time) {
 	t.mu.Lock()
-	var old []*Conn
-	t.idle = slices.DeleteFunc(t.idle, func(c *Conn) bool {
+	var old []*conn
+	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
 		idle := now.Sub(c.idleSince)
 		surplus := t.open-len(old) > t.fair && idle > surplusIdle
 		if surplus || idle > keepIdle {
@@ -124,220 +155,115 @@
 		}
 		return false
 	})
+	ways := t.ways
 	t.mu.Unlock()
 	for _, c := range old {
 		t.close(c, "idle")
 	}
+	for _, w := range ways {
+		w.closeIdle(now.Add(-keepIdle))
+	}
 }
 
-func (t *Target) close(c *Conn, reason string) {
-	_ = c.conn.Close() // the connection is of no use whatever the result
+func (t *Target) close(c *conn, reason string) {
+	_ = c.tc.Close() // the connection is of no use whatever the result
 	t.mu.Lock()
 	t.open--
 	t.mu.Unlock()
 	t.p.metrics.closed(reason)
 }
 
-// Work is what is to run on a target.
-type Work struct {
-	// Route and Guest are for a fair share among those who wait.
-	Route, Guest string
-	// Opens is true when the work keeps its connection, as a transaction does.
-	Opens bool
-	// Deadline is when the caller gives up.
-	Deadline time.Time
-}
-
-// Conn is a connection in use. It is used by one goroutine at a time.
-type Conn struct {
-	t     *Target
-	conn  jacinthtiller.TargetConn
-	grant *admission.Grant
-	// values and statements are what the target holds for this connection.
-	values     map[string]string
-	statements map[string]bool
-	// dirty is true when values or statements are not certain, so that a reset must come first.
-	dirty     bool
-	idleSince time.Time
-	sentAt    time.Time
-	// reused is true when the connection was idle before this use.
-	reused bool
-}
-
-// ErrNoTarget means that no connection to the target can be had now; nothing ran.
-type ErrNoTarget struct {
-	Target string
-	Cause  error
-}
-
-// Error names the target and the cause.
-func (e *ErrNoTarget) Error() string {
-	return fmt.Sprintf("no connection to %s: %v", e.Target, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ErrNoTarget) Unwrap() error { return e.Cause }
-
-// Get waits for the target to have room and returns a connection. The first statement on it may run at once; Done
-// ends it. Errors prove that nothing ran.
-func (t *Target) Get(w Work) (*Conn, error) {
-	g, err := t.gate.Acquire(context.Background(), admission.Request{
-		Team: w.Route, Guest: w.Guest, Opens: w.Opens, Deadline: w.Deadline,
-	})
-	if err != nil {
-		return nil, &ErrNoTarget{Target: t.spec.Name, Cause: err}
-	}
-	c, err := t.connect(w.Deadline)
-	if err != nil {
-		g.Done(false)
-		return nil, &ErrNoTarget{Target: t.spec.Name, Cause: err}
-	}
-	c.grant = g
+// pick returns the way to use now: the host's own, or the first through another host that works.
+func (t *Target) pick(now time.Time) *way {
 	t.mu.Lock()
-	t.running++
-	t.mu.Unlock()
-	return c, nil
-}
-
-// connect returns an idle connection or opens one.
-func (t *Target) connect(deadline time.Time) (*Conn, error) {
-	for {
-		t.mu.Lock()
-		n := len(t.idle)
-		if n == 0 {
-			break
-		}
-		c := t.idle[n-1]
-		t.idle = t.idle[:n-1]
-		t.mu.Unlock()
-		if time.Since(c.idleSince) > hangUpAge && c.conn.Stale() {
-			t.close(c, "closed by target")
-			continue
-		}
-		c.reused = true
-		return c, nil
+	defer t.mu.Unlock()
+	if t.retired {
+		return nil
 	}
-	now := time.Now()
-	if t.retired || now.Before(t.fullUntil) {
-		t.mu.Unlock()
-		return nil, &jacinthtiller.FailError{Code: jacinthtiller.FailConnections, Text: "no free connection a moment ago"}
+	if t.direct && t.own.usable(now) {
+		return t.own
 	}
-	t.open++
-	spec := t.spec
-	t.mu.Unlock()
-	conn, err := t.p.dial(spec, deadline)
-	if err != nil {
-		t.mu.Lock()
-		t.open--
-		t.mu.Unlock()
-		t.dialFailed(err)
-		return nil, err
+	if t.p.relays == nil {
+		return nil
 	}
-	t.p.metrics.opened()
-	t.reached()
-	return &Conn{t: t, conn: conn, values: map[string]string{}, statements: map[string]bool{}}, nil
-}
-
-// dialFailed notes why a connection could not be opened.
-func (t *Target) dialFailed(err error) {
-	if f := isRefusal(err); f != nil && f.Code != jacinthtiller.FailWrongTarget {
-		t.mu.Lock()
-		t.fullUntil = time.Now().Add(fullPause)
-		t.mu.Unlock()
-		t.reached()
-		return
+	for _, w := range t.ways {
+		if w.usable(now) {
+			return w
+		}
 	}
-	t.Unreached(err)
+	return nil
 }
 
-// reached notes that the target answered.
-func (t *Target) reached() {
-	t.mu.Lock()
-	failed := t.failures > 0
-	t.failures, t.retryAt, t.failingSince = 0, time.Time{}, time.Time{}
-	t.mu.Unlock()
-	if failed {
-		t.p.events.Emit(event.TargetRegained, event.Fields{"database": t.spec.Database, "target": t.spec.Name})
-	}
-}
+// Usable reports whether the target may be tried now.
+func (t *Target) Usable(now time.Time) bool { return t.pick(now) != nil }
 
-// Unreached notes that the target could not be reached or did not answer.
-func (t *Target) Unreached(cause error) {
-	now := time.Now()
+// Direct reports whether this host connects to the target itself.
+func (t *Target) Direct() bool {
 	t.mu.Lock()
-	if t.failures == 0 {
-		t.failingSince = now
-	}
-	first := t.failures == 0
-	t.failures++
-	pause := min(longestPause, firstPause<<min(t.failures-1, 5))
-	t.retryAt = now.Add(pause)
-	t.mu.Unlock()
-	if first {
-		t.p.events.Emit(event.TargetUnreached, event.Fields{
-			"database": t.spec.Database, "target": t.spec.Name, "error": cause.Error(),
-		})
-	}
+	defer t.mu.Unlock()
+	return t.direct
 }
 
-// FailingSince returns since when the target has not been reached; zero when it was reached last time.
+// FailingSince returns since when this host's own connections to the target fail; zero while they work, and for a host
+// that has none.
 func (t *Target) FailingSince() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.failingSince
+	if !t.Direct() {
+		return time.Time{}
+	}
+	return t.own.failing()
 }
 
-// Usable reports whether the target may be tried now.
-func (t *Target) Usable(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.retired && !now.Before(t.retryAt)
-}
+// Probe tries to connect to the target and reports whether it answered.
+func (t *Target) Probe() bool { return t.probe(t.own) }
 
-// Shed notes that the target refused work because it had too much.
-func (t *Target) Shed() {
+// refused notes why the target or its gate refused work.
+func (t *Target) refused(code jacinthtiller.FailCode, after jacinthtiller.Position) {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.shedUntil = time.Now().Add(shedPause)
+	switch code {
+	case jacinthtiller.FailBusy, jacinthtiller.FailConnections:
+		t.shedUntil = now.Add(shedPause)
+	case jacinthtiller.FailBehind:
+		if now.After(t.lackedUntil) || after.Compare(t.lacked) < 0 {
+			t.lacked = after
+		}
+		t.lackedUntil = now.Add(behindPause)
+	}
 }
 
-// Seen returns the newest log position that the target reported.
-func (t *Target) Seen() jacinthtiller.Position {
+// answered takes note of an answer.
+func (t *Target) answered(r jacinthtiller.Reply, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.seen
-}
-
-// Probe opens a connection to the target, keeps it for later work, and reports whether the target answered.
-func (t *Target) Probe() bool {
-	c, err := t.connect(time.Now().Add(dialLimit))
-	if err != nil {
-		return isRefusal(err) != nil && isRefusal(err).Code != jacinthtiller.FailWrongTarget
+	if r.Position.Compare(t.seen) > 0 {
+		t.seen = r.Position
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.retired {
-		_ = c.conn.Close()
-		t.open--
-		return true
+	if r.Fail != "" {
+		return
+	}
+	us := took.Microseconds()
+	if t.latency == 0 {
+		t.latency = us
+		return
 	}
-	c.idleSince = time.Now()
-	t.idle = append(t.idle, c)
-	return true
+	t.latency += (us - t.latency) * latencyWeight / 100
 }
 
-// BeginProbe reports whether the caller may probe the target; EndProbe follows.
-func (t *Target) BeginProbe() bool {
+func (t *Target) begun(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	begun := !t.probing
-	t.probing = true
-	return begun
+	t.running += n
 }
 
-// EndProbe follows BeginProbe.
-func (t *Target) EndProbe() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.probing = false
+// NoTargetError means that the target cannot be had now. Nothing ran.
+type NoTargetError struct {
+	Target string
+	Cause  error
 }
+
+// Error names the target and the cause.
+func (e *NoTargetError) Error() string { return fmt.Sprintf("no way to %s: %v", e.Target, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NoTargetError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/pool/way.go
@@ -0,0 +1,217 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+const (
+	// firstPause and longestPause bound how long a way that failed is passed over; the pause doubles.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+	// relaysKept bounds the idle paths through one host to one target.
+	relaysKept = 8
+)
+
+// way is how a target is reached: by this host's own connections, or through another host. It is safe for concurrent use.
+type way struct {
+	// host and address are empty for the host's own connections.
+	host, address string
+
+	mu sync.Mutex // guards the fields below
+	// failures counts failed attempts in a row, and retryAt is when the way may be tried again.
+	failures int
+	retryAt  time.Time
+	// failingSince is the time of the first of the failures; zero when the last attempt succeeded.
+	failingSince time.Time
+	// probing is true while somebody tries the way on a connection of its own.
+	probing bool
+	// idle holds paths through the host that no work uses, with the time of their last use.
+	idle []idlePath
+}
+
+type idlePath struct {
+	conn  jacinthtiller.RelayConn
+	since time.Time
+}
+
+func (w *way) usable(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !now.Before(w.retryAt)
+}
+
+func (w *way) failing() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failingSince
+}
+
+// worked notes that the way led to the target and reports whether it had failed before.
+func (w *way) worked() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	failed := w.failures > 0
+	w.failures, w.retryAt, w.failingSince = 0, time.Time{}, time.Time{}
+	return failed
+}
+
+// failed notes that the way did not lead to the target and reports whether it did before.
+func (w *way) failed(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	first := w.failures == 0
+	if first {
+		w.failingSince = now
+	}
+	w.failures++
+	w.retryAt = now.Add(min(longestPause, firstPause<<min(w.failures-1, 5)))
+	return first
+}
+
+// begin reports whether the caller may probe the way; end follows.
+func (w *way) begin() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	begun := !w.probing
+	w.probing = true
+	return begun
+}
+
+func (w *way) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.probing = false
+}
+
+// take returns an idle path; nil when there is none.
+func (w *way) take() jacinthtiller.RelayConn {
+	for {
+		w.mu.Lock()
+		n := len(w.idle)
+		if n == 0 {
+			w.mu.Unlock()
+			return nil
+		}
+		p := w.idle[n-1]
+		w.idle = w.idle[:n-1]
+		w.mu.Unlock()
+		if time.Since(p.since) > hangUpAge && p.conn.Stale() {
+			_ = p.conn.Close()
+			continue
+		}
+		return p.conn
+	}
+}
+
+// put keeps a path for other work.
+func (w *way) put(c jacinthtiller.RelayConn) {
+	w.mu.Lock()
+	keep := len(w.idle) < relaysKept
+	if keep {
+		w.idle = append(w.idle, idlePath{conn: c, since: time.Now()})
+	}
+	w.mu.Unlock()
+	if !keep {
+		_ = c.Close()
+	}
+}
+
+// closeIdle closes the paths that were used last before the time; all of them for the zero time.
+func (w *way) closeIdle(before time.Time) {
+	w.mu.Lock()
+	var keep, old []idlePath
+	for _, p := range w.idle {
+		if before.IsZero() || p.since.Before(before) {
+			old = append(old, p)
+		} else {
+			keep = append(keep, p)
+		}
+	}
+	w.idle = keep
+	w.mu.Unlock()
+	for _, p := range old {
+		_ = p.conn.Close()
+	}
+}
+
+// reached notes that a way led to the target.
+func (t *Target) reached(w *way) {
+	if w.worked() {
+		t.p.events.Emit(event.TargetRegained, event.Fields{"database": t.spec.Database, "target": t.spec.Name, "through": w.host})
+	}
+}
+
+// unreached notes that a way did not lead to the target.
+func (t *Target) unreached(w *way, cause error) {
+	if w.failed(time.Now()) {
+		t.p.events.Emit(event.TargetUnreached, event.Fields{
+			"database": t.spec.Database, "target": t.spec.Name, "through": w.host, "error": cause.Error(),
+		})
+	}
+}
+
+// suspect tries a way on another connection, unless that is being done already.
+func (t *Target) suspect(w *way) {
+	if !w.begin() {
+		return
+	}
+	t.p.group.Go(func() {
+		defer w.end()
+		t.probe(w)
+	})
+}
+
+// probe opens a connection or a path, keeps it for later work, and reports whether the other end answered.
+func (t *Target) probe(w *way) bool {
+	deadline := time.Now().Add(dialLimit)
+	if w != t.own {
+		c, err := t.dialRelay(w, deadline)
+		if err != nil {
+			return false
+		}
+		w.put(c)
+		return true
+	}
+	c, err := t.connect(deadline)
+	if err != nil {
+		f := isRefusal(err)
+		return f != nil && f.Code != jacinthtiller.FailWrongTarget
+	}
+	t.keep(c)
+	return true
+}
+
+// dialRelay opens a path through another host.
+func (t *Target) dialRelay(w *way, deadline time.Time) (jacinthtiller.RelayConn, error) {
+	ctx, cancel := context.WithDeadline(t.p.ctx, earlier(deadline, time.Now().Add(dialLimit)))
+	defer cancel()
+	c, err := t.p.relays.DialRelay(ctx, w.address, t.Spec())
+	if err != nil {
+		t.unreached(w, err)
+		return nil, err
+	}
+	t.reached(w)
+	return c, nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// isRefusal returns the target's refusal in the chain of err, or nil.
+func isRefusal(err error) *jacinthtiller.FailError {
+	var f *jacinthtiller.FailError
+	if errors.As(err, &f) {
+		return f
+	}
+	return nil
+}
--- /dev/null
+++ b/relay/frame.go
@@ -0,0 +1,172 @@
+// Package relay carries errands of guests between hosts: a host that has no
+// connections of its own to a target sends them through one that has.
+//
+// A frame is a length of four bytes and a payload in CBOR. A path leads to one
+// target, which its first frame names. Errands and answers alternate on it. The
+// relaying host keeps its connection to the target from the beginning of a
+// transaction to its end, and rolls it back when the path closes.
+package relay
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+const (
+	headBytes = 4
+	// maxFrameBytes bounds a frame: a message of a guest or an answer of a target, of a megabyte each, with what goes along.
+	maxFrameBytes = 16 << 20
+	// bufferBytes holds a few usual frames.
+	bufferBytes = 2 << 10
+)
+
+// hello is the first frame of a path.
+type hello struct {
+	_        struct{} `cbor:",toarray"`
+	Database string
+	Target   string
+}
+
+// helloAnswer answers a hello; an empty fault means that errands may follow.
+type helloAnswer struct {
+	_     struct{} `cbor:",toarray"`
+	Fault string
+}
+
+// The flags of an errand.
+const (
+	flagOpens      = 1 << iota // the order begins a transaction
+	flagRepeatable             // the answer may be given up early
+)
+
+// errand is an errand on its way. Its deadline crosses as the time that remains, since clocks of hosts are not compared.
+type errand struct {
+	_                   struct{} `cbor:",toarray"`
+	Flags               uint8
+	RemainingMillis     uint32
+	Route, Guest        string
+	ID, Text            string
+	AfterTerm, AfterIdx uint64
+	Values              map[string]string
+	Statement           *jacinthtiller.PreparedStatement
+}
+
+// The outcomes of an errand.
+const (
+	outcomeReply     = iota // the target answered
+	outcomeNotSent          // the order did not reach the target or was not admitted to it
+	outcomeUnreached        // the same, because the target could not be reached
+	outcomeBroken           // the order was sent and no answer came
+)
+
+// answer is the outcome of an errand.
+type answer struct {
+	_          struct{} `cbor:",toarray"`
+	Outcome    uint8
+	State      uint8
+	Term, Idx  uint64
+	Fail, Text string
+	Body       []byte
+}
+
+func encodeErrand(e jacinthtiller.Errand, now time.Time) errand {
+	out := errand{
+		Route: e.Route, Guest: e.Guest, ID: e.ID, Text: e.Text, AfterTerm: e.After.Term, AfterIdx: e.After.Index,
+		Values: e.Values, Statement: e.Statement, RemainingMillis: uint32(max(1, e.Deadline.Sub(now).Milliseconds())),
+	}
+	if e.Opens {
+		out.Flags |= flagOpens
+	}
+	if e.Repeatable {
+		out.Flags |= flagRepeatable
+	}
+	return out
+}
+
+func (e errand) decode(now time.Time) jacinthtiller.Errand {
+	return jacinthtiller.Errand{
+		Order: jacinthtiller.Order{
+			ID: e.ID, Text: e.Text, After: jacinthtiller.Position{Term: e.AfterTerm, Index: e.AfterIdx},
+		},
+		Values: e.Values, Statement: e.Statement, Route: e.Route, Guest: e.Guest,
+		Opens: e.Flags&flagOpens != 0, Repeatable: e.Flags&flagRepeatable != 0,
+		Deadline: now.Add(time.Duration(e.RemainingMillis) * time.Millisecond),
+	}
+}
+
+// framer reads and writes frames. After a timeout a read goes on where it stopped.
+type framer struct {
+	nc         net.Conn
+	buf        []byte
+	start, end int
+	out        []byte
+}
+
+func newFramer(nc net.Conn) *framer { return &framer{nc: nc, buf: make([]byte, bufferBytes)} }
+
+// read decodes the next frame into v, which must not keep parts of it.
+func (f *framer) read(v any) error {
+	for {
+		if have := f.end - f.start; have >= headBytes {
+			n := int(binary.BigEndian.Uint32(f.buf[f.start:])) + headBytes
+			if n > maxFrameBytes {
+				return fmt.Errorf("frame of %d bytes is longer than %d", n, maxFrameBytes)
+			}
+			if have >= n {
+				p := f.buf[f.start+headBytes : f.start+n]
+				f.start += n
+				if err := cbor.Unmarshal(p, v); err != nil {
+					return fmt.Errorf("decode %T: %w", v, err)
+				}
+				return nil
+			}
+			f.reserve(n)
+		} else {
+			f.reserve(headBytes)
+		}
+		n, err := f.nc.Read(f.buf[f.end:])
+		f.end += n
+		if n == 0 && err != nil {
+			return fmt.Errorf("read frame: %w", err)
+		}
+	}
+}
+
+// reserve makes room for a frame of n bytes that begins at start.
+func (f *framer) reserve(n int) {
+	if f.start == f.end {
+		f.start, f.end = 0, 0
+	}
+	if f.start+n <= len(f.buf) && f.end < len(f.buf) {
+		return
+	}
+	b := f.buf
+	if size := max(n, bufferBytes); size > len(b) || size <= bufferBytes && len(b) > bufferBytes {
+		b = make([]byte, size)
+	}
+	f.end = copy(b, f.buf[f.start:f.end])
+	f.start, f.buf = 0, b
+}
+
+// partial reports whether a part of a frame has arrived.
+func (f *framer) partial() bool { return f.end > f.start }
+
+// write sends one frame in one write.
+func (f *framer) write(deadline time.Time, v any) error {
+	p, err := cbor.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode %T: %w", v, err)
+	}
+	f.out = append(binary.BigEndian.AppendUint32(f.out[:0], uint32(len(p))), p...)
+	_ = f.nc.SetWriteDeadline(deadline)
+	if _, err := f.nc.Write(f.out); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/pool"
+)
+
+const (
+	// greetingLimit is how long another host may take to name its target.
+	greetingLimit = 5 * time.Second
+	// answerLimit is how long another host may take to accept an answer.
+	answerLimit = 5 * time.Second
+	// restLimit is how long an open transaction may rest before it is rolled back, in case the other host is gone
+	// without a trace. Hosts roll back their guests' transactions earlier.
+	restLimit = 15 * time.Second
+	// acceptPause is the wait after a connection could not be accepted.
+	acceptPause = 50 * time.Millisecond
+)
+
+// Server runs errands of other hosts on this host's own connections to targets.
+type Server struct {
+	pool     *pool.Pool
+	rollback string
+	events   *event.Log
+	group    conc.WaitGroup
+
+	mu sync.Mutex // guards the fields below
+	// paths are those that are open.
+	paths  map[net.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server that uses the pool. Rollback is the order that rolls a transaction back.
+func NewServer(p *pool.Pool, rollback string, events *event.Log) *Server {
+	return &Server{pool: p, rollback: rollback, events: events, paths: map[net.Conn]struct{}{}}
+}
+
+// Serve accepts paths until the listener closes.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.events.Emit(event.AcceptFailed, event.Fields{"error": err.Error()})
+			time.Sleep(acceptPause)
+			continue
+		}
+		if !s.enter(c) {
+			_ = c.Close()
+			continue
+		}
+		s.group.Go(func() {
+			defer s.leave(c)
+			s.serve(c)
+		})
+	}
+}
+
+func (s *Server) enter(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.paths[c] = struct{}{}
+	return true
+}
+
+func (s *Server) leave(c net.Conn) {
+	_ = c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.paths, c)
+}
+
+// Close closes all paths, which rolls back what is open on them.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.paths {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+// serve runs the errands of one path.
+func (s *Server) serve(nc net.Conn) {
+	tune(nc)
+	f := newFramer(nc)
+	_ = nc.SetReadDeadline(time.Now().Add(greetingLimit))
+	var h hello
+	if err := f.read(&h); err != nil {
+		return
+	}
+	var fault helloAnswer
+	if s.pool.FindNamed(h.Database, h.Target) == nil {
+		fault.Fault = "the host does not know the target " + h.Target
+	}
+	if err := f.write(time.Now().Add(answerLimit), fault); err != nil || fault.Fault != "" {
+		return
+	}
+	var trip *pool.Trip
+	defer func() {
+		if trip != nil {
+			trip.Clean(s.rollback)
+		}
+	}()
+	for {
+		var rest time.Time
+		if trip != nil {
+			rest = time.Now().Add(restLimit)
+		}
+		_ = nc.SetReadDeadline(rest)
+		var in errand
+		if err := f.read(&in); err != nil {
+			return
+		}
+		var a answer
+		trip, a = s.run(h, trip, in.decode(time.Now()))
+		if err := f.write(time.Now().Add(answerLimit), a); err != nil {
+			return
+		}
+	}
+}
+
+// run runs one errand, on the trip of the open transaction if there is one, and returns the trip if it stays open.
+func (s *Server) run(h hello, trip *pool.Trip, e jacinthtiller.Errand) (*pool.Trip, answer) {
+	if trip == nil {
+		t := s.pool.FindNamed(h.Database, h.Target)
+		if t == nil {
+			return nil, answer{Outcome: outcomeUnreached, Text: "the host does not know the target any more"}
+		}
+		var err error
+		if trip, err = t.OpenOwn(e); err != nil {
+			return nil, answer{Outcome: failedOpening(err), Text: err.Error()}
+		}
+	}
+	r, err := trip.Run(e)
+	var notSent *jacinthtiller.NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		trip.Drop("not sent")
+		return nil, answer{Outcome: outcomeNotSent, Text: err.Error()}
+	case err != nil:
+		trip.Drop("no answer")
+		return nil, answer{Outcome: outcomeBroken, Text: err.Error()}
+	}
+	a := answer{
+		Outcome: outcomeReply, State: r.State, Term: r.Position.Term, Idx: r.Position.Index,
+		Fail: string(r.Fail), Text: r.FailText, Body: r.Body,
+	}
+	switch {
+	case r.State != jacinthtiller.StateIdle:
+		return trip, a
+	case r.Fail == jacinthtiller.FailNoStatement || r.Fail == jacinthtiller.FailOther:
+		trip.Drop("unexpected state")
+	default:
+		trip.Put()
+	}
+	return nil, a
+}
+
+// failedOpening tells a target that could not be reached from one that refused.
+func failedOpening(err error) uint8 {
+	var f *jacinthtiller.FailError
+	var e *jacinthtiller.Error
+	if errors.As(err, &f) && f.Code != jacinthtiller.FailWrongTarget || errors.As(err, &e) {
+		return outcomeNotSent
+	}
+	return outcomeUnreached
+}
--- a/statement/read.go
+++ b/statement/read.go
@@ -1,7 +1,6 @@
 package statement
 
 import (
-	"errors"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -62,60 +61,25 @@
 func (n *session) readAt(p place, q *request) (r jacinthtiller.Reply, sent time.Time, err error) {
 	q.tries++
 	q.target = p.target.Spec().Name
-	c, err := p.target.Get(n.work1(q, false))
+	e := n.errand(q, p.after)
+	e.Repeatable = true
+	tr, err := p.target.Open(e)
 	if err != nil {
 		return r, sent, err
 	}
-	if err = n.align(c, q); err == nil {
-		sent = now()
-		r, err = n.s.exchange(c, jacinthtiller.Order{ID: q.ID, Text: q.text, After: p.after}, q.deadline, true)
-	}
-	c.Done()
-	if err != nil {
-		c.Drop("no answer")
+	q.through = tr.Through()
+	sent = now()
+	if r, err = tr.Run(e); err != nil {
+		if notRun(err) {
+			sent = time.Time{}
+		}
+		tr.Drop("no answer")
 		return r, sent, err
 	}
-	n.s.giveBack(c, r)
+	giveBack(tr, r)
 	return r, sent, nil
 }
 
-// work1 describes the request to the target's queue.
-func (n *session) work1(q *request, opens bool) pool.Work {
-	return pool.Work{Route: q.route.Name, Guest: n.guest, Opens: opens, Deadline: q.deadline}
-}
-
-// align makes the connection hold what the guest has set and the request needs.
-func (n *session) align(c *pool.Conn, q *request) error {
-	return c.Align(q.deadline, n.values, func(name, value string) string {
-		if name == "" {
-			return n.s.dialect.Reset()
-		}
-		return n.s.dialect.Set(name, value)
-	}, q.statement)
-}
-
-// giveBack puts a connection back whose work outside a transaction has been answered.
-func (s *Server) giveBack(c *pool.Conn, r jacinthtiller.Reply) {
-	switch {
-	case r.State != jacinthtiller.StateIdle, r.Fail == jacinthtiller.FailNoStatement, r.Fail == jacinthtiller.FailOther:
-		c.Drop("unexpected state")
-		return
-	case r.Fail == jacinthtiller.FailBusy:
-		c.Target().Shed()
-	}
-	c.Put()
-}
-
-// waitAgain waits a short time, or less when something changes, and reports whether there is time for another try.
-func (s *Server) waitAgain(changed <-chan struct{}, deadline time.Time) bool {
-	until := time.Now().Add(againPause)
-	if !until.Before(deadline) {
-		return false
-	}
-	s.wait(changed, until)
-	return time.Now().Add(shortestRest).Before(deadline)
-}
-
 // unserved answers a read that found no target in time.
 func (n *session) unserved(q *request, offered bool) error {
 	if offered {
@@ -143,13 +107,6 @@
 	return "no target can be reached"
 }
 
-// asNotSent reports whether err proves that the request did not run.
-func asNotSent(err error) bool {
-	var e *errNotSent
-	var t *pool.ErrNoTarget
-	return errors.As(err, &e) || errors.As(err, &t)
-}
-
 func (s *Server) retried(n *session, q *request) {
 	s.metrics.retried(q.route)
 	if s.events.Tracing() {
--- a/statement/session.go
+++ b/statement/session.go
@@ -9,7 +9,6 @@
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/event"
-	"github.com/jacinthtiller/jacinthtiller/pool"
 )
 
 // session is one guest's connection.
@@ -22,19 +21,13 @@
 	state byte
 	// values and prepared are what was acknowledged to the guest.
 	values   map[string]string
-	prepared map[string]prepared
+	prepared map[string]*jacinthtiller.PreparedStatement
 	// mark is the newest commit of this session.
 	mark jacinthtiller.Position
 	// tx is the open transaction; nil outside one.
 	tx *transaction
 }
 
-// prepared is a statement that the guest has prepared.
-type prepared struct {
-	access jacinthtiller.Access
-	at     pool.Statement
-}
-
 // serve runs the session to its end.
 func (n *session) serve() {
 	defer func() {
@@ -83,7 +76,7 @@
 
 // restEnd returns until when the guest may rest before its transaction is rolled back; zero for ever.
 func (n *session) restEnd() time.Time {
-	if n.tx == nil || n.tx.conn == nil {
+	if n.tx == nil || n.tx.trip == nil {
 		return time.Time{}
 	}
 	e := n.s.view.Load().Edition
@@ -148,7 +141,7 @@
 // share it between guests whose names collide.
 func (n *session) prepare(r jacinthtiller.GuestRequest) {
 	if n.prepared == nil {
-		n.prepared = map[string]prepared{}
+		n.prepared = map[string]*jacinthtiller.PreparedStatement{}
 	}
 	var sum [8]byte
 	h := xxhash.Sum64String(string(r.Access) + " " + r.Rest)
@@ -156,9 +149,7 @@
 		sum[i] = byte(h >> (8 * i))
 	}
 	name := "p" + hex.EncodeToString(sum[:])
-	n.prepared[r.Name] = prepared{
-		access: r.Access, at: pool.Statement{Name: name, Prepare: n.s.dialect.Prepare(name, r.Access, r.Rest)},
-	}
+	n.prepared[r.Name] = &jacinthtiller.PreparedStatement{Name: name, Access: r.Access, Shape: r.Rest}
 }
 
 // request is a guest's request on its way to a target.
@@ -168,14 +159,15 @@
 	text  string
 	write bool
 	// statement is the prepared statement that the request runs; nil when it runs none.
-	statement *pool.Statement
+	statement *jacinthtiller.PreparedStatement
 	arrived   time.Time
 	// deadline is the end of the route's time for one statement.
 	deadline time.Time
 	route    jacinthtiller.Route
 	tries    int
 	reason   string
-	target   string
+	// target is the one tried last, and through the host that relayed to it.
+	target, through string
 }
 
 // resolve finds out what a request does, under the route in force.
@@ -190,8 +182,8 @@
 		if !ok {
 			return q, false
 		}
-		q.write, q.statement = p.access == jacinthtiller.AccessWrite, &p.at
-		q.text = n.s.dialect.Execute(p.at.Name, r.Rest)
+		q.write, q.statement = p.Access == jacinthtiller.AccessWrite, p
+		q.text = n.s.dialect.Execute(p.Name, r.Rest)
 	}
 	return q, true
 }
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -16,8 +16,8 @@
 type transaction struct {
 	route    jacinthtiller.Route
 	readOnly bool
-	// conn is nil until the transaction is open at a target, and after it was rolled back.
-	conn  *pool.Conn
+	// trip is nil until the transaction is open at a target, and after it was rolled back.
+	trip  *pool.Trip
 	place place
 	// aborted says why the host has rolled the transaction back; empty otherwise.
 	aborted string
@@ -50,19 +50,19 @@
 	n.rollBack()
 }
 
-// rollBack frees the connection of the open transaction.
+// rollBack ends the trip of the open transaction.
 func (n *session) rollBack() {
-	if c := n.tx.conn; c != nil {
-		n.tx.conn = nil
-		c.Clean(n.s.dialect.Rollback())
+	if tr := n.tx.trip; tr != nil {
+		n.tx.trip = nil
+		tr.Clean(n.s.dialect.Rollback())
 	}
 }
 
-// drop closes the connection of the open transaction, which rolls it back. The statement on it has been ended.
+// drop ends the trip of the open transaction at once, which rolls it back.
 func (n *session) drop(reason string) {
-	if c := n.tx.conn; c != nil {
-		n.tx.conn = nil
-		c.Drop(reason)
+	if tr := n.tx.trip; tr != nil {
+		n.tx.trip = nil
+		tr.Drop(reason)
 	}
 }
 
@@ -118,26 +118,24 @@
 func (n *session) openAt(p place, q *request) error {
 	q.tries++
 	q.target = p.target.Spec().Name
-	c, err := p.target.Get(n.work1(q, true))
+	e := n.errand(q, p.after)
+	e.Order = jacinthtiller.Order{Text: n.s.dialect.Begin(n.tx.readOnly), After: p.after}
+	e.Opens, e.Repeatable = true, true
+	tr, err := p.target.Open(e)
 	if err != nil {
 		return err
 	}
-	var r jacinthtiller.Reply
-	if err = n.align(c, q); err == nil {
-		o := jacinthtiller.Order{Text: n.s.dialect.Begin(n.tx.readOnly), After: p.after}
-		r, err = n.s.exchange(c, o, q.deadline, true)
-	}
+	q.through = tr.Through()
+	r, err := tr.Run(e)
 	switch {
 	case err != nil:
-		c.Done()
-		c.Drop("transaction not begun")
+		tr.Drop("transaction not begun")
 		return err
 	case r.Fail != "":
-		c.Done()
-		n.s.giveBack(c, r)
+		giveBack(tr, r)
 		return &jacinthtiller.FailError{Code: r.Fail, Text: r.FailText}
 	}
-	n.tx.conn, n.tx.place = c, p
+	n.tx.trip, n.tx.place = tr, p
 	return nil
 }
 
@@ -147,12 +145,11 @@
 		if n.tx.aborted != "" {
 			return n.fail(q, jacinthtiller.FailAborted, "the transaction was rolled back: "+n.tx.aborted, 0)
 		}
-		opened := n.tx.conn == nil
-		if opened && !n.open(q) {
+		if n.tx.trip == nil && !n.open(q) {
 			n.tx.aborted = "it could not be begun"
 			return n.refuse(q)
 		}
-		r, sent, err := n.statement(q, opened)
+		r, sent, err := n.statement(q)
 		switch {
 		case err != nil && n.tx.answered == 0 && time.Now().Add(shortestRest).Before(q.deadline):
 			// Nothing of the transaction has been shown to the guest, and all of it was rolled back.
@@ -181,22 +178,13 @@
 	}
 }
 
-// statement runs one statement on the transaction's connection. After an error the transaction is rolled back.
-func (n *session) statement(q *request, first bool) (r jacinthtiller.Reply, sent time.Time, err error) {
-	c := n.tx.conn
-	q.target = c.Target().Spec().Name
-	if !first {
-		if err := c.Continue(q.deadline); err != nil {
-			n.rollBack()
-			return r, sent, err
-		}
-	}
-	if err = n.align(c, q); err == nil {
-		sent = now()
-		r, err = n.s.exchange(c, jacinthtiller.Order{ID: q.ID, Text: q.text}, q.deadline, true)
-	}
-	c.Done()
-	if err != nil {
+// statement runs one statement of the transaction. After an error the transaction is rolled back.
+func (n *session) statement(q *request) (r jacinthtiller.Reply, sent time.Time, err error) {
+	q.target, q.through = n.tx.trip.Target().Spec().Name, n.tx.trip.Through()
+	e := n.errand(q, jacinthtiller.Position{})
+	e.Repeatable = true
+	sent = now()
+	if r, err = n.tx.trip.Run(e); err != nil {
 		n.drop("no answer in a transaction")
 	}
 	return r, sent, err
@@ -209,17 +197,13 @@
 		tx := n.tx
 		n.tx, n.state = nil, jacinthtiller.StateIdle
 		err := n.conn.Done(n.state)
-		if tx.conn != nil {
-			tx.conn.Clean(n.s.dialect.Rollback())
+		if tx.trip != nil {
+			tx.trip.Clean(n.s.dialect.Rollback())
 		}
 		return err
 	}
-	if n.tx.aborted == "" && n.tx.conn == nil && !n.open(q) {
+	if n.tx.aborted == "" && n.tx.trip == nil && !n.open(q) {
 		n.tx.aborted = "it could not be begun"
-	} else if n.tx.aborted == "" && n.tx.answered > 0 {
-		if err := n.tx.conn.Continue(q.deadline); err != nil {
-			n.abort(err.Error())
-		}
 	}
 	tx := n.tx
 	n.tx, n.state = nil, jacinthtiller.StateIdle
@@ -231,26 +215,25 @@
 
 // commit passes the guest's COMMIT on. Once it was sent, only the target's own answer says what became of it.
 func (n *session) commit(q *request, tx *transaction) error {
-	c := tx.conn
-	q.target = c.Target().Spec().Name
+	q.target, q.through = tx.trip.Target().Spec().Name, tx.trip.Through()
 	if tx.place.lead != nil && !tx.readOnly {
 		if yes, _ := n.s.holds(*tx.place.lead); !yes && !n.s.confirm(*tx.place.lead, q.deadline) {
-			c.Done()
-			c.Clean(n.s.dialect.Rollback())
+			tx.trip.Clean(n.s.dialect.Rollback())
 			return n.fail(q, jacinthtiller.FailAborted, "the transaction was rolled back: "+errReplaced.Error(), n.s.comeBack(q))
 		}
 	}
+	e := n.errand(q, jacinthtiller.Position{})
+	e.Repeatable = tx.readOnly
 	sent := now()
-	r, err := n.s.exchange(c, jacinthtiller.Order{ID: q.ID, Text: q.text}, q.deadline, tx.readOnly)
-	c.Done()
+	r, err := tx.trip.Run(e)
 	if err != nil {
-		c.Drop("no answer to a commit")
-		if asNotSent(err) || tx.readOnly {
+		tx.trip.Drop("no answer to a commit")
+		if notRun(err) || tx.readOnly {
 			return n.fail(q, jacinthtiller.FailAborted, "the transaction was rolled back: "+err.Error(), n.s.comeBack(q))
 		}
 		return n.fail(q, jacinthtiller.FailUnknown, "the primary did not answer to the commit: "+err.Error(), 0)
 	}
-	n.s.giveBack(c, r)
+	giveBack(tx.trip, r)
 	if r.Fail != "" {
 		return n.pass(q, r, jacinthtiller.StateIdle)
 	}
--- a/statement/write.go
+++ b/statement/write.go
@@ -26,7 +26,7 @@
 			return n.pass(q, r, jacinthtiller.StateIdle)
 		case err == nil:
 			q.reason = string(r.Fail) + " " + r.FailText
-		case !sent.IsZero() && !asNotSent(err):
+		case !sent.IsZero() && !notRun(err):
 			return n.fail(q, jacinthtiller.FailUnknown, "the primary did not answer: "+err.Error(), 0)
 		default:
 			q.reason = err.Error()
@@ -42,24 +42,21 @@
 func (n *session) writeAt(l lead, q *request) (r jacinthtiller.Reply, sent time.Time, err error) {
 	q.tries++
 	q.target = l.spec.Name
-	c, err := l.target.Get(n.work1(q, false))
+	e := n.errand(q, jacinthtiller.Position{})
+	tr, err := l.target.Open(e)
 	if err != nil {
 		return r, sent, err
 	}
-	if err = n.align(c, q); err == nil {
-		if yes, _ := n.s.holds(l); !yes {
-			c.Done()
-			c.Put()
-			return r, sent, &errNotSent{cause: errReplaced}
-		}
-		sent = now()
-		r, err = n.s.exchange(c, jacinthtiller.Order{ID: q.ID, Text: q.text}, q.deadline, false)
+	q.through = tr.Through()
+	if yes, _ := n.s.holds(l); !yes {
+		tr.Drop("primary replaced")
+		return r, sent, &jacinthtiller.NotSentError{Cause: errReplaced}
 	}
-	c.Done()
-	if err != nil {
-		c.Drop("no answer")
+	sent = now()
+	if r, err = tr.Run(e); err != nil {
+		tr.Drop("no answer")
 		return r, sent, err
 	}
-	n.s.giveBack(c, r)
+	giveBack(tr, r)
 	return r, sent, nil
 }
