quorum, control: leases are granted on the last heartbeat round, without a round of their own

Change: the leader knows when the newest round began that a majority has acknowledged; within 240 ms of it no other member can be elected, because members withhold their votes for 300 ms after a heartbeat, and now also after a start. Times are those of package clock. Break tried: without the quiet time after a start TestVoteAfterRestart fails; the simulation also checks that nobody is elected early.

--- a/control/direct.go
+++ b/control/direct.go
@@ -489,7 +489,7 @@
 // order gives the order to promote, right after the leadership was confirmed.
 func (s *Server) order(ctx context.Context, p *succession, d jacinthtiller.Database, target string) error {
 	if since, leads := s.node.LeaderSince(); leads {
-		s.pause(time.Until(since.Add(promoteGrace)))
+		s.pause(clock.Until(since.Add(promoteGrace)))
 	}
 	o := jacinthtiller.PromoteOrder{Database: d.Name, Target: target, Holder: s.holder, Token: p.term}
 	for ctx.Err() == nil {
--- a/control/handler.go
+++ b/control/handler.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/document"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/quorum"
@@ -27,6 +28,10 @@
 	heartbeatEvery = time.Second
 	// isolatedAfter is how long a process without a leader goes on serving watches.
 	isolatedAfter = 2 * time.Second
+	// freshConfirmation is how old a confirmation of the leadership may be for a lease to be granted on it without
+	// another round. No other process can have been elected within quorum.ElectionFree after it; the rest is for the
+	// rates of clocks.
+	freshConfirmation = quorum.ElectionFree * 4 / 5
 	// maxWait bounds the waits that operators may ask for.
 	maxWait = 30 * time.Second
 )
@@ -153,7 +158,10 @@
 }
 
 func (s *Server) renew(ctx context.Context, r *connect.Request[jacinthtiller.RenewRequest]) (*connect.Response[jacinthtiller.RenewResponse], error) {
-	l, err := s.confirmed(ctx)
+	l, err := s.leading()
+	if err == nil && clock.Now().Sub(s.node.ConfirmedAt()) > freshConfirmation {
+		l, err = s.confirmed(ctx)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -44,6 +44,7 @@
 	AddMember(ctx context.Context, name string) error
 	PromoteMember(ctx context.Context, name string) error
 	LeaderSince() (time.Time, bool)
+	ConfirmedAt() time.Time
 	RemoveMember(ctx context.Context, name string) error
 	TransferLeadership(ctx context.Context) error
 	Receive(m quorum.Message)
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -63,6 +63,10 @@
 	return n.leader, 1, n.leads
 }
 
+// ConfirmedAt is zero, so that each renewal asks for a round of its own.
+func (n *fakeNode) ConfirmedAt() time.Time         { return time.Time{} }
+func (n *fakeNode) LeaderSince() (time.Time, bool) { return time.Time{}, false }
+
 func (n *fakeNode) Changed() <-chan struct{} { return n.changed }
 func (n *fakeNode) Status() quorum.Status    { return quorum.Status{} }
 func (n *fakeNode) Close() error             { return nil }
--- a/control/upkeep.go
+++ b/control/upkeep.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/quorum"
 )
@@ -88,7 +89,7 @@
 // keepMembers makes the change of the members that is due.
 func (s *Server) keepMembers(ctx context.Context) {
 	defer s.end(s.direct.judged, upkeepDuty)
-	u, ok := nextUpkeep(s.node.Status(), s.voters, time.Now())
+	u, ok := nextUpkeep(s.node.Status(), s.voters, clock.Now())
 	if !ok {
 		s.pause(upkeepEvery)
 		return
--- /dev/null
+++ b/quorum/confirm_test.go
@@ -0,0 +1,42 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller/quorum"
+)
+
+// TestVoteAfterRestart guards against a second leader within the time for which the first one grants leases on its
+// last confirmation: a follower that has acknowledged a heartbeat, ends and starts again must withhold its vote.
+func TestVoteAfterRestart(t *testing.T) {
+	convey.Convey("A follower that has started again", t, func() {
+		now := time.Unix(1000, 0)
+		membership := quorum.Membership{Group: "g"}
+		for _, n := range []string{"a", "b", "c"} {
+			membership = membership.With(quorum.Member{Name: n, Identity: "id-" + n, Voter: true})
+		}
+		membership.Founders = membership.Members
+		founding := quorum.Snapshot{Index: 1, Term: 1, Membership: membership}
+		b := quorum.NewCore(now, quorum.Settings{Name: "b", Identity: "id-b"}, quorum.State{Term: 5}, founding, nil)
+		ask := func(at time.Time, kind quorum.Kind) (granted bool) {
+			e := b.Step(at, quorum.Received{Message: quorum.Message{
+				Kind: kind, From: "c", To: "b", Identity: "id-c", Group: "g", PeerIdentity: "id-b", Term: 6, Index: 1, LogTerm: 1,
+			}})
+			for _, m := range e.Messages {
+				granted = granted || m.To == "c" && !m.Reject
+			}
+			return granted
+		}
+		convey.Convey("gives no vote at first", func() {
+			convey.So(ask(now.Add(10*time.Millisecond), quorum.KindPreVote), convey.ShouldBeFalse)
+			convey.So(ask(now.Add(quorum.ElectionFree-time.Millisecond), quorum.KindVote), convey.ShouldBeFalse)
+		})
+		convey.Convey("votes once another leader may be elected", func() {
+			convey.So(ask(now.Add(quorum.ElectionFree), quorum.KindPreVote), convey.ShouldBeTrue)
+			convey.So(ask(now.Add(quorum.ElectionFree), quorum.KindVote), convey.ShouldBeTrue)
+		})
+	})
+}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -32,6 +32,12 @@
 	at     time.Time
 }
 
+// roundStart is when a heartbeat round began.
+type roundStart struct {
+	round uint64
+	at    time.Time
+}
+
 // waitingRead is a read that is not confirmed yet.
 type waitingRead struct {
 	id uint64
@@ -60,6 +66,9 @@
 	leader   string
 	// leaderHeard is when the leader of the term was last heard from.
 	leaderHeard time.Time
+	// quietUntil is until when a member that has started withholds its vote: it may have acknowledged a leader's
+	// heartbeat right before its end.
+	quietUntil time.Time
 	// electionDue is when a member that is not the leader starts an election.
 	electionDue time.Time
 	// heartbeatDue is when the leader begins a heartbeat round, or an empty folder says hello.
@@ -74,7 +83,14 @@
 	firstIndex uint64
 	progress   map[string]*progress
 	round      uint64
-	reads      []waitingRead
+	// rounds holds when the rounds that are not confirmed yet began, the oldest first.
+	rounds []roundStart
+	// confirmedAt is when the newest round began that a majority has acknowledged; zero until then.
+	confirmedAt time.Time
+	// transferred is true once the leadership was offered to another voter, which may then be elected while others
+	// still withhold their votes.
+	transferred bool
+	reads       []waitingRead
 	// transferTo is the voter that gets the leadership; empty when none does.
 	transferTo  string
 	transferDue time.Time
@@ -97,9 +113,21 @@
 		role: RoleFollower, contacts: map[string]contact{}, heartbeatDue: now,
 	}
 	c.resetElection()
+	if !c.blank() {
+		c.quietUntil = now.Add(s.election() - s.heartbeat())
+	}
 	return c
 }
 
+// ConfirmedAt returns a time at which this member was the leader for certain: no other member can be elected until an
+// election timeout less a heartbeat after it. It is zero while the member does not lead or hands the leadership over.
+func (c *Core) ConfirmedAt() time.Time {
+	if c.role != RoleLeader || c.transferred {
+		return time.Time{}
+	}
+	return c.confirmedAt
+}
+
 // Deadline is the time at which the next Tick is due.
 func (c *Core) Deadline() time.Time {
 	switch {
--- a/quorum/drive.go
+++ b/quorum/drive.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"time"
 
+	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
@@ -110,8 +110,9 @@
 func (n *Node) step(events []Event) error {
 	n.mu.Lock()
 	configuration := n.core.log.configurationIndex()
-	e := n.core.Step(time.Now(), events...)
+	e := n.core.Step(clock.Now(), events...)
 	deadline := n.core.Deadline()
+	n.confirmedAt = n.core.ConfirmedAt()
 	n.mu.Unlock()
 	if e.Durable() {
 		if err := n.store.save(e); err != nil {
@@ -124,7 +125,7 @@
 	n.answer(e)
 	n.queue(e)
 	n.publish(configuration)
-	n.timer.Reset(time.Until(deadline))
+	n.timer.Reset(clock.Until(deadline))
 	return nil
 }
 
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// maxRounds bounds the rounds whose beginning is remembered; an older one would confirm nothing that still counts.
+const maxRounds = 64
+
 // resetElection draws the next election timeout, between one and two times the least one.
 func (c *Core) resetElection() {
 	d := c.settings.election()
@@ -13,7 +16,7 @@
 // so that the first follower whose timeout ends is not refused by one that got
 // the same last heartbeat a moment later.
 func (c *Core) leaderAlive() bool {
-	if c.role == RoleLeader {
+	if c.role == RoleLeader || c.now.Before(c.quietUntil) {
 		return true
 	}
 	return c.leader != "" && c.now.Before(c.leaderHeard.Add(c.settings.election()-c.settings.heartbeat()))
@@ -114,6 +117,7 @@
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.leaderSince = RoleLeader, c.settings.Name, c.now
 	c.votes, c.reads, c.transferTo = nil, nil, ""
+	c.rounds, c.confirmedAt, c.transferred = nil, time.Time{}, false
 	c.progress = map[string]*progress{}
 	c.log.append(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryNoOp})
 	c.firstIndex = c.log.last()
@@ -147,6 +151,10 @@
 // beginRound sends a heartbeat that confirms the reads that have arrived.
 func (c *Core) beginRound() {
 	c.round++
+	if len(c.rounds) == maxRounds {
+		c.rounds = c.rounds[1:]
+	}
+	c.rounds = append(c.rounds, roundStart{round: c.round, at: c.now})
 	for i := range c.reads {
 		if c.reads[i].round == 0 {
 			c.reads[i].round = c.round
@@ -184,6 +192,10 @@
 // confirmReads confirms the reads whose round a majority acknowledged.
 func (c *Core) confirmReads() {
 	round := c.confirmedRound()
+	for len(c.rounds) > 0 && c.rounds[0].round <= round {
+		c.confirmedAt = c.rounds[0].at
+		c.rounds = c.rounds[1:]
+	}
 	n := 0
 	for n < len(c.reads) {
 		r := c.reads[n]
@@ -216,6 +228,7 @@
 		c.answer(Answer{ID: t.ID, Err: &ChangeError{Kind: "transfer", Reason: "no other voter was heard from"}})
 		return
 	}
+	c.transferred = true
 	c.transferTo, c.transferDue = best, c.now.Add(c.settings.election())
 	c.answer(Answer{ID: t.ID})
 }
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
@@ -139,6 +140,8 @@
 	// core is stepped by the driver only.
 	core       *Core
 	leadership leadership
+	// confirmedAt is the core's at the end of the last step.
+	confirmedAt time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	// err is why the node has stopped on its own.
@@ -216,7 +219,7 @@
 	}
 	n := &Node{
 		config: c, store: s,
-		core:  NewCore(time.Now(), settings, old.state, old.snapshot, old.entries),
+		core:  NewCore(clock.Now(), settings, old.state, old.snapshot, old.entries),
 		inbox: make(chan Message, inboxSize), requests: make(chan *request, requestsSize),
 		tasks: make(chan task, 1), compactions: make(chan Compact, 1),
 		stop: make(chan struct{}), applyDone: make(chan struct{}), stopped: make(chan struct{}),
@@ -304,6 +307,17 @@
 	return n.leadership.leader, n.leadership.term, !n.leadership.since.IsZero()
 }
 
+// ConfirmedAt returns a time, on the clock of package clock, at which this member led for certain. Another member can
+// have been elected no earlier than ElectionFree after it. It is zero while the member does not lead.
+func (n *Node) ConfirmedAt() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.confirmedAt
+}
+
+// ElectionFree is how long after ConfirmedAt no other member can be elected, with the default times.
+const ElectionFree = defaultElection - defaultHeartbeat
+
 // LeaderSince tells when this member became the leader, and false when it is not.
 func (n *Node) LeaderSince() (time.Time, bool) {
 	n.mu.Lock()
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -160,6 +160,7 @@
 		} else if !ok {
 			w.leaders[s.Term] = s.Identity
 			w.checkComplete(m)
+			w.checkElectionFree(m, s.Term)
 		}
 	}
 	if s.Group == "" && s.Role != quorum.RoleFollower {
@@ -175,6 +176,18 @@
 	}
 }
 
+// checkElectionFree checks that no member is elected while another one may grant leases on its last confirmation.
+func (w *world) checkElectionFree(m *member, term uint64) {
+	for _, x := range w.members {
+		if x == m || x.core == nil || x.core.Status().Term >= term {
+			continue
+		}
+		if at := x.core.ConfirmedAt(); !at.IsZero() && w.now.Before(at.Add(quorum.ElectionFree)) {
+			w.fail("%s is elected in term %d, %v after the confirmation of %s", m.name, term, w.now.Sub(at), x.name)
+		}
+	}
+}
+
 // checkComplete checks that a new leader has all committed entries.
 func (w *world) checkComplete(m *member) {
 	have := map[uint64]uint64{}
