platform, relay: idle connections are not taken for closed ones

The look for a close ran under the read deadline of the last answer, which had passed. Ruled out: closes by the targets (they come after a minute), refusals. Change: the deadline is taken back before the look. Without that TestTargetConn fails.

--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -89,6 +89,10 @@
 	if !ok || p.f.partial() {
 		return p.f.partial()
 	}
+	// A deadline that has passed since the last answer would end the look below at once.
+	if err := p.nc.SetReadDeadline(time.Time{}); err != nil {
+		return true
+	}
 	raw, err := s.SyscallConn()
 	if err != nil {
 		return true
