--- a/admission/gate.go
+++ b/admission/gate.go
@@ -28,6 +28,8 @@
 	Continues bool
 	// Deadline is the time by which the statement must have been granted; zero means none.
 	Deadline time.Time
+	// Useful is until when the request goes before others that are late; zero means always.
+	Useful time.Time
 }
 
 // WaitStats sums up the waits of one team's granted requests.
@@ -115,7 +117,8 @@
 // *jacinthtiller.Error which proves that the request did not run.
 func (g *Gate) Acquire(ctx context.Context, r Request) (*Grant, error) {
 	gr := &Grant{g: g, t: ticket{
-		guest: r.Guest, write: r.Write, opens: r.Opens, continues: r.Continues, deadline: r.Deadline, lane: laneNew,
+		guest: r.Guest, write: r.Write, opens: r.Opens, continues: r.Continues, deadline: r.Deadline, useful: r.Useful,
+		lane: laneNew,
 	}}
 	if r.Continues {
 		gr.t.lane = laneOpen
@@ -307,6 +310,7 @@
 		q.draining = draining
 		if draining {
 			q.flush(laneNew, jacinthtiller.ReasonDraining)
+			q.flush(laneLate, jacinthtiller.ReasonDraining)
 		}
 	})
 }
@@ -317,6 +321,7 @@
 		q.closed = true
 		q.flush(laneOpen, jacinthtiller.ReasonDraining)
 		q.flush(laneNew, jacinthtiller.ReasonDraining)
+		q.flush(laneLate, jacinthtiller.ReasonDraining)
 	})
 }
 
@@ -329,7 +334,7 @@
 		Running: g.q.running, Connections: g.q.held, Dropped: g.dropped,
 	}
 	for name, t := range g.q.teams {
-		if n := t.backlogs[laneOpen].order.Len() + t.backlogs[laneNew].order.Len(); n > 0 {
+		if n := t.backlogs[laneOpen].order.Len() + t.backlogs[laneNew].order.Len() + t.backlogs[laneLate].order.Len(); n > 0 {
 			s.Waiting[name] = n
 		}
 		s.Waits[name] = t.waits
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -13,9 +13,12 @@
 const maxDebt = 8
 
 // The lanes of the queue. Statements of open transactions go first: they hold connections, which new work waits for.
+// New work whose time of use has passed goes last: it is late whatever happens, and what can still be in time must not be
+// late because of it.
 const (
 	laneOpen = iota
 	laneNew
+	laneLate
 	lanes
 )
 
@@ -51,8 +54,10 @@
 	// continues is true for a statement whose connection another ticket holds.
 	continues bool
 	deadline  time.Time
-	lane      int
-	phase     phase
+	// useful is until when the request goes before late ones; zero means always.
+	useful time.Time
+	lane   int
+	phase  phase
 	// connection is true while the ticket holds a connection; it does in the phases running and idle unless continues is set.
 	connection bool
 	// reason is set when a wait ended in refusal.
@@ -220,7 +225,7 @@
 func (q *queue) push(t *ticket, now time.Time) {
 	t.reason = ""
 	switch {
-	case q.closed, q.draining && t.lane == laneNew:
+	case q.closed, q.draining && t.lane != laneOpen:
 		q.decide(t, phaseNone, jacinthtiller.ReasonDraining)
 		return
 	case t.expired(now):
@@ -239,8 +244,13 @@
 
 func (t *ticket) expired(now time.Time) bool { return !t.deadline.IsZero() && !now.Before(t.deadline) }
 
+// late reports whether the time has passed in which the request is of full use.
+func (t *ticket) late(now time.Time) bool { return !t.useful.IsZero() && !now.Before(t.useful) }
+
 // idle reports whether nothing waits.
-func (q *queue) idle() bool { return q.rings[laneOpen].Len() == 0 && q.rings[laneNew].Len() == 0 }
+func (q *queue) idle() bool {
+	return q.rings[laneOpen].Len() == 0 && q.rings[laneNew].Len() == 0 && q.rings[laneLate].Len() == 0
+}
 
 // mayRun reports whether nothing but the turn of others keeps t from running.
 func (q *queue) mayRun(t *ticket) bool {
@@ -280,7 +290,7 @@
 	t.own, t.order = l.tickets[t.class()].PushBack(t), b.order.PushBack(t)
 	l.n++
 	b.count[t.class()]++
-	if t.lane == laneNew {
+	if t.lane != laneOpen {
 		q.waiting++
 	}
 }
@@ -300,7 +310,7 @@
 		q.rings[t.lane].Remove(b.place)
 		b.place, b.deficit, b.turn = nil, 0, false
 	}
-	if t.lane == laneNew {
+	if t.lane != laneOpen {
 		q.waiting--
 	}
 }
@@ -327,7 +337,7 @@
 // grant gives the ticket a slot, and a connection unless it has one.
 func (q *queue) grant(t *ticket) {
 	q.running++
-	if t.lane == laneNew {
+	if t.lane != laneOpen {
 		q.held++
 		t.team.held++
 		t.connection = true
@@ -342,6 +352,9 @@
 		if t == nil {
 			t = q.pick(laneNew, q.eligible(), now)
 		}
+		if t == nil {
+			t = q.pick(laneLate, q.eligible(), now)
+		}
 		if t == nil {
 			return
 		}
@@ -378,11 +391,17 @@
 			continue
 		}
 		t := b.next(m)
-		if !t.expired(now) {
+		switch {
+		case t.expired(now):
+			q.refuse(t, jacinthtiller.ReasonDeadline)
+		case lane == laneNew && t.late(now):
+			q.remove(t)
+			t.lane = laneLate
+			q.enqueue(t)
+		default:
 			q.take(t)
 			return t
 		}
-		q.refuse(t, jacinthtiller.ReasonDeadline)
 	}
 	return nil
 }
@@ -404,7 +423,11 @@
 // dropNewest refuses the newest request of the team that has the longest queue relative to its weight.
 func (q *queue) dropNewest() {
 	var longest *backlog
-	for e := q.rings[laneNew].Front(); e != nil; e = e.Next() {
+	lane := laneLate
+	if q.rings[laneLate].Len() == 0 {
+		lane = laneNew
+	}
+	for e := q.rings[lane].Front(); e != nil; e = e.Next() {
 		b := e.Value.(*backlog)
 		if longest == nil || b.order.Len()*longest.team.weight > longest.order.Len()*b.team.weight {
 			longest = b
--- a/direct.go
+++ b/direct.go
@@ -307,6 +307,9 @@
 	// Repeatable is true when the order may run again elsewhere, so that its answer may be given up early.
 	Repeatable bool
 	Deadline   time.Time
+	// Useful is until when an answer is in time for the guest; zero when nothing is known. What is late already waits
+	// behind what can still be in time.
+	Useful time.Time
 }
 
 // NotSentError proves that an order did not reach its target, or was not admitted to it.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -18,27 +18,26 @@
 	coldFactor = 200
 	// shedCost makes reads prefer another target for a moment after one shed work, in microseconds.
 	shedCost = 300_000
-	// behindCost makes reads prefer a target that is known to hold the wanted position, in microseconds.
-	behindCost = 40_000
-	// lackedCost makes reads avoid a target that lacked the position a moment ago, in microseconds.
-	lackedCost = 500_000
 )
 
 // Choice says what a read wants.
 type Choice struct {
 	// After is the position that the target has to hold; zero means any.
 	After jacinthtiller.Position
+	// Reached is when the primary had that position.
+	Reached time.Time
 	// Tried are targets that have failed the read already; they are not chosen again.
 	Tried []*Target
 	// PrimaryCost is added to the primary's cost, in microseconds, because writes need it.
 	PrimaryCost int64
 }
 
-// Choose returns the target with the lowest expected time to answer, or nil when none can be used. It decides from
-// the view's database, the places and what has been measured at each target.
-func (p *Pool) Choose(d jacinthtiller.Database, c Choice, now time.Time) *Target {
+// Choose returns the target with the lowest expected time to answer, or nil when none can be used, and how long the
+// caller should wait before it sends the read there, because the target is behind. It decides from the view's database,
+// the places and what has been measured at each target.
+func (p *Pool) Choose(d jacinthtiller.Database, c Choice, now time.Time) (*Target, time.Duration) {
 	var best *Target
-	var least int64
+	var least, wait int64
 	for _, spec := range d.Targets {
 		if spec.State == jacinthtiller.StateLeaving {
 			continue
@@ -47,20 +46,21 @@
 		if t == nil || contains(c.Tried, t) {
 			continue
 		}
-		cost, ok := t.cost(c, now)
+		cost, behind, ok := t.cost(c, now)
 		if !ok {
 			continue
 		}
 		if spec.Name == d.Primary {
-			cost += c.PrimaryCost
+			cost += c.PrimaryCost - behind
+			behind = 0
 		}
 		cost += p.distance(spec.Domain)
 		// Equal costs go to the lower name, so that the choice does not depend on the order of the map.
 		if best == nil || cost < least || cost == least && spec.Name < best.spec.Name {
-			best, least = t, cost
+			best, least, wait = t, cost, behind
 		}
 	}
-	return best
+	return best, time.Duration(wait) * time.Microsecond
 }
 
 func contains(list []*Target, t *Target) bool {
@@ -83,10 +83,11 @@
 	return otherRegionCost
 }
 
-// cost returns the expected time of one more statement, in microseconds, and false when the target cannot be used.
-func (t *Target) cost(c Choice, now time.Time) (int64, bool) {
+// cost returns the expected time of one more statement in microseconds, with the part of it that passes until the
+// target has the wanted position, and false when the target cannot be used.
+func (t *Target) cost(c Choice, now time.Time) (cost, behind int64, ok bool) {
 	if !t.Usable(now) {
-		return 0, false
+		return 0, 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -94,20 +95,17 @@
 	if latency == 0 {
 		latency = unknownLatency
 	}
-	// The host's own statements in flight wait for one another in part.
-	cost := latency + latency*int64(t.running)/int64(max(1, t.spec.Slots))
+	// A statement waits until those before it have left room.
+	cost = latency + latency*int64(t.load)/int64(max(1, t.room))
 	if now.Before(t.coldUntil) {
 		cost = cost * coldFactor / 100
 	}
 	if now.Before(t.shedUntil) {
 		cost += shedCost
 	}
-	switch {
-	case c.After.IsZero() || t.seen.Covers(c.After):
-	case now.Before(t.lackedUntil) && c.After.Covers(t.lacked):
-		cost += lackedCost
-	default:
-		cost += behindCost
+	if c.After.IsZero() || t.seen.Covers(c.After) || now.Sub(t.lagAt) > lagAge {
+		return cost, 0, true
 	}
-	return cost, true
+	behind = max(0, t.lagMicroseconds-now.Sub(c.Reached).Microseconds())
+	return cost + behind, behind, true
 }
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -33,7 +33,7 @@
 // openOwn waits for the target to have room and returns a connection of this host.
 func (t *Target) openOwn(e jacinthtiller.Errand) (*conn, error) {
 	g, err := t.gate.Acquire(context.Background(), admission.Request{
-		Team: e.Route, Guest: e.Guest, Opens: e.Opens, Deadline: e.Deadline,
+		Team: e.Route, Guest: e.Guest, Opens: e.Opens, Deadline: e.Deadline, Useful: e.Useful,
 	})
 	if err != nil {
 		return nil, &NoTargetError{Target: t.spec.Name, Cause: err}
@@ -76,13 +76,17 @@
 	if err != nil {
 		t.mu.Lock()
 		t.open--
-		if f := isRefusal(err); f != nil {
+		f := isRefusal(err)
+		busy := isTimeout(err) && time.Now().Before(t.answeredAt.Add(aliveFor))
+		if f != nil || busy {
 			t.fullUntil = time.Now().Add(fullPause)
 		}
 		t.mu.Unlock()
-		if f := isRefusal(err); f != nil && f.Code != jacinthtiller.FailWrongTarget {
+		switch {
+		case busy: // it works on what it has, and takes nothing new
+		case f != nil && f.Code != jacinthtiller.FailWrongTarget:
 			t.reached(t.own)
-		} else {
+		default:
 			t.unreached(t.own, err)
 		}
 		return nil, err
@@ -104,7 +108,6 @@
 		return fmt.Errorf("prepare the connection to %s: %w", c.t.spec.Name, err)
 	}
 	if err := c.tc.Send(e.Deadline, e.Order); err != nil {
-		c.t.unreached(c.t.own, err)
 		return fmt.Errorf("send to %s: %w", c.t.spec.Name, err)
 	}
 	return nil
--- a/pool/dump.go
+++ b/pool/dump.go
@@ -14,7 +14,7 @@
 	Open                int                    `json:"open"`
 	Idle                int                    `json:"idle"`
 	Fair                int                    `json:"fair"`
-	Running             int                    `json:"running"`
+	Load                int                    `json:"load"`
 	Waiting             map[string]int         `json:"waiting"`
 	LatencyMicroseconds int64                  `json:"latency-microseconds"`
 	Seen                jacinthtiller.Position `json:"seen"`
@@ -29,7 +29,7 @@
 		waiting := t.gate.Stats().Waiting
 		t.mu.Lock()
 		out = append(out, TargetState{
-			Target: t.spec, Open: t.open, Idle: len(t.idle), Fair: t.fair, Running: t.running, Waiting: waiting,
+			Target: t.spec, Open: t.open, Idle: len(t.idle), Fair: t.fair, Load: t.load, Waiting: waiting,
 			LatencyMicroseconds: t.latency, Seen: t.seen, Direct: t.direct, FailingSince: t.own.failing(),
 		})
 		t.mu.Unlock()
--- a/pool/target.go
+++ b/pool/target.go
@@ -15,8 +15,8 @@
 	fullPause = 40 * time.Millisecond
 	// shedPause is how long a target that shed work is passed over by reads that have another choice.
 	shedPause = 50 * time.Millisecond
-	// behindPause is how long a target that lacked a position is passed over by reads that want as much or more.
-	behindPause = 100 * time.Millisecond
+	// lagAge is how long a measured lag counts; after that the target is tried again to find out.
+	lagAge = 700 * time.Millisecond
 	// inFlightFactor is how many times a target's slots its gateways together may keep in flight: more only moves the
 	// queue from the hosts, which order it, to the target, which does not.
 	inFlightFactor = 3
@@ -54,13 +54,15 @@
 	fullUntil time.Time
 	// shedUntil is until when reads prefer other targets because this one shed work.
 	shedUntil time.Time
-	// lacked is the lowest position that the target was found to lack, and lackedUntil until when that counts.
-	lacked      jacinthtiller.Position
-	lackedUntil time.Time
+	// lagMicroseconds is by how much the target was behind the primary at lagAt; 0 when it was not known to be.
+	lagMicroseconds int64
+	lagAt           time.Time
+	// answeredAt is when the target answered this host's own connections last.
+	answeredAt time.Time
 	// latency is the smoothed time of one statement in microseconds; 0 before the first.
 	latency int64
-	// running counts statements in flight from this host.
-	running int
+	// load counts statements of this host in flight and waiting, and room how many may be in flight.
+	load, room int
 	// seen is the newest log position that the target reported.
 	seen    jacinthtiller.Position
 	retired bool
@@ -90,8 +92,10 @@
 	t.fair = jacinthtiller.ShareOf(connections, n)
 	most := max(t.fair, connections*greedyPercent/100)
 	t.ways = t.waysTo(gateways)
+	t.room = max(leastInFlight, (inFlightFactor*slots+n-1)/n)
+	room := t.room
 	t.mu.Unlock()
-	t.gate.SetCapacity(max(leastInFlight, (inFlightFactor*slots+n-1)/n), most)
+	t.gate.SetCapacity(room, most)
 }
 
 // waysTo returns the ways through the gateways, those that are known already with what is known of them. Each host
@@ -217,25 +221,34 @@
 func (t *Target) Probe() bool { return t.probe(t.own) }
 
 // refused notes why the target or its gate refused work.
-func (t *Target) refused(code jacinthtiller.FailCode, after jacinthtiller.Position) {
-	now := time.Now()
+func (t *Target) refused(code jacinthtiller.FailCode) {
+	if code != jacinthtiller.FailBusy && code != jacinthtiller.FailConnections {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch code {
-	case jacinthtiller.FailBusy, jacinthtiller.FailConnections:
-		t.shedUntil = now.Add(shedPause)
-	case jacinthtiller.FailBehind:
-		if now.After(t.lackedUntil) || after.Compare(t.lacked) < 0 {
-			t.lacked = after
-		}
-		t.lackedUntil = now.Add(behindPause)
-	}
+	t.shedUntil = time.Now().Add(shedPause)
+}
+
+// Lags notes by how much the target is behind the primary.
+func (t *Target) Lags(lag time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lagMicroseconds, t.lagAt = lag.Microseconds(), time.Now()
+}
+
+// usual returns the usual time of a statement at the target.
+func (t *Target) usual() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(t.latency) * time.Microsecond
 }
 
 // answered takes note of an answer.
 func (t *Target) answered(r jacinthtiller.Reply, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answeredAt = time.Now()
 	if r.Position.Compare(t.seen) > 0 {
 		t.seen = r.Position
 	}
@@ -253,7 +266,7 @@
 func (t *Target) begun(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.running += n
+	t.load += n
 }
 
 // NoTargetError means that the target cannot be had now. Nothing ran.
--- a/pool/trip.go
+++ b/pool/trip.go
@@ -17,8 +17,15 @@
 	suspectAfter = 350 * time.Millisecond
 	// suspectEvery is the time between looks at a suspected way.
 	suspectEvery = 100 * time.Millisecond
+	// slowAfter and slowFactor say when an answer counts as lost although the target can be reached: after the time, and
+	// after as many times the usual time of a statement there. A request that may be repeated is then sent again.
+	slowAfter  = 450 * time.Millisecond
+	slowFactor = 6
 )
 
+// ErrSlow means that an answer takes so much longer than usual that it has probably been lost.
+var ErrSlow = errors.New("the answer is overdue")
+
 // ErrSilent means that the target neither answers nor takes connections.
 var ErrSilent = errors.New("the target does not answer")
 
@@ -32,7 +39,6 @@
 	relay jacinthtiller.RelayConn
 	// sentAt is when the last order was sent.
 	sentAt time.Time
-	after  jacinthtiller.Position
 	// running is true from the start of a statement to its end.
 	running bool
 	// free is true when the other host has ended the trip by itself, so that its path can be used for another one.
@@ -60,6 +66,8 @@
 
 // OpenOwn begins a trip by the host's own connection.
 func (t *Target) OpenOwn(e jacinthtiller.Errand) (*Trip, error) {
+	t.begun(1)
+	defer t.begun(-1) // from here on the statement that runs counts
 	c, err := t.openOwn(e)
 	if err != nil {
 		return nil, err
@@ -82,14 +90,15 @@
 		tr.t.begun(1)
 	}
 	defer tr.done()
-	tr.sentAt, tr.after, tr.free = time.Now(), e.After, false
+	tr.free = false
 	var err error
 	if tr.own != nil {
 		err = tr.own.start(e)
-	} else if err = tr.relay.Start(e); err != nil {
-		tr.t.unreached(tr.w, err)
+	} else {
+		err = tr.relay.Start(e)
 	}
 	if err != nil {
+		tr.t.suspect(tr.w)
 		return jacinthtiller.Reply{}, &jacinthtiller.NotSentError{Cause: err}
 	}
 	return tr.await(e)
@@ -97,7 +106,10 @@
 
 // await waits for the answer.
 func (tr *Trip) await(e jacinthtiller.Errand) (jacinthtiller.Reply, error) {
-	look := time.Now().Add(suspectAfter)
+	sent := time.Now()
+	tr.sentAt = sent
+	overdue := sent.Add(max(slowAfter, slowFactor*tr.t.usual()))
+	look := sent.Add(suspectAfter)
 	for {
 		until := earlier(e.Deadline, look)
 		r, err := tr.receive(until)
@@ -106,7 +118,7 @@
 		case err == nil:
 			tr.t.answered(r, time.Since(tr.sentAt))
 			tr.t.reached(tr.w)
-			tr.t.refused(r.Fail, tr.after)
+			tr.t.refused(r.Fail)
 			return r, nil
 		case errors.As(err, &notSent):
 			tr.free = true
@@ -115,14 +127,17 @@
 			}
 			return r, err
 		case !isTimeout(err):
-			tr.t.unreached(tr.w, err)
+			// One connection that breaks says little; whether the target can be reached shows when another is opened.
+			tr.t.suspect(tr.w)
 			return r, fmt.Errorf("receive from %s: %w", tr.t.spec.Name, err)
 		case !until.Before(e.Deadline):
 			return r, fmt.Errorf("receive from %s: %w", tr.t.spec.Name, err)
-		case tr.w.failing().IsZero():
-			tr.t.suspect(tr.w)
-		case e.Repeatable:
+		case !tr.w.failing().IsZero() && e.Repeatable:
 			return r, ErrSilent
+		case e.Repeatable && !time.Now().Before(overdue):
+			return r, ErrSlow
+		default:
+			tr.t.suspect(tr.w)
 		}
 		look = time.Now().Add(suspectEvery)
 	}
--- a/pool/way.go
+++ b/pool/way.go
@@ -14,6 +14,9 @@
 	// firstPause and longestPause bound how long a way that failed is passed over; the pause doubles.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
+	// aliveFor is how long a target counts as reachable after an answer: one that is overloaded takes no new connections
+	// in time, and still works.
+	aliveFor = 300 * time.Millisecond
 	// relaysKept bounds the idle paths through one host to one target.
 	relaysKept = 8
 )
@@ -156,9 +159,9 @@
 	}
 }
 
-// suspect tries a way on another connection, unless that is being done already.
+// suspect tries a way on another connection, unless that is being done already or the target has just answered.
 func (t *Target) suspect(w *way) {
-	if !w.begin() {
+	if w == t.own && t.alive(time.Now()) || !w.begin() {
 		return
 	}
 	t.p.group.Go(func() {
@@ -167,6 +170,13 @@
 	})
 }
 
+// alive reports whether the target has answered this host's own connections a moment ago.
+func (t *Target) alive(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.answeredAt.Add(aliveFor))
+}
+
 // probe opens a connection or a path, keeps it for later work, and reports whether the other end answered.
 func (t *Target) probe(w *way) bool {
 	deadline := time.Now().Add(dialLimit)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -114,7 +114,10 @@
 	}
 	c.resetElection()
 	if !c.blank() {
+		// After a start no leader need be waited for longer than votes are withheld: when the whole group has started
+		// anew, it has a leader earlier.
 		c.quietUntil = now.Add(s.election() - s.heartbeat())
+		c.electionDue = c.quietUntil.Add(time.Duration(c.random.Int64N(int64(s.heartbeat()))))
 	}
 	return c
 }
--- a/relay/frame.go
+++ b/relay/frame.go
@@ -50,6 +50,7 @@
 	_                   struct{} `cbor:",toarray"`
 	Flags               uint8
 	RemainingMillis     uint32
+	UsefulMillis        uint32
 	Route, Guest        string
 	ID, Text            string
 	AfterTerm, AfterIdx uint64
@@ -80,6 +81,9 @@
 		Route: e.Route, Guest: e.Guest, ID: e.ID, Text: e.Text, AfterTerm: e.After.Term, AfterIdx: e.After.Index,
 		Values: e.Values, Statement: e.Statement, RemainingMillis: uint32(max(1, e.Deadline.Sub(now).Milliseconds())),
 	}
+	if !e.Useful.IsZero() {
+		out.UsefulMillis = uint32(max(1, e.Useful.Sub(now).Milliseconds()))
+	}
 	if e.Opens {
 		out.Flags |= flagOpens
 	}
@@ -90,13 +94,17 @@
 }
 
 func (e errand) decode(now time.Time) jacinthtiller.Errand {
+	var useful time.Time
+	if e.UsefulMillis > 0 {
+		useful = now.Add(time.Duration(e.UsefulMillis) * time.Millisecond)
+	}
 	return jacinthtiller.Errand{
 		Order: jacinthtiller.Order{
 			ID: e.ID, Text: e.Text, After: jacinthtiller.Position{Term: e.AfterTerm, Index: e.AfterIdx},
 		},
 		Values: e.Values, Statement: e.Statement, Route: e.Route, Guest: e.Guest,
 		Opens: e.Flags&flagOpens != 0, Repeatable: e.Flags&flagRepeatable != 0,
-		Deadline: now.Add(time.Duration(e.RemainingMillis) * time.Millisecond),
+		Deadline: now.Add(time.Duration(e.RemainingMillis) * time.Millisecond), Useful: useful,
 	}
 }
 
--- a/replica/freshness.go
+++ b/replica/freshness.go
@@ -62,20 +62,36 @@
 	f.kept = append(f.kept, a)
 }
 
-// Since returns the lowest known position in the term that includes every commit acknowledged before the time, and
-// false when none is known. The lower the position, the more replicas hold it.
-func (f *Freshness) Since(term uint64, at time.Time) (jacinthtiller.Position, bool) {
+// Since returns the lowest known position in the term that includes every commit acknowledged before the time, with the
+// time for which it is attested, and false when none is known. The lower the position, the more replicas hold it.
+func (f *Freshness) Since(term uint64, at time.Time) (Attested, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if term != f.term {
-		return jacinthtiller.Position{}, false
+		return Attested{}, false
 	}
 	for _, a := range f.kept {
 		if !a.At.Before(at) {
-			return a.Position, true
+			return a, true
+		}
+	}
+	return Attested{}, false
+}
+
+// Lag returns by how much a log that ends at the position is behind the primary at the time, and false when the
+// position is older than all that is known. A log that holds the newest known position has no lag.
+func (f *Freshness) Lag(term uint64, p jacinthtiller.Position, at time.Time) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if term != f.term || len(f.kept) == 0 || f.kept[0].Position.Compare(p) > 0 {
+		return 0, false
+	}
+	for _, a := range f.kept {
+		if a.Position.Compare(p) > 0 {
+			return max(0, at.Sub(a.At)), true
 		}
 	}
-	return jacinthtiller.Position{}, false
+	return 0, true
 }
 
 // Newest returns the newest attestation in the term.
--- a/replica/freshness_test.go
+++ b/replica/freshness_test.go
@@ -38,10 +38,11 @@
 				f.Attest(term, Attested{At: sent, Position: jacinthtiller.Position{Term: term, Index: index}})
 			}
 			asked := now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(r, "age")) * time.Millisecond)
-			p, ok := f.Since(term, asked)
+			found, ok := f.Since(term, asked)
 			if !ok {
 				continue
 			}
+			p := found.Position
 			for _, c := range commits {
 				if c.at.Before(asked) && !p.Covers(c.position) {
 					r.Fatalf("position %v for %v lacks the commit %v of %v", p, asked, c.position, c.at)
@@ -66,7 +67,16 @@
 		convey.Convey("give the lowest position that is new enough", func() {
 			p, ok := f.Since(2, at(250))
 			convey.So(ok, convey.ShouldBeTrue)
-			convey.So(p, convey.ShouldResemble, position(2, 3))
+			convey.So(p, convey.ShouldResemble, Attested{At: at(300), Position: position(2, 3)})
+		})
+		convey.Convey("tell how far a log is behind", func() {
+			lag, ok := f.Lag(2, position(2, 3), at(1000))
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(lag, convey.ShouldEqual, 600*time.Millisecond)
+			lag, _ = f.Lag(2, position(2, 9), at(1000))
+			convey.So(lag, convey.ShouldEqual, 0)
+			_, ok = f.Lag(2, position(1, 99), at(1000))
+			convey.So(ok, convey.ShouldBeFalse)
 		})
 		convey.Convey("say nothing about a time after the last", func() {
 			_, ok := f.Since(2, at(901))
--- a/statement/exchange.go
+++ b/statement/exchange.go
@@ -20,6 +20,7 @@
 	return jacinthtiller.Errand{
 		Order:  jacinthtiller.Order{ID: q.ID, Text: q.text, After: after},
 		Values: n.values, Statement: q.statement, Route: q.route.Name, Guest: n.guest, Deadline: q.deadline,
+		Useful: q.useful,
 	}
 }
 
--- a/statement/lead.go
+++ b/statement/lead.go
@@ -82,5 +82,6 @@
 func (s *Server) attest(l lead, sent time.Time, p jacinthtiller.Position) {
 	if !p.IsZero() {
 		s.fresh(l.database).Attest(l.term, replica.Attested{At: sent, Position: p})
+		s.endAttesting(l.database)
 	}
 }
--- a/statement/place.go
+++ b/statement/place.go
@@ -6,6 +6,7 @@
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/pool"
+	"github.com/jacinthtiller/jacinthtiller/replica"
 )
 
 const (
@@ -14,6 +15,8 @@
 	ageMargin = 20 * time.Millisecond
 	// primaryCost keeps reads that any target may serve off the primary unless it is clearly faster, in microseconds.
 	primaryCost = 10_000
+	// unknownLag is assumed of a target that lacks a position and whose own position is older than all that is known.
+	unknownLag = 6 * time.Second
 )
 
 // place is where a read may run.
@@ -21,6 +24,8 @@
 	target *pool.Target
 	// after is what the target's log must hold; zero when the lead vouches for the target.
 	after jacinthtiller.Position
+	// wait is until when the read should be held back, because the target is behind; zero when it may run now.
+	wait time.Time
 	// lead is set when the target is the primary. Unless after is set the answer counts only if the lead is confirmed.
 	lead *lead
 }
@@ -30,9 +35,9 @@
 
 // freshPosition returns the position that a target must hold for a read that arrived at the time, and false when none
 // is known that is new enough.
-func (n *session) freshPosition(route jacinthtiller.Route, arrived time.Time, d jacinthtiller.Database) (jacinthtiller.Position, bool) {
+func (n *session) freshPosition(route jacinthtiller.Route, arrived time.Time, d jacinthtiller.Database) (replica.Attested, bool) {
 	if route.Class == jacinthtiller.ClassPrimary {
-		return jacinthtiller.Position{}, false
+		return replica.Attested{}, false
 	}
 	since := arrived.Add(ageMargin - time.Duration(route.MaxAgeMilliseconds)*time.Millisecond)
 	p, ok := n.s.fresh(route.Database).Since(d.Term, since)
@@ -40,7 +45,9 @@
 		return p, false
 	}
 	if route.Class == jacinthtiller.ClassSession {
-		p = p.Max(currentMark(n.mark, d))
+		if mark := currentMark(n.mark, d); mark.Compare(p.Position) > 0 {
+			p = replica.Attested{At: n.marked, Position: mark}
+		}
 	}
 	return p, true
 }
@@ -63,13 +70,21 @@
 		if !leads || contains(tried, l.target) || !l.target.Usable(time.Now()) {
 			return place{}, false
 		}
+		if route.Class != jacinthtiller.ClassPrimary && !n.s.beginAttesting(route.Database) {
+			return place{}, false
+		}
 		return place{target: l.target, lead: &l}, true
 	}
-	t := n.s.pool.Choose(d, pool.Choice{After: after, Tried: tried, PrimaryCost: primaryCost}, time.Now())
+	at := time.Now()
+	c := pool.Choice{After: after.Position, Reached: at.Add(after.At.Sub(now())), Tried: tried, PrimaryCost: primaryCost}
+	t, wait := n.s.pool.Choose(d, c, at)
 	if t == nil {
 		return place{}, false
 	}
-	p := place{target: t, after: after}
+	p := place{target: t, after: after.Position}
+	if wait > 0 {
+		p.wait = at.Add(wait)
+	}
 	if leads && l.target == t {
 		p.lead = &l
 	}
@@ -85,6 +100,48 @@
 	return false
 }
 
+// attestHold is how long reads that any target could serve wait for another read's answer from the primary, which tells
+// what replicas have to hold. It is several round trips between regions with a short wait for a slot.
+const attestHold = 150 * time.Millisecond
+
+// beginAttesting reports whether a read may go to the primary because nothing is known about freshness. Only one goes
+// at a time: after a start all reads of a host would otherwise crowd on the primary, with the replicas idle.
+func (s *Server) beginAttesting(database string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Now()
+	if at.Before(s.attesting[database]) {
+		return false
+	}
+	s.attesting[database] = at.Add(attestHold)
+	return true
+}
+
+// endAttesting lets reads that wait for the freshness of a database go on.
+func (s *Server) endAttesting(database string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.attesting[database]; !ok {
+		return
+	}
+	delete(s.attesting, database)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// observe notes how far the target of an answer is behind the primary.
+func (n *session) observe(p place, database string, r jacinthtiller.Reply) {
+	if p.after.IsZero() || r.Position.IsZero() {
+		return
+	}
+	term := n.s.view.Load().Databases[database].Term
+	if lag, ok := n.s.fresh(database).Lag(term, r.Position, now()); ok {
+		p.target.Lags(lag)
+	} else if r.Fail == jacinthtiller.FailBehind {
+		p.target.Lags(unknownLag)
+	}
+}
+
 // accept decides whether the answer to a read may be passed on, and notes what it proves about freshness.
 func (n *session) accept(p place, sent time.Time, r jacinthtiller.Reply, deadline time.Time) bool {
 	if p.lead == nil {
--- a/statement/read.go
+++ b/statement/read.go
@@ -25,6 +25,12 @@
 			}
 			continue
 		}
+		if !p.wait.IsZero() && !p.wait.Before(q.deadline) {
+			return n.unserved(q, offered)
+		}
+		if !p.wait.IsZero() {
+			n.s.hold(p.wait)
+		}
 		r, sent, err := n.readAt(p, q)
 		offered = offered || !sent.IsZero()
 		switch {
@@ -77,6 +83,7 @@
 		return r, sent, err
 	}
 	giveBack(tr, r)
+	n.observe(p, q.route.Database, r)
 	return r, sent, nil
 }
 
@@ -107,6 +114,16 @@
 	return "no target can be reached"
 }
 
+// hold waits until the time.
+func (s *Server) hold(until time.Time) {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.ctx.Done():
+	}
+}
+
 func (s *Server) retried(n *session, q *request) {
 	s.metrics.retried(q.route)
 	if s.events.Tracing() {
--- a/statement/server.go
+++ b/statement/server.go
@@ -57,6 +57,8 @@
 	changed chan struct{}
 	// freshness is by database.
 	freshness map[string]*replica.Freshness
+	// attesting holds until when a read is under way that will tell the freshness of a database.
+	attesting map[string]time.Time
 	sessions  map[*session]struct{}
 	// stopping is when the stop began; zero before.
 	stopping time.Time
@@ -82,7 +84,7 @@
 func New(p *pool.Pool, d jacinthtiller.Dialect, l Listen, opts ...Option) *Server {
 	s := &Server{
 		pool: p, dialect: d, listen: l, changed: make(chan struct{}), metrics: newMetrics(),
-		freshness: map[string]*replica.Freshness{}, sessions: map[*session]struct{}{},
+		freshness: map[string]*replica.Freshness{}, attesting: map[string]time.Time{}, sessions: map[*session]struct{}{},
 	}
 	for _, o := range opts {
 		o(s)
--- a/statement/session.go
+++ b/statement/session.go
@@ -11,6 +11,12 @@
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
+// greetingHold is how long a guest's greeting waits for the host to know its routes; guests give up after 2 s.
+const greetingHold = 1700 * time.Millisecond
+
+// shortHold is how long a greeting may be held without counting as a part of the time that the guest's first request took.
+const shortHold = 50 * time.Millisecond
+
 // session is one guest's connection.
 type session struct {
 	s     *Server
@@ -22,10 +28,13 @@
 	// values and prepared are what was acknowledged to the guest.
 	values   map[string]string
 	prepared map[string]*jacinthtiller.PreparedStatement
-	// mark is the newest commit of this session.
-	mark jacinthtiller.Position
+	// mark is the newest commit of this session, and marked when it was acknowledged, on the clock of package clock.
+	mark   jacinthtiller.Position
+	marked time.Time
 	// tx is the open transaction; nil outside one.
 	tx *transaction
+	// since is when the guest began to wait for the answer to its next request; zero unless its greeting was held.
+	since time.Time
 }
 
 // serve runs the session to its end.
@@ -61,19 +70,44 @@
 		return false
 	}
 	n.name, n.guest = name, guest
-	v := n.s.view.Load()
-	if v.Edition == nil {
-		_ = n.conn.Refuse(jacinthtiller.FailBusy, "the host has no configuration yet")
+	greeted := time.Now()
+	v, known := n.s.awaitRoute(name)
+	if !known && (v.Edition == nil || !n.s.lease.Load().Valid(now())) {
+		_ = n.conn.Refuse(jacinthtiller.FailBusy, "the host has no configuration that is up to date")
 		return false
 	}
-	if _, ok := v.Edition.Routes[name]; !ok {
+	if !known {
 		n.s.events.Emit(event.GuestWithoutRoute, event.Fields{"route": name, "edition": v.Edition.Number, "index": v.Index})
 		_ = n.conn.Refuse(jacinthtiller.FailNoRoute, "no database has this name")
 		return false
 	}
+	if time.Since(greeted) > shortHold {
+		n.since = greeted
+	}
 	return n.conn.Welcome() == nil
 }
 
+// awaitRoute waits for a short time until the route is known, or until the host can be sure that there is none: right
+// after its start it has no view, and without a lease its view may be old.
+func (s *Server) awaitRoute(name string) (*jacinthtiller.View, bool) {
+	deadline := time.Now().Add(greetingHold)
+	for {
+		changed := s.watch()
+		v := s.view.Load()
+		if v.Edition != nil {
+			if _, ok := v.Edition.Routes[name]; ok {
+				return v, true
+			}
+			if s.lease.Load().Valid(now()) {
+				return v, false
+			}
+		}
+		if !s.wait(changed, deadline) {
+			return v, false
+		}
+	}
+}
+
 // restEnd returns until when the guest may rest before its transaction is rolled back; zero for ever.
 func (n *session) restEnd() time.Time {
 	if n.tx == nil || n.tx.trip == nil {
@@ -163,9 +197,11 @@
 	arrived   time.Time
 	// deadline is the end of the route's time for one statement.
 	deadline time.Time
-	route    jacinthtiller.Route
-	tries    int
-	reason   string
+	// useful is the end of the route's objective.
+	useful time.Time
+	route  jacinthtiller.Route
+	tries  int
+	reason string
 	// target is the one tried last, and through the host that relayed to it.
 	target, through string
 }
@@ -177,6 +213,13 @@
 		GuestRequest: r, text: r.Text, write: r.Verb == jacinthtiller.VerbWrite, route: route, arrived: now,
 		deadline: now.Add(time.Duration(route.StatementMilliseconds) * time.Millisecond),
 	}
+	if ms := route.ObjectiveMilliseconds; ms > 0 {
+		began := now
+		if !n.since.IsZero() {
+			began, n.since = n.since, time.Time{}
+		}
+		q.useful = began.Add(time.Duration(ms) * time.Millisecond)
+	}
 	if r.Verb == jacinthtiller.VerbExecute {
 		p, ok := n.prepared[r.Name]
 		if !ok {
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -89,6 +89,12 @@
 			}
 			continue
 		}
+		if !p.wait.IsZero() && !p.wait.Before(q.deadline) {
+			return false
+		}
+		if !p.wait.IsZero() {
+			n.s.hold(p.wait)
+		}
 		err := n.openAt(p, q)
 		if err == nil {
 			return true
@@ -133,6 +139,7 @@
 		return err
 	case r.Fail != "":
 		giveBack(tr, r)
+		n.observe(p, q.route.Database, r)
 		return &jacinthtiller.FailError{Code: r.Fail, Text: r.FailText}
 	}
 	n.tx.trip, n.tx.place = tr, p
@@ -244,7 +251,7 @@
 		return n.fail(q, jacinthtiller.FailUnknown, "the primary was being replaced when it answered", 0)
 	}
 	if !tx.readOnly {
-		n.mark = n.mark.Max(r.Position)
+		n.committed(r.Position)
 	}
 	return n.pass(q, r, jacinthtiller.StateIdle)
 }
--- a/statement/write.go
+++ b/statement/write.go
@@ -20,7 +20,7 @@
 				return n.fail(q, jacinthtiller.FailUnknown, "the primary was being replaced when it answered", 0)
 			}
 			n.s.attest(l, sent, r.Position)
-			n.mark = n.mark.Max(r.Position)
+			n.committed(r.Position)
 			return n.pass(q, r, jacinthtiller.StateIdle)
 		case err == nil && !r.Fail.NotKept() && r.Fail != jacinthtiller.FailNoStatement:
 			return n.pass(q, r, jacinthtiller.StateIdle)
@@ -60,3 +60,10 @@
 	giveBack(tr, r)
 	return r, sent, nil
 }
+
+// committed notes a commit that the guest is told of.
+func (n *session) committed(p jacinthtiller.Position) {
+	if p.Compare(n.mark) > 0 {
+		n.mark, n.marked = p, now()
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -20,6 +20,9 @@
 // path a compressor costs more than the call itself.
 const compressMinBytes = 4096
 
+// dialTimeout bounds the opening of a connection between processes: ten times the way between regions and back.
+const dialTimeout = 250 * time.Millisecond
+
 // MaxMessageBytes bounds one message in either direction.
 const MaxMessageBytes = 64 << 20
 
@@ -154,6 +157,9 @@
 // NewHTTPClient returns a client that keeps connections per host open. Requests are bounded by their context.
 func NewHTTPClient(opts ...HTTPOption) *http.Client {
 	t := &http.Transport{
+		// Without a bound a connection to a host that is down is tried again after a second at the earliest, and the
+		// call that waits for it tries no other host.
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConns:        256,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     90 * time.Second,
