statement: waits for room are bounded, so that guests can come back in time

Change: a request waits for room for 45% of its statement's time, then it is refused with a time to come back.

--- a/direct.go
+++ b/direct.go
@@ -307,6 +307,8 @@
 	// Repeatable is true when the order may run again elsewhere, so that its answer may be given up early.
 	Repeatable bool
 	Deadline   time.Time
+	// Admit is until when the order may wait for room at the target; zero means until Deadline.
+	Admit time.Time
 	// Useful is until when an answer is in time for the guest; zero when nothing is known. What is late already waits
 	// behind what can still be in time.
 	Useful time.Time
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -32,8 +32,12 @@
 
 // openOwn waits for the target to have room and returns a connection of this host.
 func (t *Target) openOwn(e jacinthtiller.Errand) (*conn, error) {
+	admit := e.Deadline
+	if !e.Admit.IsZero() {
+		admit = earlier(admit, e.Admit)
+	}
 	g, err := t.gate.Acquire(context.Background(), admission.Request{
-		Team: e.Route, Guest: e.Guest, Opens: e.Opens, Deadline: e.Deadline, Useful: e.Useful,
+		Team: e.Route, Guest: e.Guest, Opens: e.Opens, Deadline: admit, Useful: e.Useful,
 	})
 	if err != nil {
 		return nil, &NoTargetError{Target: t.spec.Name, Cause: err}
--- a/relay/frame.go
+++ b/relay/frame.go
@@ -50,6 +50,7 @@
 	_                   struct{} `cbor:",toarray"`
 	Flags               uint8
 	RemainingMillis     uint32
+	AdmitMillis         uint32
 	UsefulMillis        uint32
 	Route, Guest        string
 	ID, Text            string
@@ -79,11 +80,9 @@
 func encodeErrand(e jacinthtiller.Errand, now time.Time) errand {
 	out := errand{
 		Route: e.Route, Guest: e.Guest, ID: e.ID, Text: e.Text, AfterTerm: e.After.Term, AfterIdx: e.After.Index,
-		Values: e.Values, Statement: e.Statement, RemainingMillis: uint32(max(1, e.Deadline.Sub(now).Milliseconds())),
-	}
-	if !e.Useful.IsZero() {
-		out.UsefulMillis = uint32(max(1, e.Useful.Sub(now).Milliseconds()))
+		Values: e.Values, Statement: e.Statement, RemainingMillis: remaining(e.Deadline, now),
 	}
+	out.AdmitMillis, out.UsefulMillis = remaining(e.Admit, now), remaining(e.Useful, now)
 	if e.Opens {
 		out.Flags |= flagOpens
 	}
@@ -94,18 +93,29 @@
 }
 
 func (e errand) decode(now time.Time) jacinthtiller.Errand {
-	var useful time.Time
-	if e.UsefulMillis > 0 {
-		useful = now.Add(time.Duration(e.UsefulMillis) * time.Millisecond)
-	}
 	return jacinthtiller.Errand{
 		Order: jacinthtiller.Order{
 			ID: e.ID, Text: e.Text, After: jacinthtiller.Position{Term: e.AfterTerm, Index: e.AfterIdx},
 		},
 		Values: e.Values, Statement: e.Statement, Route: e.Route, Guest: e.Guest,
 		Opens: e.Flags&flagOpens != 0, Repeatable: e.Flags&flagRepeatable != 0,
-		Deadline: now.Add(time.Duration(e.RemainingMillis) * time.Millisecond), Useful: useful,
+		Deadline: instant(e.RemainingMillis, now), Admit: instant(e.AdmitMillis, now), Useful: instant(e.UsefulMillis, now),
+	}
+}
+
+// remaining returns the milliseconds until t; 0 stands for a time that is not set, never for one that has passed.
+func remaining(t, now time.Time) uint32 {
+	if t.IsZero() {
+		return 0
+	}
+	return uint32(max(1, t.Sub(now).Milliseconds()))
+}
+
+func instant(millis uint32, now time.Time) time.Time {
+	if millis == 0 {
+		return time.Time{}
 	}
+	return now.Add(time.Duration(millis) * time.Millisecond)
 }
 
 // framer reads and writes frames. After a timeout a read goes on where it stopped.
--- a/statement/exchange.go
+++ b/statement/exchange.go
@@ -20,7 +20,7 @@
 	return jacinthtiller.Errand{
 		Order:  jacinthtiller.Order{ID: q.ID, Text: q.text, After: after},
 		Values: n.values, Statement: q.statement, Route: q.route.Name, Guest: n.guest, Deadline: q.deadline,
-		Useful: q.useful,
+		Admit: q.admit, Useful: q.useful,
 	}
 }
 
@@ -31,6 +31,13 @@
 	return errors.As(err, &e) || errors.As(err, &t)
 }
 
+// crowded reports whether err says that a target had no room, or no free connection, in time.
+func crowded(err error) bool {
+	var full *jacinthtiller.FailError
+	var late *jacinthtiller.Error
+	return errors.As(err, &full) && full.Code == jacinthtiller.FailConnections || errors.As(err, &late)
+}
+
 // giveBack ends a trip whose work outside a transaction has been answered.
 func giveBack(tr *pool.Trip, r jacinthtiller.Reply) {
 	if r.State != jacinthtiller.StateIdle || r.Fail == jacinthtiller.FailNoStatement || r.Fail == jacinthtiller.FailOther {
--- a/statement/read.go
+++ b/statement/read.go
@@ -47,7 +47,7 @@
 			q.reason = string(r.Fail) + " " + r.FailText
 		}
 		tried = append(tried, p.target)
-		if !time.Now().Add(shortestRest).Before(q.deadline) {
+		if !time.Now().Add(shortestRest).Before(q.deadline) || crowded(err) && !time.Now().Before(q.admit) {
 			return n.unserved(q, offered)
 		}
 		n.s.retried(n, q)
--- a/statement/session.go
+++ b/statement/session.go
@@ -14,6 +14,14 @@
 // greetingHold is how long a guest's greeting waits for the host to know its routes; guests give up after 2 s.
 const greetingHold = 1700 * time.Millisecond
 
+// admitPercent is the part of a statement's time that it may wait for room at targets that have too much work. After that
+// it is refused, with a time to come back: a guest that waits to the end of its time has none left to try again.
+const admitPercent = 45
+
+// heldAdmitPercent is the same for the first request of a guest whose greeting was held: the crowd after an outage passes
+// soon, and this guest has waited already.
+const heldAdmitPercent = 90
+
 // shortHold is how long a greeting may be held without counting as a part of the time that the guest's first request took.
 const shortHold = 50 * time.Millisecond
 
@@ -197,6 +205,8 @@
 	arrived   time.Time
 	// deadline is the end of the route's time for one statement.
 	deadline time.Time
+	// admit is until when the request may wait for room at a target.
+	admit time.Time
 	// useful is the end of the route's objective.
 	useful time.Time
 	route  jacinthtiller.Route
@@ -213,6 +223,11 @@
 		GuestRequest: r, text: r.Text, write: r.Verb == jacinthtiller.VerbWrite, route: route, arrived: now,
 		deadline: now.Add(time.Duration(route.StatementMilliseconds) * time.Millisecond),
 	}
+	percent := time.Duration(admitPercent)
+	if !n.since.IsZero() {
+		percent = heldAdmitPercent
+	}
+	q.admit = now.Add(time.Duration(route.StatementMilliseconds) * time.Millisecond * percent / 100)
 	if ms := route.ObjectiveMilliseconds; ms > 0 {
 		began := now
 		if !n.since.IsZero() {
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -101,7 +101,7 @@
 		}
 		q.reason = err.Error()
 		tried = append(tried, p.target)
-		if !time.Now().Add(shortestRest).Before(q.deadline) {
+		if !time.Now().Add(shortestRest).Before(q.deadline) || crowded(err) && !time.Now().Before(q.admit) {
 			return false
 		}
 		n.s.retried(n, q)
--- a/statement/write.go
+++ b/statement/write.go
@@ -31,6 +31,9 @@
 		default:
 			q.reason = err.Error()
 		}
+		if crowded(err) && !time.Now().Before(q.admit) {
+			return n.refuse(q)
+		}
 		if !n.s.waitAgain(n.s.watch(), q.deadline) {
 			return n.refuse(q)
 		}
