--- /dev/null
+++ b/pool/fake_test.go
@@ -0,0 +1,142 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// fakeTargets stands for the targets of a network: it says how dialing and each order ends.
+type fakeTargets struct {
+	mu sync.Mutex // guards the fields below
+	// down holds targets that refuse connections, and refusal what others answer to a login.
+	down    map[string]bool
+	refusal map[string]jacinthtiller.FailCode
+	dials   int
+	// orders are those that reached a target, by its name.
+	orders map[string][]string
+	// reply answers an order; nil answers all with success.
+	reply func(target string, o jacinthtiller.Order) (jacinthtiller.Reply, error)
+}
+
+func newFakeTargets() *fakeTargets {
+	return &fakeTargets{down: map[string]bool{}, refusal: map[string]jacinthtiller.FailCode{}, orders: map[string][]string{}}
+}
+
+func (f *fakeTargets) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeTargets) Dial(_ context.Context, t jacinthtiller.Target) (jacinthtiller.TargetConn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dials++
+	if f.down[t.Name] {
+		return nil, syscall.ECONNREFUSED
+	}
+	if c := f.refusal[t.Name]; c != "" {
+		return nil, &jacinthtiller.FailError{Code: c}
+	}
+	return &fakeConn{f: f, target: t.Name}, nil
+}
+
+func (f *fakeTargets) sent(target string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.orders[target]...)
+}
+
+type fakeConn struct {
+	f       *fakeTargets
+	target  string
+	pending []jacinthtiller.Order
+	closed  bool
+}
+
+func (c *fakeConn) Send(_ time.Time, orders ...jacinthtiller.Order) error {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	if c.closed || c.f.down[c.target] {
+		return errors.New("closed")
+	}
+	for _, o := range orders {
+		c.f.orders[c.target] = append(c.f.orders[c.target], o.Text)
+	}
+	c.pending = append(c.pending, orders...)
+	return nil
+}
+
+func (c *fakeConn) Receive(time.Time) (jacinthtiller.Reply, error) {
+	o := c.pending[0]
+	c.pending = c.pending[1:]
+	c.f.mu.Lock()
+	reply := c.f.reply
+	c.f.mu.Unlock()
+	if reply != nil {
+		return reply(c.target, o)
+	}
+	return jacinthtiller.Reply{Body: []byte("ok"), State: jacinthtiller.StateIdle}, nil
+}
+
+func (c *fakeConn) Stale() bool {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	return c.f.down[c.target]
+}
+
+func (c *fakeConn) Close() error {
+	c.closed = true
+	return nil
+}
+
+// fakeDialect words orders so that tests can read them.
+type fakeDialect struct{}
+
+func (fakeDialect) Begin(bool) string                { return "begin" }
+func (fakeDialect) Rollback() string                 { return "rollback" }
+func (fakeDialect) Reset() string                    { return "reset" }
+func (fakeDialect) Set(name, value string) string    { return "set " + name + "=" + value }
+func (fakeDialect) Execute(name, rest string) string { return "execute " + name + " " + rest }
+func (fakeDialect) Prepare(name string, _ jacinthtiller.Access, shape string) string {
+	return "prepare " + name + " " + shape
+}
+
+// fakeRelays stands for other hosts that relay.
+type fakeRelays struct {
+	mu    sync.Mutex
+	down  map[string]bool
+	count map[string]int
+}
+
+func (f *fakeRelays) DialRelay(_ context.Context, address string, _ jacinthtiller.Target) (jacinthtiller.RelayConn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[address] {
+		return nil, syscall.ECONNREFUSED
+	}
+	return &fakePath{f: f, address: address}, nil
+}
+
+type fakePath struct {
+	f       *fakeRelays
+	address string
+}
+
+func (p *fakePath) Start(jacinthtiller.Errand) error {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	p.f.count[p.address]++
+	return nil
+}
+
+func (p *fakePath) Receive(time.Time) (jacinthtiller.Reply, error) {
+	return jacinthtiller.Reply{Body: []byte("relayed"), State: jacinthtiller.StateIdle}, nil
+}
+func (p *fakePath) Stale() bool  { return false }
+func (p *fakePath) Close() error { return nil }
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,233 @@
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// view returns a view with hosts h0.. of one domain and a direct group of targets a (primary), b and c.
+func view(hosts, connections int) jacinthtiller.View {
+	v := jacinthtiller.View{
+		Index: 1, Hosts: map[string]jacinthtiller.Host{}, Databases: map[string]jacinthtiller.Database{},
+		Edition: &jacinthtiller.Edition{Groups: map[string]jacinthtiller.Group{"db": {Connections: connections}}},
+	}
+	for i := range hosts {
+		n := fmt.Sprintf("h%d", i)
+		v.Hosts[n] = jacinthtiller.Host{Name: n, Domain: "d1", Link: "link-" + n}
+	}
+	d := jacinthtiller.Database{Name: "db", Direct: true, Term: 1, Primary: "a"}
+	for i, n := range []string{"a", "b", "c"} {
+		d = d.WithTarget(jacinthtiller.Target{
+			Name: n, Database: "db", Address: "10.0.0.1:" + n, Domain: fmt.Sprintf("d%d", i+1), Slots: 2, State: jacinthtiller.StateServing,
+		})
+	}
+	v.Databases["db"] = d
+	return v
+}
+
+func errand(text string) jacinthtiller.Errand {
+	return jacinthtiller.Errand{
+		Order: jacinthtiller.Order{ID: "1", Text: text}, Route: "r", Guest: "g", Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func run(t *Target, e jacinthtiller.Errand) (jacinthtiller.Reply, error) {
+	tr, err := t.Open(e)
+	if err != nil {
+		return jacinthtiller.Reply{}, err
+	}
+	r, err := tr.Run(e)
+	if err != nil {
+		tr.Drop("test")
+		return r, err
+	}
+	tr.Put()
+	return r, nil
+}
+
+// TestAlign guards against statements that run with the values or the prepared statements of another guest.
+func TestAlign(t *testing.T) {
+	convey.Convey("On one connection that guests share", t, func() {
+		f := newFakeTargets()
+		p := New(f, fakeDialect{}, WithHost("h0"))
+		defer p.Close()
+		v := view(1, 30)
+		p.Apply(v)
+		a := p.Find(v.Databases["db"].Targets["a"])
+		with := func(values map[string]string, s *jacinthtiller.PreparedStatement) jacinthtiller.Errand {
+			e := errand("read")
+			e.Values, e.Statement = values, s
+			return e
+		}
+		s := &jacinthtiller.PreparedStatement{Name: "p1", Access: jacinthtiller.AccessRead, Shape: "x"}
+		for _, e := range []jacinthtiller.Errand{
+			with(map[string]string{"k": "1"}, nil), with(map[string]string{"k": "1"}, s), with(map[string]string{"k": "2"}, s),
+			with(nil, s), with(nil, s),
+		} {
+			_, err := run(a, e)
+			convey.So(err, convey.ShouldBeNil)
+		}
+		convey.So(f.sent("a"), convey.ShouldResemble, []string{
+			"set k=1", "read", "prepare p1 x", "read", "set k=2", "read", "reset", "prepare p1 x", "read", "read",
+		})
+		convey.So(f.dials, convey.ShouldEqual, 1)
+		convey.Convey("after a set that failed the connection is not used", func() {
+			f.set(func() {
+				f.reply = func(_ string, o jacinthtiller.Order) (jacinthtiller.Reply, error) {
+					return jacinthtiller.Reply{Body: []byte("no"), Fail: jacinthtiller.FailBusy, State: jacinthtiller.StateIdle}, nil
+				}
+			})
+			_, err := run(a, with(map[string]string{"k": "3"}, nil))
+			var notSent *jacinthtiller.NotSentError
+			convey.So(errors.As(err, &notSent), convey.ShouldBeTrue)
+			convey.So(f.sent("a"), convey.ShouldHaveLength, 11) // the set, and no read after it
+		})
+	})
+}
+
+// TestWays guards against targets that stay out of use because one way to them is lost, and against connections of a
+// host that is no gateway.
+func TestWays(t *testing.T) {
+	convey.Convey("With other hosts that relay", t, func() {
+		f := newFakeTargets()
+		relays := &fakeRelays{down: map[string]bool{}, count: map[string]int{}}
+		p := New(f, fakeDialect{}, WithHost("h0"), WithRelays(relays))
+		defer p.Close()
+		convey.Convey("a gateway that cannot reach the target uses another one", func() {
+			v := view(3, 30)
+			p.Apply(v)
+			a := p.Find(v.Databases["db"].Targets["a"])
+			convey.So(a.Direct(), convey.ShouldBeTrue)
+			f.set(func() { f.down["a"] = true })
+			_, err := run(a, errand("read"))
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(a.FailingSince().IsZero(), convey.ShouldBeFalse)
+			r, err := run(a, errand("read"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(string(r.Body), convey.ShouldEqual, "relayed")
+			convey.Convey("and its own connections again once they work", func() {
+				f.set(func() { f.down["a"] = false })
+				convey.So(a.Probe(), convey.ShouldBeTrue)
+				convey.So(a.FailingSince().IsZero(), convey.ShouldBeTrue)
+				r, err := run(a, errand("read"))
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(string(r.Body), convey.ShouldEqual, "ok")
+			})
+		})
+		convey.Convey("a host that is no gateway opens no connections and reports no failures", func() {
+			v := view(40, 30)
+			p.Apply(v)
+			var far *Target
+			for _, n := range []string{"a", "b", "c"} {
+				if x := p.Find(v.Databases["db"].Targets[n]); !x.Direct() {
+					far = x
+				}
+			}
+			convey.So(far, convey.ShouldNotBeNil)
+			for range 5 {
+				_, err := run(far, errand("read"))
+				convey.So(err, convey.ShouldBeNil)
+			}
+			convey.So(f.dials, convey.ShouldEqual, 0)
+			convey.So(far.FailingSince().IsZero(), convey.ShouldBeTrue)
+			convey.Convey("and goes through another gateway when its own is lost", func() {
+				relays.mu.Lock()
+				for address := range relays.count {
+					relays.down[address] = true
+				}
+				relays.mu.Unlock()
+				for _, w := range far.ways {
+					w.closeIdle(time.Time{})
+				}
+				_, _ = run(far, errand("read"))
+				_, err := run(far, errand("read"))
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(relays.count, convey.ShouldHaveLength, 2)
+			})
+		})
+	})
+}
+
+// TestRefusedConnections guards against a storm of attempts on a target that has no free connection.
+func TestRefusedConnections(t *testing.T) {
+	convey.Convey("A target without a free connection is asked once in a while", t, func() {
+		f := newFakeTargets()
+		f.refusal["a"] = jacinthtiller.FailConnections
+		p := New(f, fakeDialect{}, WithHost("h0"))
+		defer p.Close()
+		v := view(1, 30)
+		p.Apply(v)
+		a := p.Find(v.Databases["db"].Targets["a"])
+		for range 20 {
+			_, err := run(a, errand("read"))
+			convey.So(err, convey.ShouldNotBeNil)
+		}
+		convey.So(f.dials, convey.ShouldBeLessThan, 5)
+		convey.So(a.Usable(time.Now()), convey.ShouldBeTrue)
+	})
+}
+
+// TestChoose names the pattern of replicas that are behind while the primary is crowded, and guards against reads that
+// all go to one target, to one that is leaving, or far away without need.
+func TestChoose(t *testing.T) {
+	now := time.Now()
+	p := New(newFakeTargets(), fakeDialect{}, WithHost("h0"), WithPlace("d1", map[string]string{"d1": "r1", "d2": "r1", "d3": "r2"}))
+	defer p.Close()
+	v := view(1, 30)
+	p.Apply(v)
+	d := v.Databases["db"]
+	find := func(n string) *Target { return p.Find(d.Targets[n]) }
+	after := jacinthtiller.Position{Term: 1, Index: 100}
+	cases := map[string]struct {
+		set  func()
+		c    Choice
+		want string
+		wait bool
+	}{
+		"nothing is known: the nearest":   {func() {}, Choice{}, "a", false},
+		"the nearest is crowded":          {func() { find("a").load = 30 }, Choice{}, "b", false},
+		"the nearest has failed the read": {func() {}, Choice{Tried: []*Target{find("a")}}, "b", false},
+		"the next one is far slower":      {func() { find("b").latency = 500_000 }, Choice{Tried: []*Target{find("a")}}, "c", false},
+		"work for the primary is dear":    {func() {}, Choice{PrimaryCost: 30_000}, "b", false},
+		"a replica is behind by more than the crowd": {func() {
+			find("a").load = 10
+			find("b").lagMicroseconds, find("b").lagAt = 5_000_000, now
+			find("c").lagMicroseconds, find("c").lagAt = 5_000_000, now
+		}, Choice{After: after, Reached: now.Add(-2 * time.Second)}, "a", false},
+		"a replica is behind by less than the crowd": {func() {
+			find("a").load = 100
+			find("b").lagMicroseconds, find("b").lagAt = 2_200_000, now
+			find("c").lagMicroseconds, find("c").lagAt = 5_000_000, now
+		}, Choice{After: after, Reached: now.Add(-2 * time.Second)}, "b", true},
+	}
+	convey.Convey("A read goes where it is expected to be answered first", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				for _, n := range []string{"a", "b", "c"} {
+					x := find(n)
+					x.latency, x.load, x.lagMicroseconds, x.lagAt = 20_000, 0, 0, time.Time{}
+				}
+				c.set()
+				got, wait := p.Choose(d, c.c, now)
+				convey.So(got.Spec().Name, convey.ShouldEqual, c.want)
+				convey.So(wait > 0, convey.ShouldEqual, c.wait)
+			})
+		}
+		convey.Convey("never to one that is leaving", func() {
+			leaving := d
+			for _, n := range []string{"a", "b"} {
+				x := leaving.Targets[n]
+				x.State = jacinthtiller.StateLeaving
+				leaving = leaving.WithTarget(x)
+			}
+			got, _ := p.Choose(leaving, Choice{}, now)
+			convey.So(got.Spec().Name, convey.ShouldEqual, "c")
+		})
+	})
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,258 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/pool"
+)
+
+// targets stands for the targets that the relaying host connects to.
+type targets struct {
+	mu     sync.Mutex // guards the fields below
+	down   bool
+	fail   jacinthtiller.FailCode
+	lose   bool
+	orders []string
+}
+
+func (f *targets) Dial(context.Context, jacinthtiller.Target) (jacinthtiller.TargetConn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, syscall.ECONNREFUSED
+	}
+	return &conn{f: f, state: jacinthtiller.StateIdle}, nil
+}
+
+func (f *targets) log() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.orders...)
+}
+
+type conn struct {
+	f     *targets
+	state byte
+	last  []jacinthtiller.Order
+}
+
+func (c *conn) Send(_ time.Time, orders ...jacinthtiller.Order) error {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	for _, o := range orders {
+		c.f.orders = append(c.f.orders, o.Text)
+	}
+	c.last = append(c.last, orders...)
+	return nil
+}
+
+func (c *conn) Receive(time.Time) (jacinthtiller.Reply, error) {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	o := c.last[0]
+	c.last = c.last[1:]
+	if c.f.lose {
+		return jacinthtiller.Reply{}, errors.New("reset")
+	}
+	switch o.Text {
+	case "begin":
+		c.state = jacinthtiller.StateTransaction
+	case "commit", "rollback":
+		c.state = jacinthtiller.StateIdle
+	}
+	return jacinthtiller.Reply{
+		Body: []byte("body of " + o.Text), Fail: c.f.fail, FailText: "why", State: c.state,
+		Position: jacinthtiller.Position{Term: 3, Index: 1207},
+	}, nil
+}
+func (c *conn) Stale() bool  { return false }
+func (c *conn) Close() error { return nil }
+
+type dialect struct{}
+
+func (dialect) Begin(bool) string             { return "begin" }
+func (dialect) Rollback() string              { return "rollback" }
+func (dialect) Reset() string                 { return "reset" }
+func (dialect) Set(name, value string) string { return "set " + name + " " + value }
+func (dialect) Prepare(name string, _ jacinthtiller.Access, _ string) string {
+	return "prepare " + name
+}
+func (dialect) Execute(name, rest string) string { return name + rest }
+
+// TestRelay guards against outcomes that change on their way between hosts, and transactions that outlive their path.
+func TestRelay(t *testing.T) {
+	convey.Convey("Through another host", t, func() {
+		f := &targets{}
+		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		defer p.Close()
+		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", State: jacinthtiller.StateServing}
+		p.Apply(jacinthtiller.View{
+			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
+			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		s := NewServer(p, "rollback", nil)
+		var group conc.WaitGroup
+		group.Go(func() { _ = s.Serve(l) })
+		defer func() {
+			l.Close()
+			s.Close()
+			group.Wait()
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		errand := func(text string) jacinthtiller.Errand {
+			return jacinthtiller.Errand{Order: jacinthtiller.Order{ID: "x", Text: text}, Deadline: time.Now().Add(5 * time.Second)}
+		}
+		path, err := Dialer{}.DialRelay(ctx, l.Addr().String(), target)
+		convey.So(err, convey.ShouldBeNil)
+		defer path.Close()
+		ask := func(e jacinthtiller.Errand) (jacinthtiller.Reply, error) {
+			convey.So(path.Start(e), convey.ShouldBeNil)
+			return path.Receive(time.Now().Add(5 * time.Second))
+		}
+		convey.Convey("an answer arrives as the target gave it", func() {
+			r, err := ask(errand("read"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(r, convey.ShouldResemble, jacinthtiller.Reply{
+				Body: []byte("body of read"), FailText: "why", State: jacinthtiller.StateIdle,
+				Position: jacinthtiller.Position{Term: 3, Index: 1207},
+			})
+		})
+		convey.Convey("a refusal arrives as such", func() {
+			f.fail = jacinthtiller.FailReadOnly
+			r, err := ask(errand("write"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(r.Fail, convey.ShouldEqual, jacinthtiller.FailReadOnly)
+		})
+		convey.Convey("a target that cannot be reached is told from a lost answer", func() {
+			f.down = true
+			_, err := ask(errand("write"))
+			var notSent *jacinthtiller.NotSentError
+			convey.So(errors.As(err, &notSent), convey.ShouldBeTrue)
+			convey.So(notSent.Unreached, convey.ShouldBeTrue)
+			f.mu.Lock()
+			f.down, f.lose = false, true
+			f.mu.Unlock()
+			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if _, err = ask(errand("write")); !errors.As(err, &notSent) {
+					break
+				}
+			}
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(errors.As(err, &notSent), convey.ShouldBeFalse)
+		})
+		convey.Convey("values and prepared statements are set before the order", func() {
+			e := errand("read")
+			e.Values = map[string]string{"k": "1"}
+			e.Statement = &jacinthtiller.PreparedStatement{Name: "p1", Access: jacinthtiller.AccessRead, Shape: "s"}
+			_, err := ask(e)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(f.log(), convey.ShouldResemble, []string{"set k 1", "prepare p1", "read"})
+		})
+		convey.Convey("a transaction is rolled back when its path closes, and not committed", func() {
+			e := errand("begin")
+			e.Opens = true
+			r, err := ask(e)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(r.State, convey.ShouldEqual, jacinthtiller.StateTransaction)
+			_, err = ask(errand("write"))
+			convey.So(err, convey.ShouldBeNil)
+			path.Close()
+			last := ""
+			for end := time.Now().Add(5 * time.Second); last != "rollback" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if o := f.log(); len(o) > 0 {
+					last = o[len(o)-1]
+				}
+			}
+			convey.So(last, convey.ShouldEqual, "rollback")
+		})
+		convey.Convey("a target that the host does not know is refused", func() {
+			other := target
+			other.Name = "z"
+			_, err := Dialer{}.DialRelay(ctx, l.Addr().String(), other)
+			convey.So(err, convey.ShouldNotBeNil)
+		})
+	})
+}
+
+// TestErrandOnTheWay guards against errands whose parts change on their way, and deadlines that are lost.
+func TestErrandOnTheWay(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		now := time.Unix(1000, 0)
+		at := func(label string) time.Time {
+			if rapid.Bool().Draw(r, label+" is set") {
+				return now.Add(time.Duration(rapid.IntRange(1, 100_000).Draw(r, label)) * time.Millisecond)
+			}
+			return time.Time{}
+		}
+		in := jacinthtiller.Errand{
+			Order: jacinthtiller.Order{
+				ID: rapid.String().Draw(r, "id"), Text: rapid.String().Draw(r, "text"),
+				After: jacinthtiller.Position{Term: rapid.Uint64().Draw(r, "term"), Index: rapid.Uint64().Draw(r, "index")},
+			},
+			Values: rapid.MapOf(rapid.String(), rapid.String()).Draw(r, "values"),
+			Route:  rapid.String().Draw(r, "route"), Guest: rapid.String().Draw(r, "guest"),
+			Opens: rapid.Bool().Draw(r, "opens"), Repeatable: rapid.Bool().Draw(r, "repeatable"),
+			Deadline: now.Add(time.Duration(rapid.IntRange(1, 100_000).Draw(r, "deadline")) * time.Millisecond),
+			Admit:    at("admit"), Useful: at("useful"),
+		}
+		near, far := net.Pipe()
+		defer near.Close()
+		defer far.Close()
+		var group conc.WaitGroup
+		group.Go(func() { _ = newFramer(near).write(time.Time{}, encodeErrand(in, now)) })
+		var e errand
+		if err := newFramer(far).read(&e); err != nil {
+			r.Fatal(err)
+		}
+		group.Wait()
+		out := e.decode(now)
+		same := out.Order == in.Order && out.Route == in.Route && out.Guest == in.Guest && out.Opens == in.Opens &&
+			out.Repeatable == in.Repeatable && out.Deadline.Equal(in.Deadline) && out.Admit.Equal(in.Admit) &&
+			out.Useful.Equal(in.Useful) && len(out.Values) == len(in.Values)
+		for k, v := range in.Values {
+			same = same && out.Values[k] == v
+		}
+		if !same {
+			r.Fatalf("%+v became %+v", in, out)
+		}
+	})
+}
+
+// FuzzFrames guards against a reader that fails on bytes of a hostile sender.
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 0xf6})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add(bytes.Repeat([]byte{0, 0, 0, 2, 0x80, 0x80}, 5))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		near, far := net.Pipe()
+		var group conc.WaitGroup
+		group.Go(func() {
+			_, _ = near.Write(data)
+			near.Close()
+		})
+		r := newFramer(far)
+		for range 100 {
+			var e errand
+			if r.read(&e) != nil && !r.partial() {
+				break
+			}
+		}
+		far.Close()
+		group.Wait()
+	})
+}
--- /dev/null
+++ b/statement/statement_test.go
@@ -0,0 +1,403 @@
+package statement
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestRefusals holds the table of what follows from each answer of a target. It guards against writes that run twice,
+// promises that nothing was kept which are not true, and refusals that a guest need not have seen.
+func TestRefusals(t *testing.T) {
+	type result struct {
+		answer string
+		// ran is how often the request itself reached targets.
+		ran int
+	}
+	once := func(c jacinthtiller.FailCode) func(int) (jacinthtiller.Reply, error) {
+		return func(n int) (jacinthtiller.Reply, error) {
+			if n == 1 {
+				return fail(c)
+			}
+			return success(10)
+		}
+	}
+	always := func(c jacinthtiller.FailCode) func(int) (jacinthtiller.Reply, error) {
+		return func(int) (jacinthtiller.Reply, error) { return fail(c) }
+	}
+	lost := func(int) (jacinthtiller.Reply, error) { return jacinthtiller.Reply{}, errLost }
+	lostOnce := func(n int) (jacinthtiller.Reply, error) {
+		if n == 1 {
+			return jacinthtiller.Reply{}, errLost
+		}
+		return success(10)
+	}
+	cases := map[string]struct {
+		text   string
+		script func(n int) (jacinthtiller.Reply, error)
+		want   result
+	}{
+		"write, busy once":                 {"WRITE 1 x", once(jacinthtiller.FailBusy), result{"passed I", 2}},
+		"write, not the primary once":      {"WRITE 1 x", once(jacinthtiller.FailReadOnly), result{"passed I", 2}},
+		"write, failed":                    {"WRITE 1 x", once(jacinthtiller.FailExecution), result{"passed execution I", 1}},
+		"write, ran out of time there":     {"WRITE 1 x", once(jacinthtiller.FailTimeout), result{"passed timeout I", 1}},
+		"write, answer lost":               {"WRITE 1 x", lost, result{"unknown I", 1}},
+		"read, busy once":                  {"READ 1", once(jacinthtiller.FailBusy), result{"passed I", 2}},
+		"read, failed once":                {"READ 1", once(jacinthtiller.FailExecution), result{"passed I", 2}},
+		"read, answer lost once":           {"READ 1", lostOnce, result{"passed I", 2}},
+		"read, malformed":                  {"READ 1", always(jacinthtiller.FailMalformed), result{"passed malformed I", 1}},
+		"write, statement is not prepared": {"WRITE 1 x", once(jacinthtiller.FailNoStatement), result{"passed I", 2}},
+	}
+	convey.Convey("What a guest gets when a target answers", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				b := newBench(t)
+				defer b.close()
+				n := 0
+				b.group.set(func() {
+					b.group.script = func(_ string, o jacinthtiller.Order) (jacinthtiller.Reply, error) {
+						if o.ID != "x" {
+							return success(10)
+						}
+						n++
+						return c.script(n)
+					}
+				})
+				g := b.guest(jacinthtiller.ClassPrimary)
+				convey.So(g.ask(c.text), convey.ShouldEqual, c.want.answer)
+				convey.So(n, convey.ShouldEqual, c.want.ran)
+				g.leave()
+			})
+		}
+	})
+}
+
+// TestReplacedPrimary guards against answers of a primary that has been replaced, or that the host may not vouch for.
+func TestReplacedPrimary(t *testing.T) {
+	yield := func(d jacinthtiller.Database) jacinthtiller.Database {
+		d.Former = d.Primary
+		return d.WithPrimary(d.Term, "")
+	}
+	crown := func(term uint64, target string) func(jacinthtiller.Database) jacinthtiller.Database {
+		return func(d jacinthtiller.Database) jacinthtiller.Database {
+			d.Former, d.Floor = "", jacinthtiller.Position{Term: term, Index: 5}
+			return d.WithPrimary(term, target)
+		}
+	}
+	// during runs f while the first request with an id is at its target.
+	during := func(b *bench, f func()) {
+		done := false
+		b.group.set(func() {
+			b.group.script = func(_ string, o jacinthtiller.Order) (jacinthtiller.Reply, error) {
+				if o.ID == "x" && !done {
+					done = true
+					f()
+				}
+				return success(10)
+			}
+		})
+	}
+	convey.Convey("While a request runs at the primary", t, func() {
+		b := newBench(t)
+		defer b.close()
+		g := b.guest(jacinthtiller.ClassPrimary)
+		defer g.leave()
+		convey.Convey("another is recorded: a write is not acknowledged, and not run again", func() {
+			during(b, func() { b.change(yield); b.change(crown(2, "b")) })
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "unknown I")
+			convey.So(b.group.log(), convey.ShouldResemble, []string{"a: WRITE 1 x"})
+		})
+		convey.Convey("another is recorded: a read is answered by the new one", func() {
+			during(b, func() { b.change(yield); b.change(crown(2, "b")) })
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			convey.So(b.group.log(), convey.ShouldResemble, []string{"a: READ 1", "b: READ 1"})
+		})
+		convey.Convey("another is recorded: its transaction is aborted, and nothing of it committed", func() {
+			convey.So(g.ask("BEGIN"), convey.ShouldEqual, "done T")
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed T")
+			b.change(yield)
+			b.change(crown(2, "b"))
+			convey.So(g.ask("COMMIT"), convey.ShouldEqual, "aborted I")
+			convey.So(strings.Join(b.group.log(), ","), convey.ShouldNotContainSubstring, "COMMIT")
+		})
+		convey.Convey("it is taken out of service and put back: the answer counts", func() {
+			during(b, func() {
+				b.change(yield)
+				b.server.group.Go(func() {
+					time.Sleep(20 * time.Millisecond)
+					b.change(crown(1, "a"))
+				})
+			})
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "passed I")
+		})
+		convey.Convey("the lease ends and is not renewed: a write is not acknowledged", func() {
+			during(b, func() { b.lease(-time.Second) })
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "unknown I")
+		})
+		convey.Convey("the lease ends and is renewed: the answer counts", func() {
+			during(b, func() {
+				b.lease(-time.Second)
+				b.server.group.Go(func() {
+					time.Sleep(20 * time.Millisecond)
+					b.lease(time.Minute)
+				})
+			})
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "passed I")
+		})
+	})
+	convey.Convey("Without a primary a write that has not run is refused as such", t, func() {
+		b := newBench(t)
+		defer b.close()
+		b.change(yield)
+		g := b.guest(jacinthtiller.ClassPrimary)
+		defer g.leave()
+		convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "busy I")
+		convey.So(b.group.log(), convey.ShouldBeEmpty)
+	})
+}
+
+// TestFreshReads guards against reads at targets that may lack what their route or their session must see.
+func TestFreshReads(t *testing.T) {
+	convey.Convey("Reads of the classes", t, func() {
+		b := newBench(t)
+		defer b.close()
+		at := uint64(10)
+		b.group.set(func() {
+			b.group.script = func(target string, _ jacinthtiller.Order) (jacinthtiller.Reply, error) { return success(at) }
+		})
+		// Reads prefer a replica once the primary is known to be slower.
+		convey.Convey("primary: always at the primary", func() {
+			g := b.guest(jacinthtiller.ClassPrimary)
+			defer g.leave()
+			for range 5 {
+				convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			}
+			for _, line := range b.group.log() {
+				convey.So(line, convey.ShouldEqual, "a: READ 1")
+			}
+		})
+		convey.Convey("bounded: the first asks the primary, later ones name the position that it had", func() {
+			g := b.guest(jacinthtiller.ClassBounded)
+			defer g.leave()
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			convey.So(b.group.log(), convey.ShouldResemble, []string{"a: READ 1"})
+			for range 5 {
+				convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			}
+			for _, line := range b.group.log() {
+				convey.So(line, convey.ShouldEndWith, "READ 1 after 1/10")
+			}
+		})
+		convey.Convey("session: what the session has committed is asked for", func() {
+			g := b.guest(jacinthtiller.ClassSession)
+			defer g.leave()
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			at = 20
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "passed I")
+			b.group.log()
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			convey.So(b.group.log()[0], convey.ShouldEndWith, "READ 1 after 1/20")
+		})
+		convey.Convey("session: after a change of primary a mark above the new floor is replaced by it", func() {
+			d := jacinthtiller.Database{Term: 2, Floor: jacinthtiller.Position{Term: 2, Index: 15}}
+			convey.So(currentMark(jacinthtiller.Position{Term: 1, Index: 9}, d), convey.ShouldResemble, jacinthtiller.Position{Term: 1, Index: 9})
+			convey.So(currentMark(jacinthtiller.Position{Term: 2, Index: 16}, d), convey.ShouldResemble, jacinthtiller.Position{Term: 2, Index: 16})
+			d.Floor = jacinthtiller.Position{Term: 1, Index: 12}
+			convey.So(currentMark(jacinthtiller.Position{Term: 1, Index: 14}, d), convey.ShouldResemble, d.Floor)
+		})
+		convey.Convey("without a lease nothing new is learned, and old knowledge ages", func() {
+			g := b.guest(jacinthtiller.ClassBounded)
+			defer g.leave()
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			b.lease(-time.Second)
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I") // 1.5 s old at most
+			time.Sleep(1600 * time.Millisecond)
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "busy I")
+		})
+		convey.Convey("a replica that is behind is passed over", func() {
+			g := b.guest(jacinthtiller.ClassBounded)
+			defer g.leave()
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			b.group.set(func() {
+				b.group.script = func(target string, _ jacinthtiller.Order) (jacinthtiller.Reply, error) {
+					if target != "a" {
+						return fail(jacinthtiller.FailBehind)
+					}
+					return success(10)
+				}
+			})
+			for range 5 {
+				convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			}
+		})
+	})
+}
+
+// TestTransactions guards against statements outside their transaction, on another connection than its first one, and
+// commits that nobody asked for.
+func TestTransactions(t *testing.T) {
+	convey.Convey("A transaction", t, func() {
+		b := newBench(t)
+		defer b.close()
+		g := b.guest(jacinthtiller.ClassPrimary)
+		defer g.leave()
+		convey.Convey("is begun with its first statement and committed once", func() {
+			for _, x := range [][2]string{{"BEGIN", "done T"}, {"WRITE 1 x", "passed T"}, {"READ 1", "passed T"}, {"COMMIT", "passed I"}} {
+				convey.So(g.ask(x[0]), convey.ShouldEqual, x[1])
+			}
+			convey.So(b.group.log(), convey.ShouldResemble, []string{"a: BEGIN", "a: WRITE 1 x", "a: READ 1", "a: COMMIT"})
+		})
+		convey.Convey("is rolled back on request, without a commit", func() {
+			g.ask("BEGIN")
+			g.ask("WRITE 1 x")
+			convey.So(g.ask("ROLLBACK"), convey.ShouldEqual, "done I")
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I") // the rollback is over by now
+			convey.So(b.group.log(), convey.ShouldResemble, []string{"a: BEGIN", "a: WRITE 1 x", "a: ROLLBACK", "a: READ 1"})
+		})
+		convey.Convey("whose connection breaks is aborted, and its later statements do not run", func() {
+			g.ask("BEGIN")
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed T")
+			b.group.set(func() {
+				b.group.script = func(string, jacinthtiller.Order) (jacinthtiller.Reply, error) { return jacinthtiller.Reply{}, errLost }
+			})
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "aborted E")
+			b.group.set(func() { b.group.script = nil })
+			b.group.log()
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "malformed E")
+			convey.So(g.ask("COMMIT"), convey.ShouldEqual, "aborted I")
+			convey.So(b.group.log(), convey.ShouldBeEmpty)
+		})
+		convey.Convey("whose first statement meets a broken connection is begun anew", func() {
+			broken := false
+			b.group.set(func() {
+				b.group.script = func(_ string, o jacinthtiller.Order) (jacinthtiller.Reply, error) {
+					if o.ID == "x" && !broken {
+						broken = true
+						return jacinthtiller.Reply{}, errLost
+					}
+					return success(10)
+				}
+			})
+			g.ask("BEGIN")
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "passed T")
+			convey.So(g.ask("COMMIT"), convey.ShouldEqual, "passed I")
+			convey.So(b.group.log(), convey.ShouldResemble, []string{
+				"a: BEGIN", "a: WRITE 1 x", "a: BEGIN", "a: WRITE 1 x", "a: COMMIT",
+			})
+		})
+		convey.Convey("whose commit gets no answer has an unknown outcome", func() {
+			g.ask("BEGIN")
+			g.ask("WRITE 1 x")
+			b.group.set(func() {
+				b.group.script = func(string, jacinthtiller.Order) (jacinthtiller.Reply, error) { return jacinthtiller.Reply{}, errLost }
+			})
+			convey.So(g.ask("COMMIT"), convey.ShouldEqual, "unknown I")
+		})
+		convey.Convey("whose statement fails is rolled back before the guest ends it", func() {
+			g.ask("BEGIN")
+			b.group.set(func() {
+				b.group.script = func(_ string, o jacinthtiller.Order) (jacinthtiller.Reply, error) {
+					if strings.HasPrefix(o.Text, "WRITE") {
+						return fail(jacinthtiller.FailExecution)
+					}
+					return success(10)
+				}
+			})
+			convey.So(g.ask("WRITE 1 x"), convey.ShouldEqual, "passed execution E")
+			convey.So(g.ask("COMMIT"), convey.ShouldEqual, "aborted I")
+			convey.So(strings.Join(b.group.log(), ","), convey.ShouldNotContainSubstring, "COMMIT")
+		})
+		convey.Convey("that rests for too long is rolled back", func() {
+			e := *b.view.Edition
+			e.IdleTransactionMilliseconds = 30
+			b.view.Edition = &e
+			b.change(func(d jacinthtiller.Database) jacinthtiller.Database { return d })
+			g.ask("BEGIN")
+			g.ask("WRITE 1 x")
+			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if l := b.group.log(); len(l) > 0 && l[len(l)-1] == "a: ROLLBACK" {
+					break
+				}
+			}
+			convey.So(g.ask("COMMIT"), convey.ShouldEqual, "aborted I")
+		})
+		convey.Convey("of a guest that leaves is rolled back", func() {
+			other := b.guest(jacinthtiller.ClassPrimary)
+			other.ask("BEGIN")
+			other.ask("WRITE 1 x")
+			other.leave()
+			rolledBack := false
+			for end := time.Now().Add(5 * time.Second); !rolledBack && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				l := b.group.log()
+				rolledBack = len(l) > 0 && l[len(l)-1] == "a: ROLLBACK"
+			}
+			convey.So(rolledBack, convey.ShouldBeTrue)
+		})
+	})
+}
+
+// TestValues guards against statements under the values or the prepared names of another guest.
+func TestValues(t *testing.T) {
+	convey.Convey("Two guests with the same names", t, func() {
+		b := newBench(t)
+		defer b.close()
+		g, h := b.guest(jacinthtiller.ClassPrimary), b.guest(jacinthtiller.ClassPrimary)
+		defer g.leave()
+		defer h.leave()
+		g.ask("SET k 1")
+		h.ask("SET k 2")
+		g.ask("PREPARE s shape1")
+		h.ask("PREPARE s shape2")
+		convey.So(g.ask("EXECUTE s 1 x"), convey.ShouldEqual, "passed I")
+		convey.So(h.ask("EXECUTE s 1 x"), convey.ShouldEqual, "passed I")
+		log := b.group.log()
+		convey.So(log[0], convey.ShouldEqual, "a: SET k 1")
+		convey.So(log[1], convey.ShouldEndWith, "shape1")
+		convey.So(log[3], convey.ShouldEqual, "a: SET k 2")
+		convey.So(log[4], convey.ShouldEndWith, "shape2")
+		convey.So(log[2], convey.ShouldNotEqual, log[5])
+		convey.So(g.ask("EXECUTE other 1"), convey.ShouldEqual, "no-statement I")
+	})
+}
+
+// TestDrain guards against requests that a planned stop cuts, and against a stop that waits for guests who rest.
+func TestDrain(t *testing.T) {
+	convey.Convey("A server that stops", t, func() {
+		b := newBench(t)
+		defer b.close()
+		resting, busy, open := b.guest(jacinthtiller.ClassPrimary), b.guest(jacinthtiller.ClassPrimary), b.guest(jacinthtiller.ClassPrimary)
+		open.ask("BEGIN")
+		open.ask("WRITE 1 x")
+		release := make(chan struct{})
+		started := make(chan struct{})
+		b.group.set(func() {
+			b.group.script = func(_ string, o jacinthtiller.Order) (jacinthtiller.Reply, error) {
+				if o.Text == "READ 1" {
+					close(started)
+					<-release
+				}
+				return success(10)
+			}
+		})
+		answer := make(chan string, 1)
+		b.server.group.Go(func() { answer <- busy.ask("READ 1") })
+		<-started
+		began := time.Now()
+		done := make(chan error, 1)
+		b.server.group.Go(func() {
+			done <- b.server.Drain(context.Background(), began.Add(20*time.Millisecond), began.Add(300*time.Millisecond))
+		})
+		_, more := <-resting.answers
+		convey.So(more, convey.ShouldBeFalse)
+		convey.So(open.ask("WRITE 2 x"), convey.ShouldEqual, "passed T") // it has time until abortOpen
+		close(release)
+		convey.So(<-answer, convey.ShouldEqual, "passed I")
+		convey.So(<-done, convey.ShouldBeNil)
+		convey.So(time.Since(began), convey.ShouldBeGreaterThan, 300*time.Millisecond)
+	})
+}
