--- /dev/null
+++ b/e2e/platform_standin_test.go
@@ -0,0 +1,392 @@
+package e2e_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// standinLag is how far replicas of the stand-in are behind their primary.
+const standinLag = 30 * time.Millisecond
+
+// standinCommit is one committed write in the log of a stand-in.
+type standinCommit struct {
+	item, data string
+	term       int
+	at         time.Time
+}
+
+// standinGroup stands for the three databases of one service of the platform, and for the platform's order to promote.
+type standinGroup struct {
+	t       testing.TB
+	service string
+	group   conc.WaitGroup
+	ctx     context.Context
+	stop    context.CancelFunc
+	// control are the addresses that heartbeats go to.
+	control []string
+	// platform serves the orders to promote.
+	platform net.Listener
+	http     *http.Server
+
+	mu   sync.Mutex // guards the fields below and those of the members
+	dbs  map[string]*standinDatabase
+	sign int
+	// tokens are those of the orders, in the order of arrival.
+	tokens []string
+}
+
+// standinDatabase is one database.
+type standinDatabase struct {
+	g       *standinGroup
+	id      string
+	l       net.Listener
+	address string
+	conns   map[net.Conn]bool
+	up      bool
+	born    int64
+	seq     int
+	primary bool
+	term    int
+	log     []standinCommit
+}
+
+func newStandinGroup(t testing.TB, control []string) *standinGroup {
+	g := &standinGroup{t: t, service: "svc", control: control, dbs: map[string]*standinDatabase{}}
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	for i := range 3 {
+		d := &standinDatabase{g: g, id: fmt.Sprintf("i-%d", i), address: freeAddress(t), conns: map[net.Conn]bool{}, primary: i == 0, term: 1}
+		g.dbs[d.id] = d
+		g.start(d)
+		g.group.Go(func() { g.beat(d) })
+	}
+	var err error
+	if g.platform, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	g.http = &http.Server{Handler: http.HandlerFunc(g.promote)}
+	g.group.Go(func() { _ = g.http.Serve(g.platform) })
+	t.Cleanup(func() {
+		g.stop()
+		g.http.Close()
+		for _, d := range g.dbs {
+			g.kill(d.id)
+		}
+		g.group.Wait()
+	})
+	return g
+}
+
+func (g *standinGroup) start(d *standinDatabase) {
+	l, err := net.Listen("tcp", d.address)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.mu.Lock()
+	d.l, d.up, d.born, d.seq = l, true, time.Now().UnixMilli(), 0
+	g.mu.Unlock()
+	g.group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			g.mu.Lock()
+			d.conns[c] = true
+			g.mu.Unlock()
+			g.group.Go(func() { d.serve(c) })
+		}
+	})
+}
+
+// kill ends a database as a crash does; its log stays.
+func (g *standinGroup) kill(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, x := range g.dbs {
+		x.visible() // what was replicated until now stays
+	}
+	d := g.dbs[id]
+	d.up = false
+	d.l.Close()
+	for c := range d.conns {
+		c.Close()
+	}
+	clear(d.conns)
+}
+
+// restart starts a database that was killed, as a replica if another one leads by now.
+func (g *standinGroup) restart(id string) {
+	g.mu.Lock()
+	d := g.dbs[id]
+	if p := g.leader(); p != nil && p != d {
+		d.primary, d.term = false, p.term
+		d.log = append([]standinCommit(nil), p.log...)
+	}
+	g.mu.Unlock()
+	g.start(d)
+}
+
+// leader returns the primary of the highest term. g.mu is held.
+func (g *standinGroup) leader() *standinDatabase {
+	var out *standinDatabase
+	for _, d := range g.dbs {
+		if d.primary && (out == nil || d.term > out.term) {
+			out = d
+		}
+	}
+	return out
+}
+
+// visible returns the log as the database has applied it. g.mu is held.
+func (d *standinDatabase) visible() []standinCommit {
+	if d.primary {
+		return d.log
+	}
+	if p := d.g.leader(); p != nil && p.up {
+		for i := len(d.log); i < len(p.log) && time.Since(p.log[i].at) > standinLag; i++ {
+			d.log = append(d.log, p.log[i])
+		}
+		d.term = p.term
+	}
+	return d.log
+}
+
+func (d *standinDatabase) position() string {
+	v := d.visible()
+	return fmt.Sprintf("%d.%d", d.term, len(v))
+}
+
+func (g *standinGroup) promote(w http.ResponseWriter, r *http.Request) {
+	var order struct{ Service, ID string }
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tokens = append(g.tokens, r.Header.Get("Jacinthtiller-Fencing-Token"))
+	d := g.dbs[order.ID]
+	if d == nil || !d.up {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	if d.primary {
+		return
+	}
+	d.visible()
+	p := g.leader()
+	d.primary, d.term = true, p.term+1
+	if p != d {
+		p.primary = false
+	}
+}
+
+// beat sends heartbeats until the end.
+func (g *standinGroup) beat(d *standinDatabase) {
+	client := &http.Client{Timeout: time.Second}
+	next := 0
+	for g.ctx.Err() == nil {
+		g.mu.Lock()
+		d.seq++
+		role := "replica"
+		if d.primary {
+			role = "primary"
+		}
+		body, _ := json.Marshal(map[string]any{
+			"service": g.service, "address": d.address, "zone": "zone-1", "version": "v1", "slots": 4, "state": "ready",
+			"db_role": role, "sequence": d.seq, "born": d.born,
+		})
+		up := d.up
+		g.mu.Unlock()
+		if up {
+			r, err := http.NewRequest(http.MethodPut, "http://"+g.control[next%len(g.control)]+"/jacinthtiller/instances/"+d.id, bytes.NewReader(body))
+			if err == nil {
+				answer, err := client.Do(r)
+				if err != nil || answer.StatusCode != http.StatusOK {
+					next++
+				}
+				if err == nil {
+					answer.Body.Close()
+				}
+			}
+		}
+		select {
+		case <-g.ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// serve speaks the line protocol with one caller.
+func (d *standinDatabase) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	first, err := r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(first, "STARTUP "+d.g.service+" ") || !strings.HasSuffix(strings.TrimSpace(first), " "+d.id) {
+		fmt.Fprintf(c, "ERROR WRONGNODE %s\r\n", d.id)
+		return
+	}
+	fmt.Fprintf(c, "READY I -\r\n")
+	s := &standinSession{d: d, state: 'I'}
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		line = strings.TrimRight(line, "\r\n")
+		_, rest, _ := strings.Cut(line, " ")
+		_, text, _ := strings.Cut(rest, " ")
+		d.g.mu.Lock()
+		answer := s.run(text)
+		up, position := d.up, d.position()
+		d.g.mu.Unlock()
+		if !up {
+			return
+		}
+		fmt.Fprintf(c, "%sREADY %c %s\r\n", answer, s.state, position)
+	}
+}
+
+// standinSession is one connection's state. Its methods are called with the group's mu held.
+type standinSession struct {
+	d      *standinDatabase
+	state  byte
+	reads  bool
+	writes []standinCommit
+}
+
+func (s *standinSession) run(text string) string {
+	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
+		position, query, _ := strings.Cut(rest, " ")
+		var term, index int
+		fmt.Sscanf(position, "%d.%d", &term, &index)
+		if len(s.d.visible()) < index {
+			return "ERROR LAGGING " + s.d.id + "\r\n"
+		}
+		text = query
+	}
+	word, rest, _ := strings.Cut(text, " ")
+	switch word {
+	case "STATUS", "STEPDOWN":
+		role := "replica"
+		if s.d.primary {
+			role = "primary"
+		}
+		return fmt.Sprintf("ROW %s %d %s 0 0 0 1\r\nCOMPLETE -\r\n", role, s.d.term, s.d.position())
+	case "BEGIN":
+		if rest != "READ" && !s.d.primary {
+			return s.fail("READONLY")
+		}
+		s.state, s.reads, s.writes = 'T', rest == "READ", nil
+	case "COMMIT":
+		if len(s.writes) > 0 && !s.d.primary {
+			s.state = 'I'
+			return "ERROR READONLY " + s.d.id + "\r\n"
+		}
+		s.d.log = append(s.d.log, s.writes...)
+		s.state, s.writes = 'I', nil
+		return s.signed("")
+	case "ROLLBACK":
+		s.state, s.writes = 'I', nil
+	case "READ":
+		data := "none"
+		for _, x := range append(append([]standinCommit(nil), s.d.visible()...), s.writes...) {
+			if x.item == rest {
+				data = x.data
+			}
+		}
+		return s.signed("ROW " + data + "\r\n")
+	case "WRITE":
+		item, data, _ := strings.Cut(rest, " ")
+		if !s.d.primary || s.reads && s.state == 'T' {
+			return s.fail("READONLY")
+		}
+		x := standinCommit{item: item, data: data, term: s.d.term, at: time.Now()}
+		if s.state == 'T' {
+			s.writes = append(s.writes, x)
+		} else {
+			s.d.log = append(s.d.log, x)
+		}
+		return s.signed("")
+	}
+	return "COMPLETE -\r\n"
+}
+
+func (s *standinSession) fail(code string) string {
+	if s.state == 'T' {
+		s.state = 'E'
+	}
+	return "ERROR " + code + " " + s.d.id + "\r\n"
+}
+
+func (s *standinSession) signed(rows string) string {
+	s.d.g.sign++
+	return fmt.Sprintf("%sCOMPLETE %d.%s\r\n", rows, s.d.g.sign, s.d.id)
+}
+
+// lineGuest is a guest of the platform's line protocol.
+type lineGuest struct {
+	c  net.Conn
+	r  *bufio.Reader
+	id int
+}
+
+var errRefused = errors.New("refused")
+
+func dialGuest(address, database string) (*lineGuest, error) {
+	c, err := net.DialTimeout("tcp", address, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	g := &lineGuest{c: c, r: bufio.NewReader(c)}
+	fmt.Fprintf(c, "STARTUP %s guest\r\n", database)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	line, err := g.r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "READY I") {
+		c.Close()
+		return nil, fmt.Errorf("%w: %s", errRefused, line)
+	}
+	return g, nil
+}
+
+// ask sends a query and returns the lines of its answer without the last, and the state.
+func (g *lineGuest) ask(text string) (lines []string, state string, err error) {
+	g.id++
+	fmt.Fprintf(g.c, "QUERY %x%d %s\r\n", time.Now().UnixNano(), g.id, text)
+	g.c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for {
+		line, err := g.r.ReadString('\n')
+		if err != nil {
+			return lines, "", err
+		}
+		line = strings.TrimRight(line, "\r\n")
+		if rest, ok := strings.CutPrefix(line, "READY "); ok {
+			return lines, rest[:1], nil
+		}
+		lines = append(lines, line)
+	}
+}
+
+// done asks and returns the first line of an answer that succeeded.
+func (g *lineGuest) done(text string) (string, error) {
+	lines, _, err := g.ask(text)
+	if err == nil && strings.HasPrefix(lines[0], "ERROR") {
+		err = fmt.Errorf("%s: %s", text, lines[0])
+	}
+	if err != nil {
+		return "", err
+	}
+	return lines[0], nil
+}
--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,284 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller/quorum"
+)
+
+// platformConfig is a configuration with one route of each class.
+func platformConfig(version, timeout int) string {
+	route := func(name, class string) string {
+		return fmt.Sprintf(`{"name":"r-%s","database_name":"%s","path_prefix":"/","type":"%s","timeout_ms":%d,"target_latency_ms":500,`+
+			`"priority":1,"service":"svc","max_staleness_ms":1500}`, name, name, class, timeout)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"svc","max_connections":30,"sync_replicas":0}],"limits":{"tx_idle_ms":3000}}`,
+		version, route("strict", "primary"), route("bounded", "bounded_staleness"), route("own", "read_your_writes"))
+}
+
+// platformInstallation is a set of processes on the platform's interface: three with the control role, three with the
+// entry role, a stand-in of the platform and its databases.
+type platformInstallation struct {
+	*installation
+	seeds []string
+	dbs   *standinGroup
+}
+
+func startPlatform(t testing.TB) *platformInstallation {
+	bin, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &platformInstallation{installation: &installation{
+		t: t, bin: bin, dir: t.TempDir(), control: map[string]*process{}, hosts: map[string]*process{}, targets: map[string]*process{},
+	}}
+	t.Cleanup(n.stop)
+	for range 3 {
+		n.seeds = append(n.seeds, freeAddress(t))
+	}
+	n.dbs = newStandinGroup(t, n.seeds)
+	for i := range n.seeds {
+		n.startCore(i, n.seeds[i], true)
+	}
+	for i := range 3 {
+		n.startEntry(i)
+	}
+	n.put(platformConfig(1, 2000))
+	n.eventually("a write is served", func(context.Context) error {
+		for _, h := range n.hosts {
+			g, err := dialGuest(h.guests, "strict")
+			if err != nil {
+				return err
+			}
+			_, err = g.done("WRITE 0 start")
+			g.c.Close()
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return n
+}
+
+// settings writes a settings file and returns the flag that names it.
+func (n *platformInstallation) settings(name string, lines ...string) string {
+	path := filepath.Join(n.dir, name+".conf")
+	lines = append(lines, "interface platform", "name "+name, "failure-domain zone-1", "region region-1", "regions zone-1=region-1",
+		"seeds "+strings.Join(n.seeds, ","), "log-format json", "drain-milliseconds 3000")
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+		n.t.Fatal(err)
+	}
+	return "--settings-file=" + path
+}
+
+func (n *platformInstallation) startCore(i int, address string, bootstrap bool) {
+	name := fmt.Sprintf("core-%d", i)
+	n.control[name] = n.run(name, "jacinthd", n.settings(name, "role control", "rpc-listen "+address, "tolerate 1",
+		"data-dir "+filepath.Join(n.dir, name), fmt.Sprintf("bootstrap %v", bootstrap), "platform-address "+n.dbs.platform.Addr().String()))
+}
+
+func (n *platformInstallation) startEntry(i int) {
+	name := fmt.Sprintf("edge-%d", i)
+	n.hosts[name] = n.run(name, "jacinthd", n.settings(name, "role entry", "guest-listen 127.0.0.1:0", "link-listen 127.0.0.1:0",
+		"ready-listen "+freeAddress(n.t)))
+}
+
+// put sends a configuration to any control process until it is acknowledged.
+func (n *platformInstallation) put(config string) {
+	n.eventually("the configuration is acknowledged", func(ctx context.Context) error {
+		var last error
+		for _, a := range n.seeds {
+			r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+a+"/jacinthtiller/config", bytes.NewReader([]byte(config)))
+			if err != nil {
+				return err
+			}
+			answer, err := (&http.Client{Timeout: time.Second}).Do(r)
+			if err != nil {
+				last = err
+				continue
+			}
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+			last = fmt.Errorf("status %s", answer.Status)
+		}
+		return last
+	})
+}
+
+// config reads the configuration back from any control process.
+func (n *platformInstallation) config() string {
+	var out string
+	n.eventually("the configuration is read", func(context.Context) error {
+		var last error
+		for _, a := range n.seeds {
+			answer, err := (&http.Client{Timeout: time.Second}).Get("http://" + a + "/jacinthtiller/config")
+			if err != nil {
+				last = err
+				continue
+			}
+			b, err := io.ReadAll(answer.Body)
+			answer.Body.Close()
+			if err == nil && answer.StatusCode == http.StatusOK {
+				out = string(b)
+				return nil
+			}
+			last = fmt.Errorf("status %s", answer.Status)
+		}
+		return last
+	})
+	return out
+}
+
+func (n *platformInstallation) guest(host, database string) *lineGuest {
+	g, err := dialGuest(n.hosts[host].guests, database)
+	convey.So(err, convey.ShouldBeNil)
+	n.t.Cleanup(func() { g.c.Close() })
+	return g
+}
+
+// TestPlatform guards the whole path on the platform's interface, in separate processes: writes that other hosts do not
+// see, a primary that is not replaced, a write that is lost or doubled by the change, a control process that does not
+// find back into its group without its disk, a stop that cuts a transaction.
+func TestPlatform(t *testing.T) {
+	convey.Convey("On the platform's interface", t, func() {
+		n := startPlatform(t)
+		ok := func(g *lineGuest, text, want string) {
+			got, err := g.done(text)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(got, convey.ShouldStartWith, want)
+		}
+
+		// A write on one host is seen on the others, by each class as it promises.
+		writer := n.guest("edge-0", "strict")
+		ok(writer, "WRITE 7 first", "COMPLETE ")
+		ok(n.guest("edge-1", "strict"), "READ 7", "ROW first")
+		own := n.guest("edge-2", "own")
+		ok(own, "WRITE 8 mine", "COMPLETE ")
+		for range 20 {
+			ok(own, "READ 8", "ROW mine")
+		}
+		_, err := dialGuest(n.hosts["edge-0"].guests, "nothing")
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "UNKNOWNDB")
+
+		// A transaction commits as a whole.
+		for _, x := range [][2]string{{"BEGIN", "COMPLETE -"}, {"WRITE 9 a", "COMPLETE "}, {"WRITE 10 b", "COMPLETE "}, {"COMMIT", "COMPLETE "}} {
+			ok(writer, x[0], x[1])
+		}
+		ok(n.guest("edge-1", "strict"), "READ 10", "ROW b")
+
+		// The primary dies: another is promoted, and what was acknowledged and replicated is there, once.
+		time.Sleep(3 * standinLag)
+		n.dbs.kill("i-0")
+		began := time.Now()
+		n.eventually("a write is served by the new primary", func(context.Context) error {
+			g, err := dialGuest(n.hosts["edge-1"].guests, "strict")
+			if err != nil {
+				return err
+			}
+			defer g.c.Close()
+			_, err = g.done("WRITE 11 after")
+			return err
+		})
+		t.Logf("a write was served %v after the primary died", time.Since(began).Round(time.Millisecond))
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 10*time.Second) // the target for a change of primary
+		ok(n.guest("edge-2", "strict"), "READ 10", "ROW b")
+		ok(n.guest("edge-0", "strict"), "READ 11", "ROW after")
+		n.dbs.restart("i-0")
+
+		// A control process loses its disk, and one is killed meanwhile later: what was acknowledged stays.
+		n.put(platformConfig(5, 1500))
+		n.kill("core-1")
+		convey.So(os.RemoveAll(filepath.Join(n.dir, "core-1")), convey.ShouldBeNil)
+		n.startCore(1, n.seeds[1], false)
+		n.put(platformConfig(9, 1600))
+		n.awaitVoters("core-1", n.seeds[1])
+		convey.So(n.config(), convey.ShouldEqual, platformConfig(9, 1600))
+		n.put(platformConfig(6, 1700)) // an older one is acknowledged and changes nothing
+		convey.So(n.config(), convey.ShouldEqual, platformConfig(9, 1600))
+
+		// A control process is replaced by one at another address, which the settings of the others do not name.
+		n.kill("core-2")
+		replacement := freeAddress(t)
+		n.startCore(3, replacement, false)
+		n.awaitVoters("core-3", replacement)
+		n.seeds = append(n.seeds, replacement)
+		convey.So(n.config(), convey.ShouldEqual, platformConfig(9, 1600))
+
+		// A planned stop lets an open transaction end and then exits.
+		last := n.guest("edge-0", "strict")
+		ok(last, "BEGIN", "COMPLETE -")
+		ok(last, "WRITE 12 c", "COMPLETE ")
+		host := n.hosts["edge-0"]
+		convey.So(host.cmd.Process.Signal(syscall.SIGTERM), convey.ShouldBeNil)
+		ok(last, "COMMIT", "COMPLETE ")
+		select {
+		case <-host.done:
+			convey.So(host.cmd.ProcessState.ExitCode(), convey.ShouldEqual, 0)
+		case <-time.After(readyTimeout):
+			t.Fatal("the host does not stop")
+		}
+		ok(n.guest("edge-1", "strict"), "READ 12", "ROW c")
+
+		// Orders to promote carry tokens that never fall.
+		n.dbs.mu.Lock()
+		defer n.dbs.mu.Unlock()
+		convey.So(len(n.dbs.tokens), convey.ShouldBeGreaterThan, 0)
+		for i := 1; i < len(n.dbs.tokens); i++ {
+			convey.So(n.dbs.tokens[i], convey.ShouldBeGreaterThanOrEqualTo, n.dbs.tokens[i-1])
+		}
+	})
+}
+
+// kill ends a control process with SIGKILL.
+func (n *platformInstallation) kill(name string) {
+	p := n.control[name]
+	convey.So(p.cmd.Process.Kill(), convey.ShouldBeNil)
+	<-p.done
+	delete(n.control, name)
+}
+
+// awaitVoters waits until a control process knows three voters, itself among them, and no repair is under way.
+func (n *platformInstallation) awaitVoters(name, address string) {
+	n.eventually(name+" is a voter", func(context.Context) error {
+		b, err := n.control[name].get("/dump")
+		if err != nil {
+			return err
+		}
+		var dump struct {
+			Control struct {
+				Log quorum.Status `json:"log"`
+			} `json:"control"`
+		}
+		if err := json.Unmarshal([]byte(b), &dump); err != nil {
+			return err
+		}
+		voters, own := 0, false
+		for _, m := range dump.Control.Log.Members {
+			if m.Voter {
+				voters++
+				own = own || m.Name == address && m.Identity == dump.Control.Log.Identity
+			}
+		}
+		if voters != 3 || !own || dump.Control.Log.RepairUnfinished {
+			return fmt.Errorf("members are %+v", dump.Control.Log.Members)
+		}
+		return nil
+	})
+}
