statement, pool: freshness is asked for past a crowd; fewer idle connections

The read that tells the freshness waited in the crowd's queue, replicas were idle meanwhile; and targets counted the dead connections of before for 3 s, so that they took few new ones (refusals of connections in the log). Change: a crowded primary is asked for its position directly; of idle connections one stays for long, the others 1.5 s. Ruled out: processor time, the wait for leases (hosts hold them 0.6 s after the leader is elected).

--- a/direct.go
+++ b/direct.go
@@ -399,6 +399,8 @@
 	Reset() string
 	Set(name, value string) string
 	Prepare(name string, access Access, shape string) string
+	// Status asks for the target's state; the answer carries its log position.
+	Status() string
 	// Execute runs a prepared statement under the name that it has at the target.
 	Execute(name, rest string) string
 }
--- a/pool/fake_test.go
+++ b/pool/fake_test.go
@@ -100,6 +100,7 @@
 
 func (fakeDialect) Begin(bool) string                { return "begin" }
 func (fakeDialect) Rollback() string                 { return "rollback" }
+func (fakeDialect) Status() string                   { return "STATUS" }
 func (fakeDialect) Reset() string                    { return "reset" }
 func (fakeDialect) Set(name, value string) string    { return "set " + name + "=" + value }
 func (fakeDialect) Execute(name, rest string) string { return "execute " + name + " " + rest }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -19,8 +19,11 @@
 	// sweepEvery is the time between looks for idle connections to close.
 	sweepEvery = 250 * time.Millisecond
 	// surplusIdle is how long a connection above the host's fair share may stay idle: other hosts may want it.
-	surplusIdle = 1500 * time.Millisecond
-	// keepIdle is how long one connection of the fair share may stay idle; targets close theirs after a minute.
+	surplusIdle = 500 * time.Millisecond
+	// spareIdle is how long a further connection may stay idle. Those of a host that loses power count at the target
+	// until it notices, after 3 s, and keep the host from coming back.
+	spareIdle = 1500 * time.Millisecond
+	// keepIdle is how long the last connection may stay idle; targets close theirs after a minute.
 	keepIdle = 40 * time.Second
 	// hangUpAge is the idle time after which a connection is checked for a close by the target before use.
 	hangUpAge = 10 * time.Millisecond
--- a/pool/target.go
+++ b/pool/target.go
@@ -152,8 +152,8 @@
 	var old []*conn
 	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
 		idle := now.Sub(c.idleSince)
-		surplus := t.open-len(old) > t.fair && idle > surplusIdle
-		if surplus || idle > keepIdle {
+		left := t.open - len(old)
+		if left > t.fair && idle > surplusIdle || left > 1 && idle > spareIdle || idle > keepIdle {
 			old = append(old, c)
 			return true
 		}
@@ -217,6 +217,31 @@
 	return t.own.failing()
 }
 
+// Crowded reports whether work of this host waits for room at the target.
+func (t *Target) Crowded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load >= t.room
+}
+
+// AskPosition asks the target for its log position on one of this host's own connections, past the queue of its work.
+func (t *Target) AskPosition(deadline time.Time) (jacinthtiller.Position, error) {
+	c, err := t.connect(deadline)
+	if err != nil {
+		return jacinthtiller.Position{}, err
+	}
+	var r jacinthtiller.Reply
+	if err = c.tc.Send(deadline, jacinthtiller.Order{Text: t.p.dialect.Status()}); err == nil {
+		r, err = c.tc.Receive(deadline)
+	}
+	if err != nil {
+		t.close(c, "no answer to a question")
+		return jacinthtiller.Position{}, fmt.Errorf("ask %s for its position: %w", t.spec.Name, err)
+	}
+	t.keep(c)
+	return r.Position, nil
+}
+
 // Probe tries to connect to the target and reports whether it answered.
 func (t *Target) Probe() bool { return t.probe(t.own) }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -84,6 +84,7 @@
 
 func (dialect) Begin(bool) string             { return "begin" }
 func (dialect) Rollback() string              { return "rollback" }
+func (dialect) Status() string                { return "STATUS" }
 func (dialect) Reset() string                 { return "reset" }
 func (dialect) Set(name, value string) string { return "set " + name + " " + value }
 func (dialect) Prepare(name string, _ jacinthtiller.Access, _ string) string {
--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -112,6 +112,7 @@
 	return "BEGIN"
 }
 func (dialect) Rollback() string                 { return "ROLLBACK" }
+func (dialect) Status() string                   { return "STATUS" }
 func (dialect) Reset() string                    { return "RESET" }
 func (dialect) Set(name, value string) string    { return "SET " + name + " " + value }
 func (dialect) Execute(name, rest string) string { return "EXECUTE " + name + " " + rest }
--- a/statement/place.go
+++ b/statement/place.go
@@ -70,8 +70,14 @@
 		if !leads || contains(tried, l.target) || !l.target.Usable(time.Now()) {
 			return place{}, false
 		}
-		if route.Class != jacinthtiller.ClassPrimary && !n.s.beginAttesting(route.Database) {
-			return place{}, false
+		if route.Class != jacinthtiller.ClassPrimary {
+			if !n.s.beginAttesting(route.Database) {
+				return place{}, false
+			}
+			if l.target.Direct() && l.target.Crowded() {
+				n.s.group.Go(func() { n.s.askFreshness(l) })
+				return place{}, false
+			}
 		}
 		return place{target: l.target, lead: &l}, true
 	}
@@ -117,6 +123,16 @@
 	return true
 }
 
+// askFreshness asks the primary for its position, past the queue of a crowd.
+func (s *Server) askFreshness(l lead) {
+	sent := now()
+	deadline := time.Now().Add(attestHold)
+	p, err := l.target.AskPosition(deadline)
+	if err == nil && s.confirm(l, deadline) {
+		s.attest(l, sent, p)
+	}
+}
+
 // endAttesting lets reads that wait for the freshness of a database go on.
 func (s *Server) endAttesting(database string) {
 	s.mu.Lock()
