--- a/pool/pool.go
+++ b/pool/pool.go
@@ -103,6 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	seen := map[targetKey]bool{}
+	weights := routeWeights(v.Edition)
 	for _, d := range v.Databases {
 		if !d.Direct {
 			continue
@@ -119,7 +120,7 @@
 				t = p.newTarget(spec)
 				p.targets[k] = t
 			}
-			t.follow(spec, connections, v.Gateways(spec, connections))
+			t.follow(spec, connections, v.Gateways(spec, connections), weights)
 		}
 	}
 	for k, t := range p.targets {
@@ -130,6 +131,21 @@
 	}
 }
 
+// lowestPriority is the priority from which on routes have the least share of a crowded target.
+const lowestPriority = 3
+
+// routeWeights returns the share of each route in a crowded target: each step of priority doubles it.
+func routeWeights(e *jacinthtiller.Edition) map[string]int {
+	out := map[string]int{}
+	if e == nil {
+		return out
+	}
+	for name, r := range e.Routes {
+		out[name] = 1 << (lowestPriority - min(max(r.Priority, 0), lowestPriority))
+	}
+	return out
+}
+
 // FindNamed returns the youngest incarnation of a target that the pool has; nil when it has none.
 func (p *Pool) FindNamed(database, name string) *Target {
 	p.mu.Lock()
--- a/pool/target.go
+++ b/pool/target.go
@@ -79,8 +79,8 @@
 	return t
 }
 
-// follow takes over what the view says. Gateways are those of the target, and hosts all that may relay.
-func (t *Target) follow(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host) {
+// follow takes over what the view says. Gateways are those of the target, and weights the shares of the routes.
+func (t *Target) follow(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host, weights map[string]int) {
 	slots := spec.Slots
 	if slots <= 0 {
 		slots = defaultSlots
@@ -96,6 +96,7 @@
 	room := t.room
 	t.mu.Unlock()
 	t.gate.SetCapacity(room, most)
+	t.gate.SetWeights(weights)
 }
 
 // waysTo returns the ways through the gateways, those that are known already with what is known of them. Each host
