control, statement, event, trace: earlier verdicts on primaries, a bounded log, explain

The log was written by those who serve, without a bound. Change: a lost primary is reported within 50 ms, asked with 0.25 s, once if nearly all hosts miss it, and left out of the survey. Lines go through a ring that never blocks and a budget a second; jacinthctl explain follows a request's id through the logs. Ruled out: the promotion itself (1.0 s, given by the platform).

--- a/control/direct.go
+++ b/control/direct.go
@@ -22,6 +22,8 @@
 const (
 	// inspectTimeout bounds one question to a target; regions are 25 ms apart and a full target answers late.
 	inspectTimeout = 400 * time.Millisecond
+	// doubtTimeout bounds a question to a primary that hosts cannot reach.
+	doubtTimeout = 250 * time.Millisecond
 	// inspectPause is the time between two questions to a doubted primary.
 	inspectPause = 80 * time.Millisecond
 	// succeedPause is the time between two looks at a group that has no primary.
@@ -316,7 +318,7 @@
 func (s *Server) question(ctx context.Context, d jacinthtiller.Database) {
 	defer s.end(s.direct.judged, d.Name)
 	t := d.Targets[d.Primary]
-	call, cancel := context.WithTimeout(ctx, inspectTimeout)
+	call, cancel := context.WithTimeout(ctx, doubtTimeout)
 	status, err := s.inspector.Inspect(call, t)
 	cancel()
 	s.note(d, status, err)
@@ -348,14 +350,18 @@
 	}
 }
 
-// survey asks all targets of a direct group for their state at the same time.
-func (s *Server) surveyDirect(ctx context.Context, d jacinthtiller.Database) directSurvey {
+// surveyDirect asks the targets of a direct group for their state at the same time. A former primary that was found to
+// be out of reach is left out: waiting for it would hold up the promotion.
+func (s *Server) surveyDirect(ctx context.Context, d jacinthtiller.Database, why verdict) directSurvey {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
 	out := directSurvey{}
 	var mu sync.Mutex
 	var group conc.WaitGroup
 	for _, t := range d.Targets {
+		if t.Name == d.Former && (why == verdictSilent || why == verdictDown) {
+			continue
+		}
 		group.Go(func() {
 			status, err := s.inspector.Inspect(ctx, t)
 			if err != nil {
@@ -402,13 +408,13 @@
 
 // attempt makes one try to find a primary and reports whether the group has one.
 func (s *Server) attempt(ctx context.Context, wg *conc.WaitGroup, p *succession, d jacinthtiller.Database) bool {
-	v := s.surveyDirect(ctx, d)
-	if n := v.leading(d); n != "" && d.Targets[n].State == jacinthtiller.StateServing {
-		return s.crown(ctx, wg, d, n, v[n])
-	}
 	s.direct.mu.Lock()
 	why := s.direct.reasons[d.Name]
 	s.direct.mu.Unlock()
+	v := s.surveyDirect(ctx, d, why)
+	if n := v.leading(d); n != "" && d.Targets[n].State == jacinthtiller.StateServing {
+		return s.crown(ctx, wg, d, n, v[n])
+	}
 	if v.stillLeads(d) && why != verdictCutOff && why != verdictLeaving {
 		return s.crown(ctx, wg, d, d.Former, v[d.Former])
 	}
--- a/control/succession.go
+++ b/control/succession.go
@@ -21,6 +21,8 @@
 	// silentShare is the share of the hosts with a lease, in percent, that must miss a primary which this process
 	// cannot reach either: a primary that most hosts still reach is only cut off from control.
 	silentShare = 40
+	// surelyShare is the share from which on one unanswered question is enough.
+	surelyShare = 80
 )
 
 // evidence is what the leader knows about whether a primary can be reached.
@@ -91,7 +93,7 @@
 		return verdictDemoted
 	case e.refusals >= refusalsLost && (doubting > 0 || hosts == 0):
 		return verdictDown
-	case e.silences >= silencesLost && share >= silentShare:
+	case e.silences >= silencesLost && share >= silentShare, e.silences > 0 && share >= surelyShare:
 		return verdictSilent
 	case e.answered && share >= cutShare:
 		return verdictCutOff
--- a/control/succession_test.go
+++ b/control/succession_test.go
@@ -55,6 +55,10 @@
 			group, &evidence{target: "a", doubts: doubts(old), refusals: 5}, 7, verdictStays,
 		},
 		"silent to all": {group, &evidence{target: "a", doubts: doubts(young, young, young, young), silences: 2}, 7, verdictSilent},
+		"silent to almost all": {
+			group, &evidence{target: "a", doubts: doubts(young, young, young, young, young, young), silences: 1}, 7, verdictSilent,
+		},
+		"silent once, to half": {group, &evidence{target: "a", doubts: doubts(young, young, young, young), silences: 1}, 7, verdictStays},
 		"cut off from control only, one host is slow": {
 			group, &evidence{target: "a", doubts: doubts(young), silences: 9}, 7, verdictStays,
 		},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,7 +42,9 @@
 	settings *Settings
 	events   *event.Log
 	trace    io.Closer
-	group    conc.WaitGroup
+	// sink is nil when the logger was given.
+	sink  *event.Sink
+	group conc.WaitGroup
 
 	rpc  net.Listener
 	http *http.Server
@@ -135,10 +137,12 @@
 	for _, f := range opts {
 		f(&o)
 	}
+	p := &Process{settings: s, rpc: o.rpc, links: o.link, dialer: o.dialer}
 	if o.logger == nil {
 		o.logger = NewLogger(s)
+		p.sink = event.NewSink(o.logger.Out)
+		o.logger.SetOutput(p.sink)
 	}
-	p := &Process{settings: s, rpc: o.rpc, links: o.link, dialer: o.dialer}
 	if s.Interface != InterfacePostgres {
 		if p.adapter = o.adapters[s.Interface]; p.adapter == nil {
 			return nil, fmt.Errorf("start %s: this program has no interface %q", s.Name, s.Interface)
@@ -198,7 +202,7 @@
 }
 
 func (p *Process) openEvents(logger *logrus.Logger) error {
-	var opts []event.Option
+	opts := []event.Option{event.WithBudget()}
 	if p.settings.TraceFile != "" {
 		f, err := os.OpenFile(p.settings.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
@@ -553,4 +557,7 @@
 	if p.trace != nil {
 		_ = p.trace.Close()
 	}
+	if p.sink != nil {
+		p.sink.Close()
+	}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -65,6 +65,8 @@
 type Log struct {
 	host   string
 	logger *logrus.Logger
+	// budget is nil when the log is not bounded.
+	budget *budget
 
 	mu sync.Mutex // guards the fields below
 	// trace is nil unless a trace was asked for.
@@ -80,6 +82,11 @@
 	return func(l *Log) { l.trace = json.NewEncoder(w) }
 }
 
+// WithBudget bounds the lines below the level of warnings by the second. What is left out is counted in an event.
+func WithBudget() Option {
+	return func(l *Log) { l.budget = &budget{} }
+}
+
 // New returns a Log for the named host that writes through logger.
 func New(host string, logger *logrus.Logger, opts ...Option) *Log {
 	l := &Log{host: host, logger: logger}
@@ -101,7 +108,7 @@
 	if l == nil {
 		return
 	}
-	if l.logger != nil && l.logger.IsLevelEnabled(k.Level) {
+	if l.logger != nil && l.logger.IsLevelEnabled(k.Level) && l.affords(k) {
 		l.logger.WithFields(logrus.Fields(f)).WithFields(logrus.Fields{
 			"event": k.Number, "host": l.host,
 		}).Log(k.Level, k.Name)
@@ -118,3 +125,17 @@
 		l.trace = nil
 	}
 }
+
+// affords reports whether the log has room for a line of the kind.
+func (l *Log) affords(k Kind) bool {
+	if l.budget == nil || k.Level <= logrus.WarnLevel {
+		return true
+	}
+	ok, leftOut := l.budget.take(time.Now())
+	if leftOut > 0 {
+		l.logger.WithFields(logrus.Fields{
+			"event": LinesDropped.Number, "host": l.host, "count": leftOut, "cause": "bound a second",
+		}).Log(LinesDropped.Level, LinesDropped.Name)
+	}
+	return ok
+}
--- a/operator/command.go
+++ b/operator/command.go
@@ -101,7 +101,7 @@
 		LongHelp: "Flags can be given as environment variables: --control as " + EnvPrefix + "_CONTROL and so on.\n" +
 			"Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused, 4 outcome unknown, 5 a guarantee is broken.",
 		Subcommands: []*ffcli.Command{
-			t.section(), t.document(), t.status(), t.target(), t.primary(), t.members(), t.dump(), t.trace(),
+			t.section(), t.document(), t.status(), t.target(), t.primary(), t.members(), t.dump(), t.trace(), t.explain(),
 			t.bench(), t.quickstart(), t.version(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/operator/trace.go
+++ b/operator/trace.go
@@ -11,6 +11,26 @@
 	"github.com/jacinthtiller/jacinthtiller/trace"
 )
 
+// explain says why a request failed.
+func (t *tool) explain() *ffcli.Command {
+	return t.command("explain", "REQUEST-ID LOGFILE...", "Say what the logs of hosts and control processes tell about a request.", -1, nil,
+		func(_ context.Context, args []string) error {
+			if len(args) < 2 {
+				return usage("explain takes a request's id and at least one log file")
+			}
+			lines, err := trace.ReadLogs(args[1:]...)
+			if err != nil {
+				return fmt.Errorf("explain request %s: %w", args[0], err)
+			}
+			e := trace.Explain(lines, args[0])
+			if len(e.Request) == 0 {
+				return fmt.Errorf("no line of the logs is about request %s: it succeeded, was left out by the bound of the log, or reached another host", args[0])
+			}
+			fmt.Fprint(t.out, e)
+			return nil
+		})
+}
+
 // trace holds the commands for trace files.
 func (t *tool) trace() *ffcli.Command {
 	check := t.command("trace check", "FILE...", "Merge trace files and judge the guarantees.", -1, nil,
--- a/statement/account.go
+++ b/statement/account.go
@@ -38,7 +38,8 @@
 	s.metrics.count(q.route, string(code), time.Since(q.arrived))
 	v := s.view.Load()
 	s.events.Emit(event.StatementFailed, event.Fields{
-		"request": q.ID, "guest": n.guest, "route": q.route.Name, "class": string(q.route.Class), "verb": string(q.Verb),
+		"request": q.ID, "guest": n.guest, "route": q.route.Name, "database": q.route.Database,
+		"class": string(q.route.Class), "verb": string(q.Verb),
 		"code": string(code), "reason": why, "target": q.target, "through": q.through, "tries": q.tries, "index": v.Index,
 		"milliseconds": time.Since(q.arrived).Milliseconds(), "primary": v.Databases[q.route.Database].Primary,
 		"term": v.Databases[q.route.Database].Term, "lease-milliseconds": s.lease.Load().Deadline.Sub(now()).Milliseconds(),
@@ -52,7 +53,8 @@
 		return
 	}
 	s.events.Emit(event.StatementDone, event.Fields{
-		"request": q.ID, "guest": n.guest, "route": q.route.Name, "class": string(q.route.Class), "verb": string(q.Verb),
+		"request": q.ID, "guest": n.guest, "route": q.route.Name, "database": q.route.Database,
+		"class": string(q.route.Class), "verb": string(q.Verb),
 		"target": q.target, "through": q.through, "tries": q.tries, "milliseconds": time.Since(q.arrived).Milliseconds(),
 		"mark": n.mark.String(), "index": s.view.Load().Index,
 	})
--- a/statement/server.go
+++ b/statement/server.go
@@ -23,7 +23,9 @@
 const (
 	// acceptPause is the wait after a connection could not be accepted, as when descriptors are used up.
 	acceptPause = 50 * time.Millisecond
-	// doubtEvery is the time between reports of a primary that cannot be reached; control counts one for a second.
+	// doubtLook is the time between looks at primaries that cannot be reached, and doubtEvery the time between reports
+	// of one; control counts a report for a second.
+	doubtLook  = 50 * time.Millisecond
 	doubtEvery = 300 * time.Millisecond
 	// doubtTimeout bounds one report.
 	doubtTimeout = 500 * time.Millisecond
@@ -264,17 +266,24 @@
 
 // reportDoubts tells control which primaries this host cannot reach.
 func (s *Server) reportDoubts() {
-	ticks := time.NewTicker(doubtEvery)
+	ticks := time.NewTicker(doubtLook)
 	defer ticks.Stop()
+	due := map[*pool.Target]time.Time{}
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-ticks.C:
-		}
-		for _, d := range s.view.Load().Databases {
-			if t := s.doubted(d); t != nil {
-				s.reportDoubt(d, t)
+		case now := <-ticks.C:
+			for _, d := range s.view.Load().Databases {
+				t := s.doubted(d)
+				if t == nil || now.Before(due[t]) {
+					continue
+				}
+				if _, again := due[t]; !again && len(due) > 0 {
+					clear(due) // of primaries that were doubted before
+				}
+				due[t] = now.Add(doubtEvery)
+				s.group.Go(func() { s.reportDoubt(d, t) })
 			}
 		}
 	}
@@ -293,8 +302,8 @@
 }
 
 func (s *Server) reportDoubt(d jacinthtiller.Database, t *pool.Target) {
-	// The target is tried again, so that the report is about now and not about the last request.
-	if t.Usable(time.Now()) && t.Probe() {
+	// A target that failed a while ago is tried again, so that the report is about now and not about the last request.
+	if time.Since(t.FailingSince()) > doubtEvery && t.Probe() {
 		return
 	}
 	if s.control == nil {
--- /dev/null
+++ b/trace/explain.go
@@ -0,0 +1,168 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+const (
+	// beliefsBefore and beliefsAfter bound the time around a request's line in which a host's other lines may explain
+	// it: a change of primary takes up to 10 s.
+	beliefsBefore = 10 * time.Second
+	beliefsAfter  = time.Second
+	// maxLogLine bounds one line of a log.
+	maxLogLine = 1 << 20
+)
+
+// Line is one line of a process's log.
+type Line struct {
+	Time   time.Time
+	Host   string
+	Number int
+	Name   string
+	Fields map[string]any
+}
+
+// Explanation is what the logs say about one request.
+type Explanation struct {
+	// Request holds the lines that carry the request's id, in the order of each host's clock.
+	Request []Line
+	// Beliefs holds what the host that answered had come to believe about the request's database, target, lease and
+	// control group shortly before, the oldest first.
+	Beliefs []Line
+	// Control holds what the control processes decided about the database, by their own clocks.
+	Control []Line
+}
+
+// beliefs are the events of an entry host that explain its answers. Those that are about a database or a target count
+// only for the request's own.
+var beliefs = map[int]bool{
+	event.TargetUnreached.Number: true, event.TargetRegained.Number: true, event.PrimaryDoubtReported.Number: true,
+	event.AnswerWithheld.Number: true, event.LeaseEnded.Number: true, event.ControlLost.Number: true,
+	event.ControlFound.Number: true, event.HostRegistered.Number: true, event.ProcessStarted.Number: true,
+	event.ProcessStopping.Number: true, event.GuestWithoutRoute.Number: true, event.LinesDropped.Number: true,
+}
+
+// decisions are the events of control processes about a database.
+var decisions = map[int]bool{
+	event.ControlPrimaryDoubted.Number: true, event.ControlPrimaryYielded.Number: true,
+	event.ControlPrimaryElected.Number: true, event.ControlPromoteOrdered.Number: true,
+	event.ControlPromoteDelayed.Number: true, event.ControlPrimaryCrowned.Number: true,
+}
+
+// ReadLogs reads the logs of any number of processes, one JSON object a line. What stands before the object, as a log
+// collector puts it there, and lines without one are passed over.
+func ReadLogs(paths ...string) ([]Line, error) {
+	var out []Line
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, fmt.Errorf("open log: %w", err)
+		}
+		lines, err := readLog(f)
+		if cerr := f.Close(); err == nil && cerr != nil {
+			err = cerr
+		}
+		if err != nil {
+			return nil, fmt.Errorf("read log %s: %w", path, err)
+		}
+		out = append(out, lines...)
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return out, nil
+}
+
+func readLog(r io.Reader) ([]Line, error) {
+	var out []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		i := bytes.IndexByte(s.Bytes(), '{')
+		if i < 0 {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal(s.Bytes()[i:], &fields) != nil {
+			continue // a line of another program
+		}
+		l := Line{Fields: fields, Host: text(fields["host"]), Name: text(fields["msg"])}
+		if n, ok := fields["event"].(float64); ok {
+			l.Number = int(n)
+		}
+		l.Time, _ = time.Parse(time.RFC3339Nano, text(fields["time"])) // a line without a time sorts first
+		for _, k := range []string{"host", "msg", "event", "time", "level"} {
+			delete(fields, k)
+		}
+		out = append(out, l)
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("scan: %w", err)
+	}
+	return out, nil
+}
+
+func text(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+// Explain finds what the lines say about a request.
+func Explain(lines []Line, request string) Explanation {
+	var e Explanation
+	for _, l := range lines {
+		if text(l.Fields["request"]) == request {
+			e.Request = append(e.Request, l)
+		}
+	}
+	if len(e.Request) == 0 {
+		return e
+	}
+	last := e.Request[len(e.Request)-1]
+	database, target := text(last.Fields["database"]), text(last.Fields["target"])
+	for _, l := range lines {
+		if l.Time.Before(last.Time.Add(-beliefsBefore)) || l.Time.After(last.Time.Add(beliefsAfter)) {
+			continue
+		}
+		about := text(l.Fields["database"]) == database
+		switch {
+		case decisions[l.Number] && about:
+			e.Control = append(e.Control, l)
+		case !beliefs[l.Number] || l.Host != last.Host:
+		case l.Fields["target"] == nil || about && (text(l.Fields["target"]) == target || text(last.Fields["primary"]) == text(l.Fields["target"])):
+			e.Beliefs = append(e.Beliefs, l)
+		}
+	}
+	return e
+}
+
+// String returns the explanation as text, a line of the logs a line.
+func (e Explanation) String() string {
+	var b strings.Builder
+	part := func(title string, lines []Line) {
+		fmt.Fprintf(&b, "%s\n", title)
+		if len(lines) == 0 {
+			fmt.Fprintf(&b, "  none\n")
+		}
+		for _, l := range lines {
+			fmt.Fprintf(&b, "  %s %s %s (%d)", l.Time.Format("15:04:05.000"), l.Host, l.Name, l.Number)
+			for _, k := range slices.Sorted(maps.Keys(l.Fields)) {
+				fmt.Fprintf(&b, " %s=%v", k, l.Fields[k])
+			}
+			b.WriteByte('\n')
+		}
+	}
+	part("request:", e.Request)
+	part("what its host believed:", e.Beliefs)
+	part("what control decided about the database, by the clocks of control:", e.Control)
+	return b.String()
+}
