pool, control: hosts relay around a cut instead of a promotion

Change: a gateway that lost its target refuses relays at once, so that others try the next one; a primary is replaced only when 85% of its gateways miss it.

--- a/control/succession.go
+++ b/control/succession.go
@@ -16,8 +16,8 @@
 	// silencesLost is how many unanswered questions in a row show that a primary is out of this process's reach.
 	silencesLost = 2
 	// cutShare is the share of the hosts with a lease, in percent, from which on a primary that this process still
-	// reaches is replaced because they cannot reach it: fewer hosts lose less than a promotion would cost all of them.
-	cutShare = 60
+	// reaches is replaced because they cannot reach it: the others relay until then, and a promotion stops the writes of all.
+	cutShare = 85
 	// silentShare is the share of the hosts with a lease, in percent, that must miss a primary which this process
 	// cannot reach either: a primary that most hosts still reach is only cut off from control.
 	silentShare = 40
--- a/pool/trip.go
+++ b/pool/trip.go
@@ -29,6 +29,8 @@
 // ErrSilent means that the target neither answers nor takes connections.
 var ErrSilent = errors.New("the target does not answer")
 
+var errLostNow = errors.New("it could not be reached a moment ago")
+
 // Trip is the path of one guest's work to a target: a single statement, or a transaction. It is used by one goroutine
 // at a time.
 type Trip struct {
@@ -49,7 +51,7 @@
 func (t *Target) Open(e jacinthtiller.Errand) (*Trip, error) {
 	w := t.pick(time.Now())
 	if w == nil {
-		return nil, &NoTargetError{Target: t.spec.Name, Cause: errors.New("it could not be reached a moment ago")}
+		return nil, &NoTargetError{Target: t.spec.Name, Cause: errLostNow}
 	}
 	if w == t.own {
 		return t.OpenOwn(e)
@@ -64,8 +66,11 @@
 	return &Trip{t: t, w: w, relay: c, free: true}, nil
 }
 
-// OpenOwn begins a trip by the host's own connection.
+// OpenOwn begins a trip by the host's own connection. A target that it could not reach a moment ago is not waited for.
 func (t *Target) OpenOwn(e jacinthtiller.Errand) (*Trip, error) {
+	if !t.own.usable(time.Now()) {
+		return nil, &NoTargetError{Target: t.spec.Name, Cause: errLostNow}
+	}
 	t.begun(1)
 	defer t.begun(-1) // from here on the statement that runs counts
 	c, err := t.openOwn(e)
