--- a/pool/target.go
+++ b/pool/target.go
@@ -202,6 +202,9 @@
 // Usable reports whether the target may be tried now.
 func (t *Target) Usable(now time.Time) bool { return t.pick(now) != nil }
 
+// Relays reports whether this host can run errands of other hosts on its own connections now.
+func (t *Target) Relays(now time.Time) bool { return t.own.usable(now) }
+
 // Direct reports whether this host connects to the target itself.
 func (t *Target) Direct() bool {
 	t.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -181,6 +181,22 @@
 			}
 			convey.So(last, convey.ShouldEqual, "rollback")
 		})
+		convey.Convey("a host that lost the target itself is no way to it, until it has it back", func() {
+			f.mu.Lock()
+			f.down = true
+			f.mu.Unlock()
+			_, err := ask(errand("read"))
+			convey.So(err, convey.ShouldNotBeNil)
+			_, err = Dialer{}.DialRelay(ctx, l.Addr().String(), target)
+			convey.So(err, convey.ShouldNotBeNil)
+			f.mu.Lock()
+			f.down = false
+			f.mu.Unlock()
+			for end := time.Now().Add(5 * time.Second); err != nil && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				_, err = Dialer{}.DialRelay(ctx, l.Addr().String(), target)
+			}
+			convey.So(err, convey.ShouldBeNil)
+		})
 		convey.Convey("a target that the host does not know is refused", func() {
 			other := target
 			other.Name = "z"
--- a/relay/server.go
+++ b/relay/server.go
@@ -104,8 +104,11 @@
 		return
 	}
 	var fault helloAnswer
-	if s.pool.FindNamed(h.Database, h.Target) == nil {
+	switch t := s.pool.FindNamed(h.Database, h.Target); {
+	case t == nil:
 		fault.Fault = "the host does not know the target " + h.Target
+	case !t.Relays(time.Now()):
+		fault.Fault = "the host cannot reach the target " + h.Target
 	}
 	if err := f.write(time.Now().Add(answerLimit), fault); err != nil || fault.Fault != "" {
 		return
