wire, control: one copy of what connections share; editions and reports in files of their own

Change: wire.Tune and wire.Disturbed; control/editions.go and control/reports.go. No behaviour changes but for link's look.

--- a/control/direct.go
+++ b/control/direct.go
@@ -1,12 +1,9 @@
 package control
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"sync"
 	"syscall"
 	"time"
@@ -45,8 +42,6 @@
 	catchUpWait = 600 * time.Millisecond
 	// demoteTries is how often a former primary is ordered to step down; it does so by itself once it can reach the new one.
 	demoteTries = 5
-	// maxEditionBytes bounds an edition after decompression.
-	maxEditionBytes = 64 << 20
 )
 
 // direct is the leader's volatile knowledge of direct groups.
@@ -126,97 +121,6 @@
 	return s.mustLead()
 }
 
-// ApplyEdition puts an edition in force, or accepts it without effect when its number is not higher than that of the
-// one in force. When it returns nil the outcome is durable.
-func (s *Server) ApplyEdition(ctx context.Context, e jacinthtiller.Edition, text []byte) error {
-	if err := e.Validate(); err != nil {
-		s.events.Emit(event.ControlEditionRefused, event.Fields{"number": e.Number, "fault": err.Error()})
-		return &jacinthtiller.InvalidError{Err: err}
-	}
-	if err := s.mustLead(); err != nil {
-		return err
-	}
-	packed, err := pack(text)
-	if err != nil {
-		return err
-	}
-	if _, err := s.propose(ctx, Command{Edition: &editionCommand{Edition: e, Text: packed}}); err != nil {
-		return s.leadingError(err)
-	}
-	return nil
-}
-
-// EditionText returns the newest edition as its author sent it; nil when there is none.
-func (s *Server) EditionText(ctx context.Context) ([]byte, error) {
-	if err := s.confirmLead(ctx); err != nil {
-		return nil, err
-	}
-	text := s.machine.state().EditionText
-	if text == nil {
-		return nil, nil
-	}
-	return unpack(text)
-}
-
-func pack(text []byte) ([]byte, error) {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(text); err != nil {
-		return nil, fmt.Errorf("compress edition: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("compress edition: %w", err)
-	}
-	return b.Bytes(), nil
-}
-
-func unpack(b []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(b))
-	if err != nil {
-		return nil, fmt.Errorf("decompress edition: %w", err)
-	}
-	text, err := io.ReadAll(io.LimitReader(r, maxEditionBytes))
-	if err != nil {
-		return nil, fmt.Errorf("decompress edition: %w", err)
-	}
-	return text, nil
-}
-
-// Report takes what a target of a direct group says of itself. When it returns nil, what is new in it is durable.
-func (s *Server) Report(ctx context.Context, r jacinthtiller.TargetReport) error {
-	if err := r.Validate(); err != nil {
-		return &jacinthtiller.InvalidError{Err: err}
-	}
-	if err := s.mustLead(); err != nil {
-		return err
-	}
-	if s.direct.overtaken(r) || !s.machine.state().isNews(r) {
-		return nil
-	}
-	if _, err := s.propose(ctx, Command{Enlist: &enlistCommand{Report: r}}); err != nil {
-		return s.leadingError(err)
-	}
-	return nil
-}
-
-// Withdraw takes the present incarnation of a target out of its direct group.
-func (s *Server) Withdraw(ctx context.Context, target string) error {
-	if err := s.mustLead(); err != nil {
-		return err
-	}
-	for _, d := range s.machine.state().View.Databases {
-		t, ok := d.Targets[target]
-		if !d.Direct || !ok {
-			continue
-		}
-		c := delistCommand{Target: target, BornMilliseconds: t.BornMilliseconds}
-		if _, err := s.propose(ctx, Command{Delist: &c}); err != nil {
-			return s.leadingError(err)
-		}
-	}
-	return nil
-}
-
 // doubt takes a host's report that it cannot reach the primary of a direct group.
 func (s *Server) doubt(database, target, host string, now time.Time) {
 	x := s.direct
--- /dev/null
+++ b/control/editions.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// maxEditionBytes bounds an edition after decompression.
+const maxEditionBytes = 64 << 20
+
+// ApplyEdition puts an edition in force, or accepts it without effect when its number is not higher than that of the
+// one in force. When it returns nil the outcome is durable.
+func (s *Server) ApplyEdition(ctx context.Context, e jacinthtiller.Edition, text []byte) error {
+	if err := e.Validate(); err != nil {
+		s.events.Emit(event.ControlEditionRefused, event.Fields{"number": e.Number, "fault": err.Error()})
+		return &jacinthtiller.InvalidError{Err: err}
+	}
+	if err := s.mustLead(); err != nil {
+		return err
+	}
+	packed, err := pack(text)
+	if err != nil {
+		return err
+	}
+	if _, err := s.propose(ctx, Command{Edition: &editionCommand{Edition: e, Text: packed}}); err != nil {
+		return s.leadingError(err)
+	}
+	return nil
+}
+
+// EditionText returns the newest edition as its author sent it; nil when there is none.
+func (s *Server) EditionText(ctx context.Context) ([]byte, error) {
+	if err := s.confirmLead(ctx); err != nil {
+		return nil, err
+	}
+	text := s.machine.state().EditionText
+	if text == nil {
+		return nil, nil
+	}
+	return unpack(text)
+}
+
+func pack(text []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(text); err != nil {
+		return nil, fmt.Errorf("compress edition: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress edition: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+func unpack(b []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, fmt.Errorf("decompress edition: %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxEditionBytes))
+	if err != nil {
+		return nil, fmt.Errorf("decompress edition: %w", err)
+	}
+	return text, nil
+}
--- a/link/frame.go
+++ b/link/frame.go
@@ -14,8 +14,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -181,44 +179,3 @@
 	}
 	return binary.BigEndian.Uint64(p), p[numberBytes:], nil
 }
-
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
-const tcpUserTimeout = 18
-
-// tune makes the system notice that the other host is gone: by keep-alive within
-// seconds, and by data that the other host does not take within the limit.
-func tune(c net.Conn, limit time.Duration) {
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3})
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
-	})
-}
-
-// disturbed reports whether an idle connection is closed or has something to
-// read, which makes it unfit for another unit.
-func disturbed(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peek := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(peek, syscall.EAGAIN)
-		return true
-	})
-	return err != nil || !quiet
-}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
 var background = context.Background()
@@ -397,7 +398,7 @@
 		typ, _, err := told.(*channel).c.r.read()
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(typ, convey.ShouldEqual, byte(frameGoing))
-		eventually(t, func() bool { return disturbed(p.o.idle[idle.(*channel).c.address][0].raw) })
+		eventually(t, func() bool { return wire.Disturbed(p.o.idle[idle.(*channel).c.address][0].raw) })
 		convey.So(p.o.take(idle.(*channel).c.address), convey.ShouldBeNil)
 		convey.So(run(busy, jacinthtiller.Unit{Number: 2}), convey.ShouldEqual, "done I: ")
 		g.Wait()
--- a/link/opener.go
+++ b/link/opener.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
 // maxIdle bounds the unused connections kept per host.
@@ -123,7 +124,7 @@
 		c := l[len(l)-1]
 		o.idle[address] = l[:len(l)-1]
 		o.mu.Unlock()
-		if !disturbed(c.raw) {
+		if !wire.Disturbed(c.raw) {
 			return c
 		}
 		c.close()
@@ -147,7 +148,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	tune(raw, silenceLimit)
+	wire.Tune(raw, silenceLimit)
 	c := &peerConn{raw: raw, nc: raw, address: address}
 	if o.tls != nil {
 		name, _, err := net.SplitHostPort(address)
--- a/link/server.go
+++ b/link/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
 const (
@@ -91,7 +92,7 @@
 			}
 			return fmt.Errorf("serve link: %w", err)
 		}
-		tune(c, stallLimit)
+		wire.Tune(c, stallLimit)
 		s.start(c)
 	}
 }
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
 // silenceLimit makes the system drop a path whose other end does not acknowledge data.
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to host at %s: %w", address, err)
 	}
-	tune(nc)
+	wire.Tune(nc, silenceLimit)
 	p := &path{nc: nc, f: newFramer(nc)}
 	deadline, _ := ctx.Deadline()
 	if err := p.greet(deadline, t); err != nil {
@@ -84,46 +84,7 @@
 }
 
 // Stale reports whether the path was closed or holds something unasked.
-func (p *path) Stale() bool {
-	s, ok := p.nc.(syscall.Conn)
-	if !ok || p.f.partial() {
-		return p.f.partial()
-	}
-	// A deadline that has passed since the last answer would end the look below at once.
-	if err := p.nc.SetReadDeadline(time.Time{}); err != nil {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peek := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(peek, syscall.EAGAIN)
-		return true
-	})
-	return err != nil || !quiet
-}
+func (p *path) Stale() bool { return p.f.partial() || wire.Disturbed(p.nc) }
 
 // Close closes the path.
 func (p *path) Close() error { return p.nc.Close() }
-
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
-const tcpUserTimeout = 18
-
-// tune makes the system notice that the other end is gone.
-func tune(nc net.Conn) {
-	t, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceLimit.Milliseconds()))
-	})
-}
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/pool"
+	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
 const (
@@ -96,7 +97,7 @@
 
 // serve runs the errands of one path.
 func (s *Server) serve(nc net.Conn) {
-	tune(nc)
+	wire.Tune(nc, silenceLimit)
 	f := newFramer(nc)
 	_ = nc.SetReadDeadline(time.Now().Add(greetingLimit))
 	var h hello
