--- a/admission/late_test.go
+++ b/admission/late_test.go
@@ -16,7 +16,7 @@
 	q := &queue{slots: slots, connections: 1000, capacity: 10000, teams: map[string]*team{}}
 	ends := map[*ticket]time.Time{}
 	arrival := map[*ticket]time.Time{}
-	now := at[0]
+	var now time.Time
 	for i := 0; i < len(arrivals) || len(ends) > 0; {
 		var next *ticket
 		for t, end := range ends {
--- a/control/upkeep_test.go
+++ b/control/upkeep_test.go
@@ -85,7 +85,7 @@
 			s.Members = append(s.Members, m)
 			if m.Voter {
 				voters++
-				if m.Heard == now {
+				if m.Heard.Equal(now) {
 					live++
 				}
 			}
@@ -113,7 +113,7 @@
 			for _, m := range s.Members {
 				if m.Voter {
 					voters++
-					if m.Heard == now {
+					if m.Heard.Equal(now) {
 						live++
 					}
 				}
--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -170,12 +170,15 @@
 	}
 	return g.say("passed", state)
 }
+
 func (g *guest) Fail(code jacinthtiller.FailCode, _ string, _ int64, state byte) error {
 	return g.say(string(code), state)
 }
+
 func (g *guest) Refuse(code jacinthtiller.FailCode, _ string) error {
 	return g.say("refused "+string(code), '-')
 }
+
 func (g *guest) Close() error {
 	g.once.Do(func() { close(g.answers) })
 	return nil
--- a/statement/server.go
+++ b/statement/server.go
@@ -157,7 +157,7 @@
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) || s.ctx.Err() != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
