control: the log is opened again after its storage has failed

Ruled out: the log itself, which refuses to go on after a failed save and has answered nobody what it did not save.

--- a/control/machine.go
+++ b/control/machine.go
@@ -86,6 +86,14 @@
 	return nil
 }
 
+// reset makes the state empty, before the log is applied from its beginning again.
+func (m *machine) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.s, m.recent, m.base = newState(), nil, 0
+	m.announceChange()
+}
+
 func (m *machine) state() *state {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/control/server.go
+++ b/control/server.go
@@ -144,10 +144,17 @@
 	if err != nil {
 		return nil, err
 	}
-	n, err := quorum.Open(quorum.Config{
+	log := quorum.Config{
 		Name: c.Name, Dir: c.Dir, Members: slices.Sorted(maps.Keys(c.Members)), Bootstrap: c.Bootstrap,
 		Machine: s.machine, Transport: newTransport(s.ctx, s.wg, c.Name, c.Members, c.Found, s.client, c.Events), Events: c.Events,
-	})
+	}
+	n, err := newReopener(s.ctx, func() (stoppable, error) {
+		n, err := quorum.Open(log)
+		if err != nil {
+			return nil, err
+		}
+		return n, nil
+	}, s.machine.reset, c.Events)
 	if err != nil {
 		s.cancel()
 		s.wg.Wait()
--- a/event/control.go
+++ b/event/control.go
@@ -72,4 +72,8 @@
 		"The leader has changed the members of the control group on its own; the reason says why.")
 	ControlJoinFailed = register(2033, "control-join-failed", logrus.WarnLevel,
 		"This control process is no member of the group and could not be admitted yet; it asks again.")
+	ControlReopened = register(2034, "control-reopened", logrus.WarnLevel,
+		"The log was opened again after its storage had failed; the process takes part in the group again.")
+	ControlReopenFailed = register(2035, "control-reopen-failed", logrus.WarnLevel,
+		"The log could not be opened again after its storage had failed; it is tried again.")
 )
