pool: names of a target never change; views while work runs

Cause: errors and choices read a target's name while a view could replace its description (found by reading; the race detector had no test that applies views under work). Change: the names are fields of their own; TestViewsWhileWorking.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -56,7 +56,7 @@
 		}
 		cost += p.distance(spec.Domain)
 		// Equal costs go to the lower name, so that the choice does not depend on the order of the map.
-		if best == nil || cost < least || cost == least && spec.Name < best.spec.Name {
+		if best == nil || cost < least || cost == least && spec.Name < best.name {
 			best, least, wait = t, cost, behind
 		}
 	}
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -40,12 +40,12 @@
 		Team: e.Route, Guest: e.Guest, Opens: e.Opens, Deadline: admit, Useful: e.Useful,
 	})
 	if err != nil {
-		return nil, &NoTargetError{Target: t.spec.Name, Cause: err}
+		return nil, &NoTargetError{Target: t.name, Cause: err}
 	}
 	c, err := t.connect(e.Deadline)
 	if err != nil {
 		g.Done(false)
-		return nil, &NoTargetError{Target: t.spec.Name, Cause: err}
+		return nil, &NoTargetError{Target: t.name, Cause: err}
 	}
 	c.grant, c.rests = g, false
 	return c, nil
@@ -104,15 +104,15 @@
 func (c *conn) start(e jacinthtiller.Errand) error {
 	if c.rests {
 		if err := c.grant.Continue(context.Background(), e.Deadline); err != nil {
-			return fmt.Errorf("continue on %s: %w", c.t.spec.Name, err)
+			return fmt.Errorf("continue on %s: %w", c.t.name, err)
 		}
 		c.rests = false
 	}
 	if err := c.align(e); err != nil {
-		return fmt.Errorf("prepare the connection to %s: %w", c.t.spec.Name, err)
+		return fmt.Errorf("prepare the connection to %s: %w", c.t.name, err)
 	}
 	if err := c.tc.Send(e.Deadline, e.Order); err != nil {
-		return fmt.Errorf("send to %s: %w", c.t.spec.Name, err)
+		return fmt.Errorf("send to %s: %w", c.t.name, err)
 	}
 	return nil
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
 )
@@ -231,3 +232,39 @@
 		})
 	})
 }
+
+// TestViewsWhileWorking guards against data that a new view changes under the work of others; it is of use with -race.
+func TestViewsWhileWorking(t *testing.T) {
+	convey.Convey("Views arrive while work runs", t, func() {
+		p := New(newFakeTargets(), fakeDialect{}, WithHost("h0"))
+		defer p.Close()
+		v := view(3, 30)
+		p.Apply(v)
+		var group conc.WaitGroup
+		stop := make(chan struct{})
+		group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+					p.Apply(view(1+i%5, 20+i%20))
+				}
+			}
+		})
+		failed := 0
+		for range 500 {
+			x, _ := p.Choose(v.Databases["db"], Choice{}, time.Now())
+			if x == nil {
+				failed++
+				continue
+			}
+			if _, err := run(x, errand("read")); err != nil {
+				failed++
+			}
+		}
+		close(stop)
+		group.Wait()
+		convey.So(failed, convey.ShouldEqual, 0)
+	})
+}
--- a/pool/target.go
+++ b/pool/target.go
@@ -30,8 +30,10 @@
 
 // Target is one incarnation of a target as this host sees it. It is safe for concurrent use.
 type Target struct {
-	p    *Pool
-	gate *admission.Gate
+	p *Pool
+	// database and name never change.
+	database, name string
+	gate           *admission.Gate
 	// own is the way of this host's own connections.
 	own *way
 
@@ -70,7 +72,7 @@
 
 func (p *Pool) newTarget(spec jacinthtiller.Target) *Target {
 	t := &Target{
-		p: p, spec: spec, own: &way{},
+		p: p, database: spec.Database, name: spec.Name, spec: spec, own: &way{},
 		gate: admission.NewGate(admission.WithCapacity(queueCapacity), admission.WithLog(p.events, spec.Name)),
 	}
 	if spec.ColdMilliseconds > 0 {
@@ -240,7 +242,7 @@
 	}
 	if err != nil {
 		t.close(c, "no answer to a question")
-		return jacinthtiller.Position{}, fmt.Errorf("ask %s for its position: %w", t.spec.Name, err)
+		return jacinthtiller.Position{}, fmt.Errorf("ask %s for its position: %w", t.name, err)
 	}
 	t.keep(c)
 	return r.Position, nil
--- a/pool/trip.go
+++ b/pool/trip.go
@@ -51,7 +51,7 @@
 func (t *Target) Open(e jacinthtiller.Errand) (*Trip, error) {
 	w := t.pick(time.Now())
 	if w == nil {
-		return nil, &NoTargetError{Target: t.spec.Name, Cause: errLostNow}
+		return nil, &NoTargetError{Target: t.name, Cause: errLostNow}
 	}
 	if w == t.own {
 		return t.OpenOwn(e)
@@ -60,7 +60,7 @@
 	if c == nil {
 		var err error
 		if c, err = t.dialRelay(w, e.Deadline); err != nil {
-			return nil, &NoTargetError{Target: t.spec.Name, Cause: err}
+			return nil, &NoTargetError{Target: t.name, Cause: err}
 		}
 	}
 	return &Trip{t: t, w: w, relay: c, free: true}, nil
@@ -69,7 +69,7 @@
 // OpenOwn begins a trip by the host's own connection. A target that it could not reach a moment ago is not waited for.
 func (t *Target) OpenOwn(e jacinthtiller.Errand) (*Trip, error) {
 	if !t.own.usable(time.Now()) {
-		return nil, &NoTargetError{Target: t.spec.Name, Cause: errLostNow}
+		return nil, &NoTargetError{Target: t.name, Cause: errLostNow}
 	}
 	t.begun(1)
 	defer t.begun(-1) // from here on the statement that runs counts
@@ -138,9 +138,9 @@
 		case !isTimeout(err):
 			// One connection that breaks says little; whether the target can be reached shows when another is opened.
 			tr.t.suspect(tr.w)
-			return r, fmt.Errorf("receive from %s: %w", tr.t.spec.Name, err)
+			return r, fmt.Errorf("receive from %s: %w", tr.t.name, err)
 		case !until.Before(e.Deadline):
-			return r, fmt.Errorf("receive from %s: %w", tr.t.spec.Name, err)
+			return r, fmt.Errorf("receive from %s: %w", tr.t.name, err)
 		case !tr.w.failing().IsZero() && e.Repeatable:
 			return r, ErrSilent
 		case e.Repeatable && !time.Now().Before(overdue):
--- a/pool/way.go
+++ b/pool/way.go
@@ -146,7 +146,7 @@
 // reached notes that a way led to the target.
 func (t *Target) reached(w *way) {
 	if w.worked() {
-		t.p.events.Emit(event.TargetRegained, event.Fields{"database": t.spec.Database, "target": t.spec.Name, "through": w.host})
+		t.p.events.Emit(event.TargetRegained, event.Fields{"database": t.database, "target": t.name, "through": w.host})
 	}
 }
 
@@ -154,7 +154,7 @@
 func (t *Target) unreached(w *way, cause error) {
 	if w.failed(time.Now()) {
 		t.p.events.Emit(event.TargetUnreached, event.Fields{
-			"database": t.spec.Database, "target": t.spec.Name, "through": w.host, "error": cause.Error(),
+			"database": t.database, "target": t.name, "through": w.host, "error": cause.Error(),
 		})
 	}
 }
