statement: several lost primaries are each reported once a period

Cause: found by reading: when two primaries or more were lost, the report of one cleared the time of the other, and each was reported at every look, 20 times a second from each host instead of 4. Ruled out: a report for all primaries at once, which changes what control receives. Change: a time is forgotten one period after it has passed. Names and comments in pool and statement say connection where they said work.

--- a/control/succession.go
+++ b/control/succession.go
@@ -101,7 +101,7 @@
 	return causeNone
 }
 
-// survey is what the targets of a direct group have answered.
+// directSurvey is what the targets of a direct group have answered.
 type directSurvey map[string]jacinthtiller.TargetStatus
 
 // leading returns the target that leads a later term than the recorded one, or that leads any term when none is
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -8,15 +8,15 @@
 
 const (
 	// otherDomainCost and otherRegionCost are what work in another failure domain or region must be faster by before
-	// it goes there, in microseconds: a round trip, and the price of the bytes between places in time that a guest
-	// does not notice.
+	// it goes there, in microseconds: the round trip, and the load on links that all share; a guest does not notice
+	// the difference.
 	otherDomainCost = 15_000
 	otherRegionCost = 60_000
 	// unknownLatency is assumed of a target that has not been measured yet, in microseconds.
 	unknownLatency = 20_000
 	// coldFactor is how much slower a target is assumed to be while it says that it is cold, in percent.
 	coldFactor = 200
-	// shedCost makes reads prefer another target for a moment after one shed work, in microseconds.
+	// shedCost makes reads prefer another target for a moment after it has shed a statement, in microseconds.
 	shedCost = 300_000
 )
 
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -47,7 +47,7 @@
 	free bool
 }
 
-// Open begins a connection for the job, by the host's own connection or through another host. Errors prove that nothing ran.
+// Open takes a connection for the job, by the host's own connection or through another host. Errors prove that nothing ran.
 func (t *Target) Open(j jacinthtiller.Job) (*Conn, error) {
 	w := t.pick(time.Now())
 	if w == nil {
@@ -66,7 +66,7 @@
 	return &Conn{t: t, w: w, relay: c, free: true}, nil
 }
 
-// OpenOwn begins a connection by the host's own connection. A target that it could not reach a moment ago is not waited for.
+// OpenOwn takes one of the host's own connections. A target that it could not reach a moment ago is not waited for.
 func (t *Target) OpenOwn(j jacinthtiller.Job) (*Conn, error) {
 	if !t.own.usable(time.Now()) {
 		return nil, &NoTargetError{Target: t.name, Cause: errLostNow}
@@ -80,15 +80,15 @@
 	return &Conn{t: t, w: t.own, own: c}, nil
 }
 
-// Target returns the target of the work.
+// Target returns the target that the connection leads to.
 func (c *Conn) Target() *Target { return c.t }
 
-// Through returns the host that relays the work; empty for the host's own connection.
+// Through returns the host that relays the connection; empty for the host's own connection.
 func (c *Conn) Through() string { return c.w.host }
 
 // Run sends the job's order and waits for the answer until the job's deadline, or less when the order is
 // repeatable and the target is found to be out of reach. A *jacinthtiller.NotSentError proves that it did not run; after
-// any error the work must be dropped.
+// any error the connection must be dropped.
 func (c *Conn) Run(j jacinthtiller.Job) (jacinthtiller.Reply, error) {
 	if !c.running {
 		c.running = true
@@ -191,17 +191,17 @@
 	}
 }
 
-// Clean rolls back the transaction that is open on the work and ends it. It waits for the target for a short time only.
+// Clean rolls back the transaction that is open on the connection and returns it. It waits for the target for a short time only.
 func (c *Conn) Clean(rollback string) {
 	if c.own == nil && c.free {
 		c.Put()
 		return
 	}
-	e := jacinthtiller.Job{Order: jacinthtiller.Order{Text: rollback}, Deadline: time.Now().Add(cleanLimit)}
+	j := jacinthtiller.Job{Order: jacinthtiller.Order{Text: rollback}, Deadline: time.Now().Add(cleanLimit)}
 	if c.own != nil {
-		e.Values = c.own.values // whatever they are, they must not be changed now
+		j.Values = c.own.values // whatever they are, they must not be changed now
 	}
-	r, err := c.Run(e)
+	r, err := c.Run(j)
 	if err != nil || r.State != jacinthtiller.StateIdle {
 		c.Drop("rollback not answered")
 		return
--- a/statement/exchange.go
+++ b/statement/exchange.go
@@ -40,7 +40,7 @@
 		errors.As(err, &elsewhere) && !elsewhere.Unreached
 }
 
-// giveBack ends a conn whose work outside a transaction has been answered.
+// giveBack returns a connection whose statement outside a transaction has been answered.
 func giveBack(c *pool.Conn, r jacinthtiller.Reply) {
 	if r.State != jacinthtiller.StateIdle || r.Fail == jacinthtiller.FailNoStatement || r.Fail == jacinthtiller.FailOther {
 		c.Drop("unexpected state")
--- a/statement/read.go
+++ b/statement/read.go
@@ -72,15 +72,15 @@
 func (n *session) readAt(p place, q *request) (r jacinthtiller.Reply, sent time.Time, err error) {
 	q.tries++
 	q.target = p.target.Spec().Name
-	e := n.job(q, p.after)
-	e.Repeatable = true
-	c, err := p.target.Open(e)
+	j := n.job(q, p.after)
+	j.Repeatable = true
+	c, err := p.target.Open(j)
 	if err != nil {
 		return r, sent, err
 	}
 	q.through = c.Through()
 	sent = now()
-	if r, err = c.Run(e); err != nil {
+	if r, err = c.Run(j); err != nil {
 		if notRun(err) {
 			sent = time.Time{}
 		}
--- a/statement/server.go
+++ b/statement/server.go
@@ -268,7 +268,7 @@
 func (s *Server) reportSuspicions() {
 	ticks := time.NewTicker(suspicionLook)
 	defer ticks.Stop()
-	due := map[*pool.Target]time.Time{}
+	due := reportTimes{}
 	for {
 		select {
 		case <-s.ctx.Done():
@@ -276,19 +276,31 @@
 		case now := <-ticks.C:
 			for _, d := range s.view.Load().Databases {
 				t := s.suspected(d)
-				if t == nil || now.Before(due[t]) {
-					continue
+				if t != nil && due.take(t, now) {
+					s.group.Go(func() { s.reportSuspicion(d, t) })
 				}
-				if _, again := due[t]; !again && len(due) > 0 {
-					clear(due) // of primaries that were suspected before
-				}
-				due[t] = now.Add(suspicionEvery)
-				s.group.Go(func() { s.reportSuspicion(d, t) })
 			}
 		}
 	}
 }
 
+// reportTimes holds from when on a primary may be reported again.
+type reportTimes map[*pool.Target]time.Time
+
+// take reports whether the primary is due, and then sets its next time.
+func (r reportTimes) take(t *pool.Target, now time.Time) bool {
+	if now.Before(r[t]) {
+		return false
+	}
+	for x, at := range r {
+		if now.Sub(at) > suspicionEvery {
+			delete(r, x) // it is reached again, or replaced
+		}
+	}
+	r[t] = now.Add(suspicionEvery)
+	return true
+}
+
 // suspected returns the primary of a direct group if this host cannot reach it.
 func (s *Server) suspected(d jacinthtiller.Database) *pool.Target {
 	if !d.Direct || d.Primary == "" {
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -124,15 +124,15 @@
 func (n *session) openAt(p place, q *request) error {
 	q.tries++
 	q.target = p.target.Spec().Name
-	e := n.job(q, p.after)
-	e.Order = jacinthtiller.Order{Text: n.s.dialect.Begin(n.tx.readOnly), After: p.after}
-	e.Opens, e.Repeatable = true, true
-	c, err := p.target.Open(e)
+	j := n.job(q, p.after)
+	j.Order = jacinthtiller.Order{Text: n.s.dialect.Begin(n.tx.readOnly), After: p.after}
+	j.Opens, j.Repeatable = true, true
+	c, err := p.target.Open(j)
 	if err != nil {
 		return err
 	}
 	q.through = c.Through()
-	r, err := c.Run(e)
+	r, err := c.Run(j)
 	switch {
 	case err != nil:
 		c.Drop("transaction not begun")
@@ -188,10 +188,10 @@
 // statement runs one statement of the transaction. After an error the transaction is rolled back.
 func (n *session) statement(q *request) (r jacinthtiller.Reply, sent time.Time, err error) {
 	q.target, q.through = n.tx.conn.Target().Spec().Name, n.tx.conn.Through()
-	e := n.job(q, jacinthtiller.Position{})
-	e.Repeatable = true
+	j := n.job(q, jacinthtiller.Position{})
+	j.Repeatable = true
 	sent = now()
-	if r, err = n.tx.conn.Run(e); err != nil {
+	if r, err = n.tx.conn.Run(j); err != nil {
 		n.drop("no answer in a transaction")
 	}
 	return r, sent, err
@@ -229,10 +229,10 @@
 			return n.fail(q, jacinthtiller.FailAborted, "the transaction was rolled back: "+errReplaced.Error(), n.s.comeBack(q))
 		}
 	}
-	e := n.job(q, jacinthtiller.Position{})
-	e.Repeatable = tx.readOnly
+	j := n.job(q, jacinthtiller.Position{})
+	j.Repeatable = tx.readOnly
 	sent := now()
-	r, err := tx.conn.Run(e)
+	r, err := tx.conn.Run(j)
 	if err != nil {
 		tx.conn.Drop("no answer to a commit")
 		if notRun(err) || tx.readOnly {
--- a/statement/write.go
+++ b/statement/write.go
@@ -42,8 +42,8 @@
 func (n *session) writeAt(l lead, q *request) (r jacinthtiller.Reply, sent time.Time, err error) {
 	q.tries++
 	q.target = l.spec.Name
-	e := n.job(q, jacinthtiller.Position{})
-	c, err := l.target.Open(e)
+	j := n.job(q, jacinthtiller.Position{})
+	c, err := l.target.Open(j)
 	if err != nil {
 		return r, sent, err
 	}
@@ -53,7 +53,7 @@
 		return r, sent, &jacinthtiller.NotSentError{Cause: errReplaced}
 	}
 	sent = now()
-	if r, err = c.Run(e); err != nil {
+	if r, err = c.Run(j); err != nil {
 		c.Drop("no answer")
 		return r, sent, err
 	}
