--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -93,7 +93,12 @@
 		})
 		convey.Convey("by a message that comes while it is idle", func() {
 			turn := make(chan struct{})
-			c.taps[0].idle = func() { turn <- struct{}{} }
+			c.taps[0].idle = func() {
+				select {
+				case turn <- struct{}{}:
+				case <-t.Context().Done(): // the test has ended early; its cleanup waits for the tap
+				}
+			}
 			c.taps[0].breakAt("cut", strayError)
 			convey.So(s.query("SELECT 'cut'").says(), convey.ShouldEqual, "done T D:cut C:SELECT 1 Z:I")
 			<-turn // the connection is idle
