pool, statement: slices.Contains instead of two copies of it

Cause: the change wrote a search of a slice twice that the standard library has. Ruled out: one shared function of our own, which would be a third. Change: both copies go. No behaviour changes. Before and after: go test ./pool ./statement passes, 0 findings of the linter.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -43,7 +44,7 @@
 			continue
 		}
 		t := p.Find(spec)
-		if t == nil || contains(c.Tried, t) {
+		if t == nil || slices.Contains(c.Tried, t) {
 			continue
 		}
 		cost, behind, ok := t.cost(c, now)
@@ -63,15 +64,6 @@
 	return best, time.Duration(wait) * time.Microsecond
 }
 
-func contains(list []*Target, t *Target) bool {
-	for _, x := range list {
-		if x == t {
-			return true
-		}
-	}
-	return false
-}
-
 // distance returns what work at another place costs, in microseconds.
 func (p *Pool) distance(domain string) int64 {
 	switch {
--- a/statement/place.go
+++ b/statement/place.go
@@ -1,6 +1,7 @@
 package statement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -67,7 +68,7 @@
 	l, leads := n.s.lead(route.Database)
 	after, fresh := n.freshPosition(route, arrived, d)
 	if !fresh {
-		if !leads || contains(tried, l.target) || !l.target.Usable(time.Now()) {
+		if !leads || slices.Contains(tried, l.target) || !l.target.Usable(time.Now()) {
 			return place{}, false
 		}
 		if route.Class != jacinthtiller.ClassPrimary {
@@ -97,15 +98,6 @@
 	return p, true
 }
 
-func contains(list []*pool.Target, t *pool.Target) bool {
-	for _, x := range list {
-		if x == t {
-			return true
-		}
-	}
-	return false
-}
-
 // attestHold is how long reads that any target could serve wait for another read's answer from the primary, which tells
 // what replicas have to hold. It is several round trips between regions with a short wait for a slot.
 const attestHold = 150 * time.Millisecond
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -114,7 +115,7 @@
 		return n.findPlace(n.tx.route, arrived, tried)
 	}
 	l, ok := n.s.lead(n.tx.route.Database)
-	if !ok || contains(tried, l.target) || !l.target.Usable(time.Now()) {
+	if !ok || slices.Contains(tried, l.target) || !l.target.Usable(time.Now()) {
 		return place{}, false
 	}
 	return place{target: l.target, lead: &l}, true
