wire, relay, statement: one loop that accepts connections

Cause: relay and statement each had the same loop with its own pause, and returned an error that was always nil and that every caller dropped. Ruled out: the loops of session and link, which also bound logins and tell a stop from a closed listener. Change: wire.AcceptAll; Serve of both returns nothing. Before: no test of a failed accept.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -62,8 +62,8 @@
 		Followers:    []jacinthtiller.ViewFollower{p.statements},
 		FoundMembers: p.groupClient.SetURLs,
 	})
-	p.group.Go(func() { _ = p.relays.Serve(p.links) })
-	p.group.Go(func() { _ = p.statements.Serve(p.guests) })
+	p.group.Go(func() { p.relays.Serve(p.links) })
+	p.group.Go(func() { p.statements.Serve(p.guests) })
 	return nil
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -107,7 +107,7 @@
 		convey.So(err, convey.ShouldBeNil)
 		s := NewServer(p, "rollback", nil)
 		var group conc.WaitGroup
-		group.Go(func() { _ = s.Serve(l) })
+		group.Go(func() { s.Serve(l) })
 		defer func() {
 			l.Close()
 			s.Close()
--- a/relay/server.go
+++ b/relay/server.go
@@ -22,8 +22,6 @@
 	// restLimit is how long an open transaction may rest before it is rolled back, in case the other host is gone
 	// without a trace. Hosts roll back their guests' transactions earlier.
 	restLimit = 15 * time.Second
-	// acceptPause is the wait after a connection could not be accepted.
-	acceptPause = 50 * time.Millisecond
 )
 
 // Server runs jobs of other hosts on this host's own connections to targets.
@@ -45,26 +43,17 @@
 }
 
 // Serve accepts paths until the listener closes.
-func (s *Server) Serve(l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			s.events.Emit(event.AcceptFailed, event.Fields{"error": err.Error()})
-			time.Sleep(acceptPause)
-			continue
-		}
+func (s *Server) Serve(l net.Listener) {
+	wire.AcceptAll(l, s.events, func(c net.Conn) {
 		if !s.enter(c) {
 			_ = c.Close()
-			continue
+			return
 		}
 		s.group.Go(func() {
 			defer s.leave(c)
 			s.serve(c)
 		})
-	}
+	})
 }
 
 func (s *Server) enter(c net.Conn) bool {
--- a/statement/server.go
+++ b/statement/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -18,11 +17,10 @@
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/pool"
 	"github.com/jacinthtiller/jacinthtiller/replica"
+	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
 const (
-	// acceptPause is the wait after a connection could not be accepted, as when descriptors are used up.
-	acceptPause = 50 * time.Millisecond
 	// suspicionLook is the time between looks at primaries that cannot be reached, and suspicionEvery the time between reports
 	// of one; control counts a report for a second.
 	suspicionLook  = 50 * time.Millisecond
@@ -154,27 +152,18 @@
 }
 
 // Serve accepts guests until the listener closes.
-func (s *Server) Serve(l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			s.events.Emit(event.AcceptFailed, event.Fields{"error": err.Error()})
-			time.Sleep(acceptPause)
-			continue
-		}
+func (s *Server) Serve(l net.Listener) {
+	wire.AcceptAll(l, s.events, func(c net.Conn) {
 		n := &session{s: s, conn: s.listen(c), state: jacinthtiller.StateIdle}
 		if !s.enter(n) {
 			_ = c.Close()
-			continue
+			return
 		}
 		s.group.Go(func() {
 			defer s.leave(n)
 			n.serve()
 		})
-	}
+	})
 }
 
 func (s *Server) enter(n *session) bool {
