control: the care for members has a mark of its own

Cause: it was marked as running under a name with a zero byte in the map of databases whose primary is being asked. Ruled out: another map with one key. Change: an atomic field of the server. Before and after: go test ./control passes.

--- a/control/server.go
+++ b/control/server.go
@@ -93,13 +93,15 @@
 	rounds    *rounds
 	metrics   metrics
 	// found is true when the group changes its members on its own.
-	found     bool
-	voters    int
-	holder    string
-	inspector jacinthtiller.Inspector
-	promoter  jacinthtiller.Promoter
-	direct    *direct
-	client    *http.Client
+	found bool
+	// keepingMembers is true while a change of the members is under way.
+	keepingMembers atomic.Bool
+	voters         int
+	holder         string
+	inspector      jacinthtiller.Inspector
+	promoter       jacinthtiller.Promoter
+	direct         *direct
+	client         *http.Client
 
 	// ctx ends when the server closes.
 	ctx    context.Context
@@ -308,7 +310,7 @@
 		st, changed := s.machine.watch()
 		d := s.decide(st)
 		s.tend(ctx, wg, term, st)
-		if s.found && s.begin(s.direct.assessed, upkeepDuty) {
+		if s.found && s.keepingMembers.CompareAndSwap(false, true) {
 			wg.Go(func() { s.keepMembers(ctx) })
 		}
 		for _, c := range d.fences {
--- a/control/upkeep.go
+++ b/control/upkeep.go
@@ -17,8 +17,6 @@
 const (
 	// defaultVoters bears the loss of one process.
 	defaultVoters = 3
-	// upkeepDuty is the name under which the care for members is marked as running.
-	upkeepDuty = "\x00members"
 	// upkeepEvery is the time between two looks at the members.
 	upkeepEvery = 250 * time.Millisecond
 	// upkeepTimeout bounds one change of the members.
@@ -88,7 +86,7 @@
 
 // keepMembers makes the change of the members that is due.
 func (s *Server) keepMembers(ctx context.Context) {
-	defer s.end(s.direct.assessed, upkeepDuty)
+	defer s.keepingMembers.Store(false)
 	u, ok := nextUpkeep(s.node.Status(), s.voters, clock.Now())
 	if !ok {
 		s.pause(upkeepEvery)
