quorum: a leader that has started again is elected at once

Cause: after a loss of power of all machines no member voted for 300 ms after its start, because it may have acknowledged a heartbeat right before its end; and the first append of a term was refused by every follower, because the progress of the followers began behind the term's own first entry, so that the entry took another round trip.

Change: the leader of the term is kept with the term. The one that led asks for votes right after its start, and a member that withholds its vote for its sake gives it when that leader itself asks for a later term. The progress begins before the term's first entry.

Ruled out: asking for votes during the own silence (a follower's own vote would count against a leader that it has just confirmed); a shorter silence (leases are granted on it).

TestVoteAfterRestart has the cases in which a vote is given and still withheld. The simulated schedules check elections against ConfirmedAt as before.

--- a/quorum/confirm_test.go
+++ b/quorum/confirm_test.go
@@ -20,16 +20,25 @@
 		}
 		membership.Founders = membership.Members
 		founding := quorum.Snapshot{Index: 1, Term: 1, Membership: membership}
-		b := quorum.NewCore(now, quorum.Settings{Name: "b", Identity: "id-b"}, quorum.State{Term: 5}, founding, nil)
-		ask := func(at time.Time, kind quorum.Kind) (granted bool) {
+		b := quorum.NewCore(now, quorum.Settings{Name: "b", Identity: "id-b"}, quorum.State{Term: 5, Leader: "a"}, founding, nil)
+		askAs := func(from string, term uint64, at time.Time, kind quorum.Kind) (granted bool) {
 			e := b.Step(at, quorum.Received{Message: quorum.Message{
-				Kind: kind, From: "c", To: "b", Identity: "id-c", Group: "g", PeerIdentity: "id-b", Term: 6, Index: 1, LogTerm: 1,
+				Kind: kind, From: from, To: "b", Identity: "id-" + from, Group: "g", PeerIdentity: "id-b", Term: term, Index: 1, LogTerm: 1,
 			}})
 			for _, m := range e.Messages {
-				granted = granted || m.To == "c" && !m.Reject
+				granted = granted || m.To == from && !m.Reject
 			}
 			return granted
 		}
+		ask := func(at time.Time, kind quorum.Kind) bool { return askAs("c", 6, at, kind) }
+		convey.Convey("votes at once for the leader whose heartbeats it may have acknowledged, which asks for a later term", func() {
+			convey.So(askAs("a", 6, now, quorum.KindPreVote), convey.ShouldBeTrue)
+			convey.So(askAs("a", 6, now, quorum.KindVote), convey.ShouldBeTrue)
+		})
+		convey.Convey("is not misled by a question that this leader sent before it was elected", func() {
+			convey.So(askAs("a", 5, now, quorum.KindPreVote), convey.ShouldBeFalse)
+			convey.So(ask(now, quorum.KindPreVote), convey.ShouldBeFalse)
+		})
 		convey.Convey("gives no vote at first", func() {
 			convey.So(ask(now.Add(10*time.Millisecond), quorum.KindPreVote), convey.ShouldBeFalse)
 			convey.So(ask(now.Add(quorum.ElectionFree-time.Millisecond), quorum.KindVote), convey.ShouldBeFalse)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -66,9 +66,11 @@
 	leader   string
 	// leaderHeard is when the leader of the term was last heard from.
 	leaderHeard time.Time
-	// quietUntil is until when a member that has started withholds its vote: it may have acknowledged a leader's
-	// heartbeat right before its end.
+	// quietUntil is until when a member that has started withholds its vote: it may have acknowledged a heartbeat of
+	// state.Leader right before its end. It is zero once that leader is known not to lead any more.
 	quietUntil time.Time
+	// startedAt is the time of the start.
+	startedAt time.Time
 	// electionDue is when a member that is not the leader starts an election.
 	electionDue time.Time
 	// heartbeatDue is when the leader begins a heartbeat round, or an empty folder says hello.
@@ -109,13 +111,19 @@
 	s.Members = slices.Sorted(slices.Values(s.Members))
 	c := &Core{
 		settings: s, random: rand.New(rand.NewPCG(s.Seed, h.Sum64())),
-		now: now, state: state, stored: state, log: newLog(snapshot, entries), commit: snapshot.Index, released: snapshot.Index,
+		now: now, startedAt: now, state: state, stored: state, log: newLog(snapshot, entries),
+		commit: snapshot.Index, released: snapshot.Index,
 		role: RoleFollower, contacts: map[string]contact{}, heartbeatDue: now,
 	}
 	c.resetElection()
-	if !c.blank() {
-		// After a start no leader need be waited for longer than votes are withheld: when the whole group has started
-		// anew, it has a leader earlier.
+	switch {
+	case c.blank():
+	case state.Leader == s.Name:
+		// The leadership ended with the former process, so there is nothing to withhold a vote for. If the whole group
+		// has started anew, the others may vote for this member at once.
+		c.electionDue = now
+	default:
+		// After a start no leader need be waited for longer than votes are withheld.
 		c.quietUntil = now.Add(s.election() - s.heartbeat())
 		c.electionDue = c.quietUntil.Add(time.Duration(c.random.Int64N(int64(s.heartbeat()))))
 	}
@@ -385,7 +393,7 @@
 	}
 	c.role, c.leader = RoleFollower, leader
 	if leader != "" {
-		c.leaderHeard = c.now
+		c.leaderHeard, c.state.Leader = c.now, leader
 	}
 	c.votes, c.progress, c.transferTo = nil, nil, ""
 	for _, r := range c.reads {
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// returnTries is how many times in a heartbeat's time a returning leader asks for votes.
+const returnTries = 4
+
 // maxRounds bounds the rounds whose beginning is remembered; an older one would confirm nothing that still counts.
 const maxRounds = 64
 
@@ -33,7 +36,11 @@
 	// A refused or split election is repeated after one to three heartbeats instead of
 	// a whole election timeout, which keeps the time without a leader below 1 s.
 	h := c.settings.heartbeat()
-	c.electionDue = c.now.Add(h + time.Duration(c.random.Int64N(2*int64(h))))
+	pause := h + time.Duration(c.random.Int64N(2*int64(h)))
+	if c.returning() {
+		pause = h / returnTries
+	}
+	c.electionDue = c.now.Add(pause)
 	for _, m := range c.membership().Members {
 		if m.Voter && m.Name != c.settings.Name {
 			c.send(Message{
@@ -45,6 +52,20 @@
 	c.countVotes()
 }
 
+// returning reports whether this member led before its start, which was a moment ago. If the others have started as
+// well, they need not wait before they vote for it, and it asks often because they may not run yet.
+func (c *Core) returning() bool {
+	return c.state.Leader == c.settings.Name && c.now.Before(c.startedAt.Add(c.settings.election()))
+}
+
+// leaderGone notes that the leader whose heartbeats this member may have acknowledged before its start does not lead:
+// it asks for votes of a later term.
+func (c *Core) leaderGone(m Message) {
+	if m.From == c.state.Leader && m.Term > c.state.Term && c.counted(m) {
+		c.quietUntil = time.Time{}
+	}
+}
+
 // upToDate reports whether a candidate's log has all that this one has.
 func (c *Core) upToDate(m Message) bool {
 	if m.LogTerm != c.log.lastTerm() {
@@ -68,6 +89,7 @@
 	if !c.mayVote(m) {
 		return
 	}
+	c.leaderGone(m)
 	if c.leaderAlive() || m.Term <= c.state.Term || !c.upToDate(m) || c.precedes(m) {
 		c.send(Message{Kind: KindPreVoteResponse, To: m.From, Reject: true})
 		return
@@ -116,12 +138,14 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.leaderSince = RoleLeader, c.settings.Name, c.now
+	c.state.Leader = c.settings.Name
 	c.votes, c.reads, c.transferTo = nil, nil, ""
 	c.rounds, c.confirmedAt, c.transferred = nil, time.Time{}, false
 	c.progress = map[string]*progress{}
+	// The progress begins before the term's first entry, so that the first append carries it.
+	c.syncProgress()
 	c.log.append(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryNoOp})
 	c.firstIndex = c.log.last()
-	c.syncProgress()
 	c.heartbeat()
 }
 
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -179,4 +179,7 @@
 	Term uint64 `cbor:"term"`
 	// Vote is the member that got the vote of Term; empty when none did.
 	Vote string `cbor:"vote"`
+	// Leader is the leader of Term; empty until it is heard from. It outlives a restart, so that a member which has
+	// started again knows whose confirmations it may have acknowledged.
+	Leader string `cbor:"leader,omitempty"`
 }
