control: hosts wait for the new leader at the control process instead of asking again

Cause: a host's registration and renewal were refused while the group had no leader, and came back 50 to 100 ms later; the new leader wrote a barrier, which waited for the answer to the term's first append.

Change: register and renew wait up to 150 ms for an election; a leader begins its work once its leadership is confirmed and the entries of earlier terms are applied, which is known with the term's first entry.

--- a/control/handler.go
+++ b/control/handler.go
@@ -32,6 +32,8 @@
 	// another round. No other process can have been elected within quorum.ElectionFree after it; the rest is for the
 	// rates of clocks.
 	freshConfirmation = quorum.ElectionFree * 4 / 5
+	// leaderWait is how long a host's call waits for a leader to be elected; it is shorter than an attempt of a renewal.
+	leaderWait = 150 * time.Millisecond
 	// maxWait bounds the waits that operators may ask for.
 	maxWait = 30 * time.Second
 )
@@ -82,6 +84,34 @@
 	return l, nil
 }
 
+// awaitLeading is like leading, but waits for a short time while the group has no leader or this process is becoming it:
+// callers would only ask again.
+func (s *Server) awaitLeading(ctx context.Context) (*leader, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	for {
+		changed := s.node.Changed()
+		s.mu.Lock()
+		ready := s.leaderChanged
+		s.mu.Unlock()
+		l, err := s.leading()
+		if err == nil {
+			return l, nil
+		}
+		if name, _, leads := s.node.Leadership(); name != "" && name != s.name && !leads {
+			return nil, err
+		}
+		select {
+		case <-changed:
+		case <-ready:
+		case <-ctx.Done():
+			return nil, err
+		case <-s.ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 // confirmed returns the leader's part after a quorum has confirmed the leadership.
 func (s *Server) confirmed(ctx context.Context) (*leader, error) {
 	l, err := s.leading()
@@ -130,6 +160,9 @@
 	if h.Name == "" || h.Domain == "" || h.RPC == "" || h.Incarnation == "" {
 		return nil, invalid("host: name, domain, rpc and incarnation must be set")
 	}
+	if _, err := s.awaitLeading(ctx); err != nil {
+		return nil, err
+	}
 	for {
 		st, changed := s.machine.watch()
 		if old := st.View.Hosts[h.Name]; old.Name == "" || old.Gone || old.Incarnation == h.Incarnation || h.Exclusive {
@@ -158,7 +191,7 @@
 }
 
 func (s *Server) renew(ctx context.Context, r *connect.Request[jacinthtiller.RenewRequest]) (*connect.Response[jacinthtiller.RenewResponse], error) {
-	l, err := s.leading()
+	l, err := s.awaitLeading(ctx)
 	if err == nil && clock.Now().Sub(s.node.ConfirmedAt()) > freshConfirmation {
 		l, err = s.confirmed(ctx)
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -111,6 +111,8 @@
 	mu sync.Mutex // guards the fields below
 	// leader is nil unless this process leads and has applied all entries of former leaders.
 	leader *leader
+	// leaderChanged is closed and replaced when leader is set.
+	leaderChanged chan struct{}
 	// seeds are processes that the settings name and that may know the group.
 	seeds []string
 }
@@ -178,7 +180,7 @@
 		name: c.Name, urls: maps.Clone(c.Members), events: c.Events, operators: c.Operators, peers: c.Peers,
 		machine: newMachine(c.Events), metrics: m, wg: conc.NewWaitGroup(),
 		found: c.Found, voters: c.Voters, holder: c.Holder, inspector: c.Inspector, promoter: c.Promoter,
-		direct: newDirect(), client: c.Client,
+		direct: newDirect(), client: c.Client, leaderChanged: make(chan struct{}),
 	}
 	if s.voters == 0 {
 		s.voters = defaultVoters
@@ -286,7 +288,8 @@
 
 // reign makes decisions until the process no longer leads the term.
 func (s *Server) reign(term uint64) {
-	if _, err := s.propose(s.ctx, Command{Barrier: &barrierCommand{Leader: s.name}}); err != nil {
+	// Once the leadership is confirmed, all entries of earlier terms are applied here.
+	if err := s.confirmTerm(); err != nil {
 		s.events.Emit(event.ControlProposalFailed, event.Fields{"error": err.Error()})
 		return
 	}
@@ -332,6 +335,15 @@
 	}
 }
 
+func (s *Server) confirmTerm() error {
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	if err := s.node.ConfirmLeader(ctx); err != nil {
+		return fmt.Errorf("begin the term: %w", err)
+	}
+	return nil
+}
+
 func (s *Server) leads(term uint64) bool {
 	_, now, leads := s.node.Leadership()
 	return leads && now == term && s.ctx.Err() == nil
@@ -341,6 +353,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leader = l
+	close(s.leaderChanged)
+	s.leaderChanged = make(chan struct{})
 }
 
 func (s *Server) decide(st *state) decision {
