statement, replica: the lag of a replica is not overestimated after a start

Cause: a replica whose position was older than the first one that a host knew counted as 6 s behind for 0.7 s.

Change: Lag tells the least by which such a log is behind, which is how long the primary has been known; half as much again is assumed, at least 50 ms. With a new lease a host asks the primaries for their positions before the crowd does.

Test: TestReadsAfterStart; with the former 6 s it counts 25 of 40 reads at the primary, the bound is 10.

--- a/replica/freshness.go
+++ b/replica/freshness.go
@@ -78,20 +78,21 @@
 	return Attested{}, false
 }
 
-// Lag returns by how much a log that ends at the position is behind the primary at the time, and false when the
-// position is older than all that is known. A log that holds the newest known position has no lag.
-func (f *Freshness) Lag(term uint64, p jacinthtiller.Position, at time.Time) (time.Duration, bool) {
+// Lag returns by how much a log that ends at the position is behind the primary at the time, and false when nothing is
+// known in the term. A log that holds the newest known position has no lag. Exact is false for a log that is older than
+// all that is known: it is behind by at least the lag returned, which is no more than the host has known the primary for.
+func (f *Freshness) Lag(term uint64, p jacinthtiller.Position, at time.Time) (lag time.Duration, exact, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if term != f.term || len(f.kept) == 0 || f.kept[0].Position.Compare(p) > 0 {
-		return 0, false
+	if term != f.term || len(f.kept) == 0 {
+		return 0, false, false
 	}
-	for _, a := range f.kept {
+	for i, a := range f.kept {
 		if a.Position.Compare(p) > 0 {
-			return max(0, at.Sub(a.At)), true
+			return max(0, at.Sub(a.At)), i > 0, true
 		}
 	}
-	return 0, true
+	return 0, true, true
 }
 
 // Newest returns the newest attestation in the term.
--- a/statement/place.go
+++ b/statement/place.go
@@ -16,8 +16,9 @@
 	ageMargin = 20 * time.Millisecond
 	// primaryCost keeps reads that any target may serve off the primary unless it is clearly faster, in microseconds.
 	primaryCost = 10_000
-	// unknownLag is assumed of a target that lacks a position and whose own position is older than all that is known.
-	unknownLag = 6 * time.Second
+	// leastGuess is the least time for which a target is assumed to stay behind a position that it lacks when it is not
+	// known how far it is behind; it is about the usual lag of replicas.
+	leastGuess = 50 * time.Millisecond
 )
 
 // place is where a read may run.
@@ -143,10 +144,14 @@
 		return
 	}
 	term := n.s.view.Load().Databases[database].Term
-	if lag, ok := n.s.fresh(database).Lag(term, r.Position, now()); ok {
+	lag, exact, ok := n.s.fresh(database).Lag(term, r.Position, now())
+	switch {
+	case ok && exact:
 		p.target.Lags(lag)
-	} else if r.Fail == jacinthtiller.FailBehind {
-		p.target.Lags(unknownLag)
+	case r.Fail == jacinthtiller.FailBehind:
+		// The host has known the primary for a short time only, as after its start or a change of primary. A log that has
+		// been behind for some time is likely to stay so for about as long again.
+		p.target.Lags(lag + max(lag/2, leastGuess))
 	}
 }
 
--- /dev/null
+++ b/statement/return_test.go
@@ -0,0 +1,52 @@
+package statement
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestReadsAfterStart guards against the pattern of the second after a loss of power or a change of primary: the host knows
+// one position of the primary, the replicas are a moment behind it, and all reads stay with the primary long after the
+// replicas have caught up.
+func TestReadsAfterStart(t *testing.T) {
+	convey.Convey("Replicas that lack the first known position for 60 ms", t, func() {
+		b := newBench(t)
+		defer b.close()
+		caughtUp := time.Now().Add(60 * time.Millisecond)
+		b.group.set(func() {
+			b.group.script = func(target string, _ jacinthtiller.Order) (jacinthtiller.Reply, error) {
+				if target != "a" && time.Now().Before(caughtUp) {
+					r, _ := fail(jacinthtiller.FailBehind)
+					r.Position = jacinthtiller.Position{Term: 1, Index: 9}
+					return r, nil
+				}
+				if target == "a" {
+					time.Sleep(20 * time.Millisecond) // it is busy with writes
+				}
+				return success(10)
+			}
+		})
+		g := b.guest(jacinthtiller.ClassSession)
+		defer g.leave()
+		for time.Now().Before(caughtUp) {
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+		}
+		time.Sleep(150 * time.Millisecond)
+		b.group.log()
+		atPrimary := 0
+		for range 40 {
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+		}
+		for _, line := range b.group.log() {
+			if strings.HasPrefix(line, "a:") {
+				atPrimary++
+			}
+		}
+		convey.So(atPrimary, convey.ShouldBeLessThan, 10)
+	})
+}
--- a/statement/server.go
+++ b/statement/server.go
@@ -108,6 +108,17 @@
 	had := s.lease.Swap(&l).Valid(clock.Now())
 	if !had {
 		s.announce()
+		s.learnFreshness()
+	}
+}
+
+// learnFreshness asks all primaries for their positions, so that the reads which have waited for the lease can go to
+// replicas and need not wait for one another's answers.
+func (s *Server) learnFreshness() {
+	for name, d := range s.view.Load().Databases {
+		if l, ok := s.lead(name); ok && d.Direct && l.target.Direct() && s.beginAttesting(name) {
+			s.group.Go(func() { s.askFreshness(l) })
+		}
 	}
 }
 
