--- a/pool/pool.go
+++ b/pool/pool.go
@@ -22,7 +22,7 @@
 	surplusIdle = 500 * time.Millisecond
 	// spareIdle is how long a further connection may stay idle. Those of a host that loses power count at the target
 	// until it notices, after 3 s, and keep the host from coming back.
-	spareIdle = 1500 * time.Millisecond
+	spareIdle = 400 * time.Millisecond
 	// keepIdle is how long the last connection may stay idle; targets close theirs after a minute.
 	keepIdle = 40 * time.Second
 	// hangUpAge is the idle time after which a connection is checked for a close by the target before use.
