statement, pool, admission, relay: one queue for a priority, refusals as soon as they are certain, no guest after the last

Three causes, each with its own test.

Gates took turns between routes, so that the small route of a priority was served whole and the large one a quarter. Turns are now taken between priorities, and in one between guests. 2. A gate of a direct group refuses at once when, by the rate of its last 16 grants, the turn would come after the deadline; relaying hosts say so, and the guest is told when to come back. The drain now refuses from the moment at which it finds no session, and does not end before the balancer has noticed. TestDrainEnd fails without it.

Ruled out for 2: foresight for gates of owned targets, whose guests may ask again at once (TestFairness never ends with it).

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -81,6 +81,10 @@
 // WithTeamLimit bounds the connections that one team may hold; 0, the default, means no limit.
 func WithTeamLimit(n int) Option { return func(g *Gate) { g.q.limit = n } }
 
+// WithForesight refuses a request at once when, by the rate of the last grants, its turn would come after its deadline. It is
+// for callers who tell their guests when to come back: one that asks again at once would only be refused more often.
+func WithForesight() Option { return func(g *Gate) { g.q.foresee = true } }
+
 // WithLog writes the gate's events with the target's name.
 func WithLog(l *event.Log, target string) Option {
 	return func(g *Gate) { g.log, g.target = l, target }
@@ -238,7 +242,7 @@
 func refusal(r jacinthtiller.Reason, waited time.Duration) error {
 	switch r {
 	case jacinthtiller.ReasonQueue:
-		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunQueueFull, r, "the queue of the target is full")
+		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunQueueFull, r, "the queue of the target is too long")
 	case jacinthtiller.ReasonDeadline:
 		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, r, "canceled or past its deadline after waiting %s for a slot", waited)
 	}
--- a/admission/late_test.go
+++ b/admission/late_test.go
@@ -117,3 +117,77 @@
 		})
 	})
 }
+
+// TestForesight names the pattern of a target that gets twice the work that it can do for seconds, as a primary whose
+// replicas are far behind. It guards against guests who wait for all of their time for a turn that cannot come, against
+// less work done because some are refused at once, and against a refusal of a guest whose turn would come because
+// another one fills the queue.
+func TestForesight(t *testing.T) {
+	origin := time.Unix(1000, 0)
+	const slots, work, patience = 5, 33 * time.Millisecond, 450 * time.Millisecond
+	load := func() ([]*ticket, []time.Time) {
+		var tickets []*ticket
+		var at []time.Time
+		for i := range 1200 { // 300 a second for 4 s; the target does 150
+			when := origin.Add(time.Duration(i) * time.Second / 300)
+			guest := "crowd"
+			if i%50 == 49 {
+				guest = "light"
+			}
+			tickets = append(tickets, &ticket{guest: guest, lane: laneNew, deadline: when.Add(patience)})
+			at = append(at, when)
+		}
+		return tickets, at
+	}
+	type outcome struct {
+		served, light int
+		// waited is the time that refused requests have spent in the queue.
+		waited time.Duration
+	}
+	run := func(foresee bool) (out outcome) {
+		tickets, at := load()
+		q := &queue{slots: slots, connections: 1000, capacity: 10000, teams: map[string]*team{}, foresee: foresee}
+		ends := map[*ticket]time.Time{}
+		arrival := map[*ticket]time.Time{}
+		now := origin
+		for i := 0; i < len(tickets) || len(ends) > 0; {
+			var next *ticket
+			for x, end := range ends {
+				if next == nil || end.Before(ends[next]) {
+					next = x
+				}
+			}
+			if next == nil || i < len(tickets) && at[i].Before(ends[next]) {
+				now = at[i]
+				x := tickets[i]
+				arrival[x], x.team = now, q.team("team")
+				q.push(x, now)
+				i++
+			} else {
+				now = ends[next]
+				delete(ends, next)
+				q.finish(next, false, now)
+			}
+			for _, x := range q.decided {
+				if x.phase != phaseRunning {
+					out.waited += now.Sub(arrival[x])
+					continue
+				}
+				ends[x] = now.Add(work)
+				out.served++
+				if x.guest == "light" {
+					out.light++
+				}
+			}
+			q.decided = q.decided[:0]
+		}
+		return out
+	}
+	convey.Convey("As much is served, the light guest always, and those who are refused have hardly waited", t, func() {
+		before, after := run(false), run(true)
+		t.Logf("served %d and %d, refused after %v and %v in all", before.served, after.served, before.waited, after.waited)
+		convey.So(after.served, convey.ShouldBeGreaterThanOrEqualTo, before.served*98/100)
+		convey.So(after.light, convey.ShouldEqual, 1200/50)
+		convey.So(after.waited, convey.ShouldBeLessThan, before.waited/4)
+	})
+}
--- a/direct.go
+++ b/direct.go
@@ -319,6 +319,8 @@
 	Cause error
 	// Unreached is true when the host that relays could not reach the target.
 	Unreached bool
+	// Full is true when so many wait for the target that the order would not have been admitted in time.
+	Full bool
 }
 
 // Error names the cause.
--- a/pool/own.go
+++ b/pool/own.go
@@ -37,7 +37,7 @@
 		admit = earlier(admit, j.Admit)
 	}
 	g, err := t.gate.Acquire(context.Background(), admission.Request{
-		Team: j.Route, Guest: j.Guest, Opens: j.Opens, Deadline: admit, Useful: j.Useful,
+		Team: t.p.rankOf(j.Route), Guest: j.Guest, Opens: j.Opens, Deadline: admit, Useful: j.Useful,
 	})
 	if err != nil {
 		return nil, &NoTargetError{Target: t.name, Cause: err}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,6 +57,8 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	metrics metrics
+	// routes holds the routes of the view in force, a map by name that is never changed.
+	routes atomic.Value
 
 	mu sync.Mutex // guards the fields below
 	// targets holds one entry for each incarnation that the view names.
@@ -93,6 +96,7 @@
 	for _, o := range opts {
 		o(p)
 	}
+	p.routes.Store(map[string]jacinthtiller.Route{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.group.Go(p.sweep)
 	return p
@@ -103,7 +107,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	seen := map[targetKey]bool{}
-	weights := routeWeights(v.Edition)
+	if v.Edition != nil {
+		p.routes.Store(v.Edition.Routes)
+	}
 	for _, d := range v.Databases {
 		if !d.Direct {
 			continue
@@ -120,7 +126,7 @@
 				t = p.newTarget(spec)
 				p.targets[k] = t
 			}
-			t.follow(spec, connections, v.Gateways(spec, connections), weights)
+			t.follow(spec, connections, v.Gateways(spec, connections))
 		}
 	}
 	for k, t := range p.targets {
@@ -134,18 +140,32 @@
 // lowestPriority is the priority from which on routes have the least share of a crowded target.
 const lowestPriority = 3
 
-// routeWeights returns the share of each route in a crowded target: each step of priority doubles it.
-func routeWeights(e *jacinthtiller.Edition) map[string]int {
+// rank is a priority's name and weight at the gates: all routes of a priority are one team there, in which the guests take
+// turns, so that of two equal guests none waits longer because fewer or more use the same route.
+type rank struct {
+	name   string
+	weight int
+}
+
+// ranks holds them by priority; each step of priority doubles the share in a crowded target.
+var ranks = [lowestPriority + 1]rank{{"priority-0", 8}, {"priority-1", 4}, {"priority-2", 2}, {"priority-3", 1}}
+
+func rankWeights() map[string]int {
 	out := map[string]int{}
-	if e == nil {
-		return out
-	}
-	for name, r := range e.Routes {
-		out[name] = 1 << (lowestPriority - min(max(r.Priority, 0), lowestPriority))
+	for _, r := range ranks {
+		out[r.name] = r.weight
 	}
 	return out
 }
 
+// rankOf returns the rank's name of a route; a route that the view lacks has the lowest.
+func (p *Pool) rankOf(route string) string {
+	if r, ok := p.routes.Load().(map[string]jacinthtiller.Route)[route]; ok {
+		return ranks[min(max(r.Priority, 0), lowestPriority)].name
+	}
+	return ranks[lowestPriority].name
+}
+
 // FindNamed returns the youngest incarnation of a target that the pool has; nil when it has none.
 func (p *Pool) FindNamed(database, name string) *Target {
 	p.mu.Lock()
--- a/pool/target.go
+++ b/pool/target.go
@@ -73,16 +73,17 @@
 func (p *Pool) newTarget(spec jacinthtiller.Target) *Target {
 	t := &Target{
 		p: p, database: spec.Database, name: spec.Name, spec: spec, own: &way{},
-		gate: admission.NewGate(admission.WithCapacity(queueCapacity), admission.WithLog(p.events, spec.Name)),
+		gate: admission.NewGate(admission.WithCapacity(queueCapacity), admission.WithForesight(), admission.WithLog(p.events, spec.Name)),
 	}
+	t.gate.SetWeights(rankWeights())
 	if spec.ColdMilliseconds > 0 {
 		t.coldUntil = time.Now().Add(time.Duration(spec.ColdMilliseconds) * time.Millisecond)
 	}
 	return t
 }
 
-// follow takes over what the view says. Gateways are those of the target, and weights the shares of the routes.
-func (t *Target) follow(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host, weights map[string]int) {
+// follow takes over what the view says. Gateways are those of the target.
+func (t *Target) follow(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host) {
 	slots := spec.Slots
 	if slots <= 0 {
 		slots = defaultSlots
@@ -98,7 +99,6 @@
 	room := t.room
 	t.mu.Unlock()
 	t.gate.SetCapacity(room, most)
-	t.gate.SetWeights(weights)
 }
 
 // waysTo returns the ways through the gateways, those that are known already with what is known of them. Each host
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -75,9 +75,9 @@
 			Body: a.Body, Fail: jacinthtiller.FailCode(a.Fail), FailText: a.Text, State: a.State,
 			Position: jacinthtiller.Position{Term: a.Term, Index: a.Idx},
 		}, nil
-	case outcomeNotSent, outcomeUnreached:
+	case outcomeNotSent, outcomeUnreached, outcomeFull:
 		return jacinthtiller.Reply{}, &jacinthtiller.NotSentError{
-			Cause: errors.New(a.Text), Unreached: a.Outcome == outcomeUnreached,
+			Cause: errors.New(a.Text), Unreached: a.Outcome == outcomeUnreached, Full: a.Outcome == outcomeFull,
 		}
 	}
 	return jacinthtiller.Reply{}, fmt.Errorf("the relaying host got no answer: %s", a.Text)
--- a/relay/frame.go
+++ b/relay/frame.go
@@ -65,6 +65,7 @@
 	outcomeNotSent          // the order did not reach the target or was not admitted to it
 	outcomeUnreached        // the same, because the target could not be reached
 	outcomeBroken           // the order was sent and no answer came
+	outcomeFull             // too many wait for the target
 )
 
 // answer is the outcome of a job.
--- a/relay/server.go
+++ b/relay/server.go
@@ -164,10 +164,13 @@
 	return nil, a
 }
 
-// failedOpening tells a target that could not be reached from one that refused.
+// failedOpening tells a target that could not be reached from one that refused, and from one that too many wait for.
 func failedOpening(err error) uint8 {
 	var f *jacinthtiller.FailError
 	var e *jacinthtiller.Error
+	if errors.As(err, &e) && e.Reason == jacinthtiller.ReasonQueue {
+		return outcomeFull
+	}
 	if errors.As(err, &f) && f.Code != jacinthtiller.FailWrongTarget || errors.As(err, &e) {
 		return outcomeNotSent
 	}
--- a/statement/exchange.go
+++ b/statement/exchange.go
@@ -40,6 +40,13 @@
 		errors.As(err, &elsewhere) && !elsewhere.Unreached
 }
 
+// full reports whether err says that so many wait for a target that the request would not have its turn in time.
+func full(err error) bool {
+	var here *jacinthtiller.Error
+	var elsewhere *jacinthtiller.NotSentError
+	return errors.As(err, &here) && here.Reason == jacinthtiller.ReasonQueue || errors.As(err, &elsewhere) && elsewhere.Full
+}
+
 // giveBack returns a connection whose statement outside a transaction has been answered.
 func giveBack(c *pool.Conn, r jacinthtiller.Reply) {
 	if r.State != jacinthtiller.StateIdle || r.Fail == jacinthtiller.FailNoStatement || r.Fail == jacinthtiller.FailOther {
--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -243,8 +243,8 @@
 		Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}}, Databases: map[string]jacinthtiller.Database{"db": d},
 		Edition: &jacinthtiller.Edition{Number: 1, Routes: routes, Groups: map[string]jacinthtiller.Group{"db": {Connections: 30}}},
 	}
+	b.lease(time.Minute) // before the view, so that nothing is asked of the targets yet
 	b.server.Apply(b.view)
-	b.lease(time.Minute)
 	return b
 }
 
--- a/statement/read.go
+++ b/statement/read.go
@@ -35,17 +35,17 @@
 		r, sent, err := n.readAt(p, q)
 		switch {
 		case err != nil:
-			q.reason, q.crowded = err.Error(), crowded(err)
+			q.reason, q.crowded, q.full = err.Error(), crowded(err), full(err)
 			ran = ran || !notRun(err)
 		case r.Fail == "":
 			if n.accept(p, sent, r, q.deadline) {
 				return n.pass(q, r, jacinthtiller.StateIdle)
 			}
-			q.reason, q.crowded, ran = "the primary was replaced meanwhile", false, true
+			q.reason, q.crowded, q.full, ran = "the primary was replaced meanwhile", false, false, true
 		case !repeatable(r.Fail) || !time.Now().Add(shortestRest).Before(q.deadline):
 			return n.pass(q, r, jacinthtiller.StateIdle)
 		default:
-			q.reason, q.crowded = string(r.Fail)+" "+r.FailText, r.Fail.NotKept()
+			q.reason, q.crowded, q.full = string(r.Fail)+" "+r.FailText, r.Fail.NotKept(), false
 			ran = ran || !r.Fail.NotKept() && r.Fail != jacinthtiller.FailNoStatement
 		}
 		tried = append(tried, p.target)
@@ -56,8 +56,9 @@
 	}
 }
 
-// crowdedOut reports whether the time in which a request may wait for room has passed, and room is what it lacks.
-func (q *request) crowdedOut() bool { return q.crowded && !time.Now().Before(q.admit) }
+// crowdedOut reports whether a request that lacks room need not wait for it any longer: the time for that has passed, or it
+// is known already that the request would not have its turn in it.
+func (q *request) crowdedOut() bool { return q.full || q.crowded && !time.Now().Before(q.admit) }
 
 // repeatable reports whether a read that failed in this way may succeed elsewhere.
 func repeatable(c jacinthtiller.FailCode) bool {
--- a/statement/return_test.go
+++ b/statement/return_test.go
@@ -50,3 +50,19 @@
 		convey.So(atPrimary, convey.ShouldBeLessThan, 10)
 	})
 }
+
+// TestPositionsWithLease guards against reads of a crowd that wait for one another's answers after a start, because nobody
+// asked the primary for its position when the lease came.
+func TestPositionsWithLease(t *testing.T) {
+	convey.Convey("A host that gets a lease again asks the primary once", t, func() {
+		b := newBench(t)
+		defer b.close()
+		b.lease(-time.Second)
+		b.lease(time.Minute)
+		var log []string
+		for end := time.Now().Add(5 * time.Second); len(log) == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			log = b.group.log()
+		}
+		convey.So(log, convey.ShouldResemble, []string{"a: STATUS"})
+	})
+}
--- a/statement/server.go
+++ b/statement/server.go
@@ -65,6 +65,8 @@
 	// closeIdle is from when on sessions that rest are closed, and abortOpen from when on open transactions are
 	// rolled back; zero before the stop.
 	closeIdle, abortOpen time.Time
+	// refusing is true once a drain has ended with no session left.
+	refusing bool
 	closed               bool
 }
 
@@ -180,7 +182,7 @@
 func (s *Server) enter(n *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || s.refusing {
 		return false
 	}
 	s.sessions[n] = struct{}{}
@@ -219,15 +221,7 @@
 	ticks := time.NewTicker(shutWatch)
 	defer ticks.Stop()
 	for {
-		s.mu.Lock()
-		left := len(s.sessions)
-		if now := time.Now(); !now.Before(closeIdle) {
-			for n := range s.sessions {
-				n.conn.Wake()
-			}
-		}
-		s.mu.Unlock()
-		if left == 0 {
+		if s.drained(time.Now()) {
 			return nil
 		}
 		select {
@@ -238,6 +232,21 @@
 	}
 }
 
+// drained wakes the sessions that may be closed, and reports whether none is left. From then on none is taken: a guest that
+// came later would be cut off when the process ends.
+func (s *Server) drained(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.closeIdle) {
+		return false
+	}
+	for n := range s.sessions {
+		n.conn.Wake()
+	}
+	s.refusing = len(s.sessions) == 0
+	return s.refusing
+}
+
 // closing reports whether a session that rests outside a transaction is to be closed.
 func (s *Server) closing() bool {
 	s.mu.Lock()
--- a/statement/session.go
+++ b/statement/session.go
@@ -214,6 +214,8 @@
 	reason string
 	// crowded is true when the last try failed for want of room or because the target was behind.
 	crowded bool
+	// full is true when the last try failed because so many wait for the target that waiting was of no use.
+	full bool
 	// target is the one tried last, and through the host that relayed to it.
 	target, through string
 }
--- a/statement/statement_test.go
+++ b/statement/statement_test.go
@@ -365,6 +365,28 @@
 	})
 }
 
+// TestDrainEnd guards against a guest that connects to a stopping host when the last session has just ended, and whose
+// request is cut when the process ends; and against a stop that ends before the balancer has noticed it.
+func TestDrainEnd(t *testing.T) {
+	convey.Convey("A server without sessions that stops", t, func() {
+		b := newBench(t)
+		defer b.close()
+		done := make(chan error, 1)
+		b.server.group.Go(func() {
+			now := time.Now()
+			done <- b.server.Drain(context.Background(), now.Add(250*time.Millisecond), now.Add(time.Second))
+		})
+		for end := time.Now().Add(5 * time.Second); !b.server.Stats().Stopping && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		g := b.guest(jacinthtiller.ClassPrimary)
+		convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+		g.leave()
+		convey.So(<-done, convey.ShouldBeNil)
+		convey.So(b.server.enter(&session{s: b.server}), convey.ShouldBeFalse)
+	})
+}
+
 // TestDrain guards against requests that a planned stop cuts, and against a stop that waits for guests who rest.
 func TestDrain(t *testing.T) {
 	convey.Convey("A server that stops", t, func() {
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -100,7 +100,7 @@
 		if err == nil {
 			return true
 		}
-		q.reason, q.crowded = err.Error(), crowded(err)
+		q.reason, q.crowded, q.full = err.Error(), crowded(err), full(err)
 		tried = append(tried, p.target)
 		if !time.Now().Add(shortestRest).Before(q.deadline) {
 			return false
--- a/statement/write.go
+++ b/statement/write.go
@@ -25,11 +25,11 @@
 		case err == nil && !r.Fail.NotKept() && r.Fail != jacinthtiller.FailNoStatement:
 			return n.pass(q, r, jacinthtiller.StateIdle)
 		case err == nil:
-			q.reason, q.crowded = string(r.Fail)+" "+r.FailText, r.Fail == jacinthtiller.FailBusy
+			q.reason, q.crowded, q.full = string(r.Fail)+" "+r.FailText, r.Fail == jacinthtiller.FailBusy, false
 		case !sent.IsZero() && !notRun(err):
 			return n.fail(q, jacinthtiller.FailUnknown, "the primary did not answer: "+err.Error(), 0)
 		default:
-			q.reason, q.crowded = err.Error(), crowded(err)
+			q.reason, q.crowded, q.full = err.Error(), crowded(err), full(err)
 		}
 		if q.crowdedOut() || !n.s.waitAgain(n.s.watch(), q.deadline) {
 			return n.refuse(q)
