--- a/control/command.go
+++ b/control/command.go
@@ -35,8 +35,7 @@
 	RecordPrimary   *recordPrimaryCommand   `cbor:"record-primary,omitempty"`
 }
 
-// barrierCommand changes nothing. A new leader waits for its own barrier and so
-// knows that it has applied every entry of earlier leaders.
+// barrierCommand changes nothing. Logs hold those that leaders of earlier versions wrote at the beginning of their terms.
 type barrierCommand struct {
 	Leader string `cbor:"leader"`
 }
--- a/control/server.go
+++ b/control/server.go
@@ -288,7 +288,6 @@
 
 // reign makes decisions until the process no longer leads the term.
 func (s *Server) reign(term uint64) {
-	// Once the leadership is confirmed, all entries of earlier terms are applied here.
 	if err := s.confirmTerm(); err != nil {
 		s.events.Emit(event.ControlProposalFailed, event.Fields{"error": err.Error()})
 		return
@@ -335,6 +334,7 @@
 	}
 }
 
+// confirmTerm returns nil once a quorum has confirmed that this process leads and all entries of earlier terms are applied.
 func (s *Server) confirmTerm() error {
 	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
 	defer cancel()
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// returnTries is how many times in a heartbeat's time a returning leader asks for votes.
-const returnTries = 4
+const (
+	// returnTries is how many times in a heartbeat's time a returning leader asks for votes.
+	returnTries = 4
+	// turnPercent is the time between the turns of two voters, in percent of a heartbeat's time: a question gets from one
+	// region to another in it, and its answer back.
+	turnPercent = 75
+)
 
 // maxRounds bounds the rounds whose beginning is remembered; an older one would confirm nothing that still counts.
 const maxRounds = 64
@@ -93,7 +98,7 @@
 			place++
 		}
 	}
-	return time.Duration(place) * c.settings.heartbeat() * 3 / returnTries
+	return time.Duration(place) * c.settings.heartbeat() * turnPercent / 100
 }
 
 // upToDate reports whether a candidate's log has all that this one has.
