root, pool, control: the coming and going of a host costs the others little

Cause: on each change of the view each host ranked all hosts anew for each target, and hashed two names in each comparison of the sort: 24.4 ms of processor time for one view of 194 hosts and 60 targets (BenchmarkApply of pool, 20 views, before). When 194 hosts register at once, each of them pays this up to 194 times at 0.192 of a core.

Change: a Placement holds the live hosts with the hashes of their names; a target is looked at again only when it, its number of connections or the live hosts of its failure domain have changed.

--- a/control/direct.go
+++ b/control/direct.go
@@ -206,7 +206,7 @@
 		return 0 // without evidence the number decides nothing
 	}
 	v := s.machine.state().View
-	gateways := v.Gateways(d.Targets[d.Primary], v.Connections(d.Name))
+	gateways := v.Placement().Gateways(d.Targets[d.Primary], v.Connections(d.Name))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
--- a/control/handler.go
+++ b/control/handler.go
@@ -24,10 +24,6 @@
 	// URL, or "unknown". It proves that the request was not run.
 	leaderHeader  = "Jacinthtiller-Leader"
 	leaderUnknown = "unknown"
-	// heartbeatEvery is the time between messages of a watch without changes.
-	heartbeatEvery = time.Second
-	// isolatedAfter is how long a process without a leader goes on serving watches.
-	isolatedAfter = 2 * time.Second
 	// freshConfirmation is how old a confirmation of the leadership may be for a lease to be granted on it without
 	// another round. No other process can have been elected within quorum.ElectionFree after it; the rest is for the
 	// rates of clocks.
@@ -272,49 +268,6 @@
 	return connect.NewResponse(&wire.Empty{}), nil
 }
 
-// watch streams views. A process that knows no leader ends its watches, because
-// it may be cut off from the group and its view would grow old unnoticed.
-func (s *Server) watch(ctx context.Context, r *connect.Request[WatchRequest], out *connect.ServerStream[encodedDelta]) error {
-	s.metrics.watchers.Add(ctx, 1)
-	defer s.metrics.watchers.Add(ctx, -1)
-	from := r.Msg.From
-	ticks := time.NewTicker(heartbeatEvery)
-	defer ticks.Stop()
-	alone := time.Now().Add(isolatedAfter)
-	for {
-		d, changed := s.machine.delta(from)
-		if d != nil {
-			if err := out.Send(d); err != nil {
-				return fmt.Errorf("send delta: %w", err)
-			}
-			from = d.delta.Index
-			s.metrics.deltas.Add(ctx, 1)
-			continue
-		}
-		select {
-		case <-changed:
-			continue
-		case <-s.ctx.Done():
-			return s.notLeader("")
-		case <-ctx.Done():
-			return fmt.Errorf("watch: %w", ctx.Err())
-		case <-ticks.C:
-		}
-		now := time.Now()
-		if leader, _, _ := s.node.Leadership(); leader != "" {
-			alone = now.Add(isolatedAfter)
-		}
-		if !now.Before(alone) {
-			return s.notLeader("")
-		}
-		if h := s.machine.heartbeat(from); h != nil {
-			if err := out.Send(h); err != nil {
-				return fmt.Errorf("send heartbeat: %w", err)
-			}
-		}
-	}
-}
-
 func (s *Server) step(_ context.Context, r *connect.Request[StepRequest]) (*connect.Response[wire.Empty], error) {
 	for _, m := range r.Msg.Messages {
 		s.node.Receive(m)
--- a/entry/host.go
+++ b/entry/host.go
@@ -267,6 +267,9 @@
 // owned returns the epochs of the targets that the view gives to this host, by database and target.
 func (h *Host) owned(view jacinthtiller.View) map[string]uint64 {
 	out := map[string]uint64{}
+	if h.config.Owner == nil {
+		return out
+	}
 	for name, d := range view.Databases {
 		for _, t := range d.Targets {
 			if t.Owner == h.config.Self.Name {
--- a/gateway.go
+++ b/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,46 +29,91 @@
 	return v.Edition.Groups[database].Connections
 }
 
-// Gateways returns the hosts that connect to a target of a direct group themselves, the preferred ones first. All hosts
-// do when the target has connections for all of them. Otherwise it is some hosts of the target's own failure domain,
-// which relay the statements of the others, so that nothing crosses places twice. Every process that has the same view
-// gets the same answer.
-func (v View) Gateways(t Target, connections int) []Host {
-	var hosts []Host
-	for _, h := range v.Hosts {
-		if !h.Gone {
-			hosts = append(hosts, h)
+// Placement answers which hosts connect to which target. It holds the live hosts of one view in the form in which the
+// question is cheap, because every host asks it for every target whenever a host comes or goes. It is never changed.
+type Placement struct {
+	// hosts are the live hosts in order of names.
+	hosts []placedHost
+	// near holds the same hosts by failure domain.
+	near map[string][]placedHost
+}
+
+// placedHost is a host with the hash of its name.
+type placedHost struct {
+	host Host
+	hash uint64
+}
+
+// Placement returns the placement of the view's live hosts.
+func (v View) Placement() Placement {
+	p := Placement{hosts: make([]placedHost, 0, len(v.Hosts)), near: map[string][]placedHost{}}
+	for _, name := range slices.Sorted(maps.Keys(v.Hosts)) {
+		if h := v.Hosts[name]; !h.Gone {
+			placed := placedHost{host: h, hash: xxhash.Sum64String(name)}
+			p.hosts = append(p.hosts, placed)
+			p.near[h.Domain] = append(p.near[h.Domain], placed)
 		}
 	}
+	return p
+}
+
+// candidates returns the hosts among which the target's gateways are, and how many of them are gateways.
+func (p Placement) candidates(t Target, connections int) ([]placedHost, int) {
 	share := connections * fairPercent / 100
-	score := func(h Host) uint64 { return xxhash.Sum64String(h.Name + "\x00" + t.Database + "\x00" + t.Name) }
-	slices.SortFunc(hosts, func(a, b Host) int {
-		return cmp.Or(
-			-cmp.Compare(same(a.Domain, t.Domain), same(b.Domain, t.Domain)),
-			cmp.Compare(score(a), score(b)),
-			cmp.Compare(a.Name, b.Name),
-		)
-	})
-	if len(hosts)*leastShare <= share || len(hosts) == 0 {
-		return hosts
+	if len(p.hosts)*leastShare <= share {
+		return p.hosts, len(p.hosts)
 	}
-	n := min(max(leastGateways, share/gatewayShare), len(hosts))
-	near := 0
-	for _, h := range hosts {
-		near += same(h.Domain, t.Domain)
+	list := p.near[t.Domain]
+	if len(list) == 0 {
+		list = p.hosts
 	}
-	if near > 0 {
-		n = min(n, near)
-	}
-	return hosts[:n]
+	return list, min(max(leastGateways, share/gatewayShare), len(list))
 }
 
-// ShareOf returns how many of a target's connections each of n hosts may keep.
-func ShareOf(connections, n int) int { return max(1, connections*fairPercent/100/max(1, n)) }
+// SameGateways reports whether the target has the same gateways at the same addresses in both placements. It may report
+// false also when it has.
+func (p Placement) SameGateways(other Placement, t Target, connections int) bool {
+	mine, n := p.candidates(t, connections)
+	theirs, m := other.candidates(t, connections)
+	return n == m && slices.EqualFunc(mine, theirs, func(a, b placedHost) bool {
+		return a.host.Name == b.host.Name && a.host.Link == b.host.Link
+	})
+}
 
-func same(a, b string) int {
-	if a == b {
-		return 1
+// Gateways returns the hosts that connect to a target of a direct group themselves. All hosts do when the target has
+// connections for all of them. Otherwise it is some hosts of the target's own failure domain, the preferred ones first,
+// which relay the statements of the others, so that nothing crosses places twice. Every process that has the same view
+// gets the same answer.
+func (p Placement) Gateways(t Target, connections int) []Host {
+	list, n := p.candidates(t, connections)
+	// Each target has an order of its own over the hosts, so that the loss of one changes the gateways of few targets.
+	salt := xxhash.Sum64String(t.Database + "\x00" + t.Name)
+	ranks := make([]hostRank, len(list))
+	for i := range list {
+		ranks[i] = hostRank{hash: mix(list[i].hash ^ salt), place: i}
+	}
+	slices.SortFunc(ranks, func(a, b hostRank) int { return cmp.Or(cmp.Compare(a.hash, b.hash), a.place-b.place) })
+	var out []Host
+	for _, r := range ranks[:n] {
+		out = append(out, list[r.place].host)
 	}
-	return 0
+	return out
+}
+
+// hostRank is a host's rank at one target; place is its index among the candidates.
+type hostRank struct {
+	hash  uint64
+	place int
+}
+
+// mix spreads the differences of two hashes over all bits; it is the finalizer of a 64-bit multiplicative hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
+
+// ShareOf returns how many of a target's connections each of n hosts may keep.
+func ShareOf(connections, n int) int { return max(1, connections*fairPercent/100/max(1, n)) }
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -41,14 +42,14 @@
 	convey.Convey("The gateways of a target", t, func() {
 		for name, c := range cases {
 			convey.Convey(name, func() {
-				got := c.view.Gateways(target, c.connections)
+				got := c.view.Placement().Gateways(target, c.connections)
 				convey.So(got, convey.ShouldHaveLength, c.want)
 				for _, h := range got {
 					if c.near {
 						convey.So(h.Domain, convey.ShouldEqual, "b")
 					}
 				}
-				convey.So(c.view.Gateways(target, c.connections), convey.ShouldResemble, got)
+				convey.So(c.view.Placement().Gateways(target, c.connections), convey.ShouldResemble, got)
 			})
 		}
 		convey.Convey("do not include a host that is gone", func() {
@@ -56,7 +57,59 @@
 			h := v.Hosts["b-0"]
 			h.Gone = true
 			v.Hosts["b-0"] = h
-			convey.So(v.Gateways(target, 49), convey.ShouldResemble, []jacinthtiller.Host{v.Hosts["a-0"]})
+			convey.So(v.Placement().Gateways(target, 49), convey.ShouldResemble, []jacinthtiller.Host{v.Hosts["a-0"]})
+		})
+	})
+}
+
+// TestPlacement guards against gateways that all move when one host is lost, and against a change of the view that costs
+// every host work which grows with the number of hosts times that of targets.
+func TestPlacement(t *testing.T) {
+	view := jacinthtiller.View{Hosts: map[string]jacinthtiller.Host{}}
+	for i := range 200 {
+		n := fmt.Sprintf("host-%d", i)
+		view.Hosts[n] = jacinthtiller.Host{Name: n, Domain: fmt.Sprint("domain-", i%6), Link: "link"}
+	}
+	target := func(i int) jacinthtiller.Target {
+		return jacinthtiller.Target{Name: fmt.Sprint("t", i), Database: "db", Domain: fmt.Sprint("domain-", i%6)}
+	}
+	names := func(hosts []jacinthtiller.Host) map[string]bool {
+		out := map[string]bool{}
+		for _, h := range hosts {
+			out[h.Name] = true
+		}
+		return out
+	}
+	convey.Convey("200 hosts before 60 targets with connections for 12 gateways each", t, func() {
+		before := view.Placement()
+		convey.Convey("share the gateways out", func() {
+			counts := map[string]int{}
+			for i := range 60 {
+				for n := range names(before.Gateways(target(i), 117)) {
+					counts[n]++
+				}
+			}
+			most := 0
+			for _, n := range counts {
+				most = max(most, n)
+			}
+			convey.So(len(counts), convey.ShouldBeGreaterThan, 180)
+			convey.So(most, convey.ShouldBeLessThanOrEqualTo, 10)
+		})
+		convey.Convey("keep 11 of 12 gateways when one of them is lost", func() {
+			lost := before.Gateways(target(1), 117)[3]
+			after := view
+			after.Hosts = maps.Clone(view.Hosts)
+			lost.Gone = true
+			after.Hosts[lost.Name] = lost
+			placement := after.Placement()
+			convey.So(placement.SameGateways(before, target(1), 117), convey.ShouldBeFalse)
+			convey.So(placement.SameGateways(before, target(2), 117), convey.ShouldBeTrue)
+			convey.So(placement.SameGateways(before, target(2), 1000), convey.ShouldBeFalse)
+			kept := names(placement.Gateways(target(1), 117))
+			for n := range names(before.Gateways(target(1), 117)) {
+				convey.So(kept[n], convey.ShouldEqual, n != lost.Name)
+			}
 		})
 	})
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -63,6 +63,8 @@
 	mu sync.Mutex // guards the fields below
 	// targets holds one entry for each incarnation that the view names.
 	targets map[targetKey]*Target
+	// placement is that of the newest view.
+	placement jacinthtiller.Placement
 }
 
 // targetKey names an incarnation of a target, so that connections to a former one are never taken for its successor's.
@@ -107,6 +109,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	seen := map[targetKey]bool{}
+	placement := v.Placement()
+	former := p.placement
+	p.placement = placement
 	if v.Edition != nil {
 		p.routes.Store(v.Edition.Routes)
 	}
@@ -126,7 +131,9 @@
 				t = p.newTarget(spec)
 				p.targets[k] = t
 			}
-			t.follow(spec, connections, v.Gateways(spec, connections))
+			if !t.follows(spec, connections) || !placement.SameGateways(former, spec, connections) {
+				t.follow(spec, connections, placement.Gateways(spec, connections))
+			}
 		}
 	}
 	for k, t := range p.targets {
--- a/pool/target.go
+++ b/pool/target.go
@@ -39,6 +39,8 @@
 
 	mu   sync.Mutex // guards the fields below
 	spec jacinthtiller.Target
+	// connections is how many connections the target takes from all hosts together; 0 until a view was followed.
+	connections int
 	// direct is true when this host is a gateway of the target.
 	direct bool
 	// ways lead through other hosts, the preferred one first: to gateways, or, when this host is one itself, to other
@@ -85,6 +87,13 @@
 	return t
 }
 
+// follows reports whether the target has taken over the spec and the number of connections already.
+func (t *Target) follows(spec jacinthtiller.Target, connections int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.connections == connections && t.spec == spec
+}
+
 // follow takes over what the view says. Gateways are those of the target.
 func (t *Target) follow(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host) {
 	slots := spec.Slots
@@ -94,7 +103,7 @@
 	n := max(1, len(gateways))
 	direct := len(gateways) == 0 || slices.ContainsFunc(gateways, func(h jacinthtiller.Host) bool { return h.Name == t.p.host })
 	t.mu.Lock()
-	t.spec, t.direct = spec, direct
+	t.spec, t.connections, t.direct = spec, connections, direct
 	t.fair = jacinthtiller.ShareOf(connections, n)
 	most := max(t.fair, connections*greedyPercent/100)
 	t.ways = t.waysTo(gateways)
