duty, statement, relay, pool, entry, control, quorum, wire: a fault of the program ends only its own work

Cause: found by reading, from the users' list of what operators of similar systems met. Only session recovered panics. On the way of direct groups the goroutines' group caught a panic without a line in the log: a guest's connection stayed open without an answer, what its request held at a target (an admission, a connection) was kept for ever, and a duty that runs for the life of the process (renewals, views, reports, leading control, sending to members) was gone while the process said that it was ready. A panic in the log's driver left the member without a driver.

Change: package duty decides in one place. Work for a guest or a call ends with a line in the log and frees what it held; a duty is begun again after a pause; more than five faults in a minute end the process with code 3 and a line, so that the platform starts it anew. A fault in the log's driver stops the member, which opens its folder again, as after a crash. A command with a fault changes nothing, on each member alike, and an edition in it is not acknowledged. HTTP calls answer 500.

Tests: duty, statement TestFaults (five kinds of requests, 30 guests each, more than the targets have room for). Before the last of them was handled it failed at a commit: the connection of the transaction was not freed.

--- a/control/command.go
+++ b/control/command.go
@@ -191,14 +191,15 @@
 type code string
 
 const (
-	codeDone      code = ""
-	codeStale     code = "stale"      // the state has moved on; nothing was changed
-	codeBusy      code = "busy"       // another incarnation of the host may still hold its lease
-	codeConflict  code = "conflict"   // the section has another revision
-	codeReused    code = "reused"     // the request id was used with other content
-	codeRoleTaken code = "role-taken" // another team has the role
-	codeUnknown   code = "unknown"    // the database or target does not exist
-	codeOlder     code = "older"      // the edition in force has the same number or a higher one
+	codeDone       code = ""
+	codeStale      code = "stale"      // the state has moved on; nothing was changed
+	codeBusy       code = "busy"       // another incarnation of the host may still hold its lease
+	codeConflict   code = "conflict"   // the section has another revision
+	codeReused     code = "reused"     // the request id was used with other content
+	codeRoleTaken  code = "role-taken" // another team has the role
+	codeUnknown    code = "unknown"    // the database or target does not exist
+	codeOlder      code = "older"      // the edition in force has the same number or a higher one
+	codeUnreadable code = "unreadable" // the command has a fault; nothing was changed
 )
 
 // answer is the result of a command, the same on every control process.
--- a/control/direct.go
+++ b/control/direct.go
@@ -143,7 +143,7 @@
 		}
 		if d.Primary == "" {
 			if s.begin(s.direct.succeeding, d.Name) {
-				wg.Go(func() { s.succeed(ctx, wg, term, d.Name) })
+				s.run(wg, "find a primary", func() { s.succeed(ctx, wg, term, d.Name) })
 			}
 			continue
 		}
@@ -193,7 +193,7 @@
 		return
 	}
 	if (suspected || contrary) && s.begin(x.assessed, d.Name) {
-		wg.Go(func() { s.question(ctx, d) })
+		s.run(wg, "ask a suspected primary", func() { s.question(ctx, d) })
 	}
 }
 
@@ -266,7 +266,7 @@
 		if t.Name == d.Former && (why == causeSilent || why == causeDown) {
 			continue
 		}
-		group.Go(func() {
+		s.run(&group, "ask a target", func() {
 			status, err := s.inspector.Inspect(ctx, t)
 			if err != nil {
 				s.events.Emit(event.ControlInspectFailed, event.Fields{"database": d.Name, "target": t.Name, "error": err.Error()})
@@ -436,7 +436,7 @@
 	delete(s.direct.evidence, d.Name)
 	s.direct.mu.Unlock()
 	if former, ok := d.Targets[d.Former]; ok && d.Former != target {
-		wg.Go(func() { s.demote(ctx, former, v.Term) })
+		s.run(wg, "demote a primary", func() { s.demote(ctx, former, v.Term) })
 	}
 	return true
 }
--- a/control/editions.go
+++ b/control/editions.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 
@@ -28,9 +29,13 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.propose(ctx, Command{Edition: &editionCommand{Edition: e, Text: packed}}); err != nil {
+	a, err := s.propose(ctx, Command{Edition: &editionCommand{Edition: e, Text: packed}})
+	if err != nil {
 		return s.leadingError(err)
 	}
+	if a.Code == codeUnreadable {
+		return fmt.Errorf("edition %d was not put in force: %w", e.Number, errUnreadable)
+	}
 	return nil
 }
 
@@ -46,6 +51,9 @@
 	return unpack(text)
 }
 
+// errUnreadable means that the replicated state machine could not carry a command out.
+var errUnreadable = errors.New("the command has a fault")
+
 func pack(text []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
--- a/control/handler.go
+++ b/control/handler.go
@@ -37,7 +37,7 @@
 // Handler returns the service of the process.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	opts := wire.HandlerOptions()
+	opts := wire.HandlerOptions(s.events)
 	mux.Handle(wire.ProcRegister, connect.NewUnaryHandler(wire.ProcRegister, s.register, opts...))
 	mux.Handle(wire.ProcRenew, connect.NewUnaryHandler(wire.ProcRenew, s.renew, opts...))
 	mux.Handle(wire.ProcRelease, connect.NewUnaryHandler(wire.ProcRelease, s.release, opts...))
--- a/control/machine.go
+++ b/control/machine.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
@@ -46,7 +47,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.s
-	next, out, ch := apply(m.s, index, c)
+	next, out, ch := before, answer{Code: codeUnreadable}, changes{index: index}
+	// A command with a fault changes nothing, on each member alike: applying it again after a restart would fail again.
+	duty.Run(m.events, "apply a command", event.Fields{"index": index}, func() { next, out, ch = apply(before, index, c) })
 	m.s = next
 	if !ch.empty() {
 		m.recent = append(m.recent, ch)
--- a/control/reopen.go
+++ b/control/reopen.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/quorum"
 )
@@ -47,7 +48,7 @@
 	}
 	r := &reopener{open: open, reset: reset, events: events, n: n, swapped: make(chan struct{})}
 	ctx, r.cancel = context.WithCancel(ctx)
-	r.group.Go(func() { r.watch(ctx) })
+	r.group.Go(func() { duty.Keep(ctx, events, "reopen the log", func() { r.watch(ctx) }) })
 	return r, nil
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/quorum"
 	"github.com/jacinthtiller/jacinthtiller/wire"
@@ -197,10 +198,10 @@
 
 func (s *Server) start(n node) {
 	s.node = n
-	s.rounds = &rounds{confirm: n.ConfirmLeader, ctx: s.ctx, wg: s.wg}
-	s.wg.Go(s.lead)
+	s.rounds = &rounds{confirm: n.ConfirmLeader, ctx: s.ctx, wg: s.wg, events: s.events}
+	s.wg.Go(func() { duty.Keep(s.ctx, s.events, "lead control", s.lead) })
 	if s.found {
-		s.wg.Go(s.join)
+		s.wg.Go(func() { duty.Keep(s.ctx, s.events, "join the group", s.join) })
 	}
 }
 
@@ -313,13 +314,13 @@
 		d := s.decide(st)
 		s.tend(ctx, wg, term, st)
 		if s.found && s.keepingMembers.CompareAndSwap(false, true) {
-			wg.Go(func() { s.keepMembers(ctx) })
+			s.run(wg, "keep members", func() { s.keepMembers(ctx) })
 		}
 		for _, c := range d.fences {
 			s.callFence(ctx, wg, c, slots, results)
 		}
 		for _, c := range d.surveys {
-			wg.Go(func() { s.survey(ctx, c) })
+			s.run(wg, "survey a group", func() { s.survey(ctx, c) })
 		}
 		if len(d.commands) > 0 && s.record(ctx, d.commands) && s.machine.state().View.Index > st.View.Index {
 			continue
@@ -395,7 +396,7 @@
 	default:
 		return
 	}
-	wg.Go(func() {
+	s.run(wg, "fence a target", func() {
 		defer func() { <-slots }()
 		call, cancel := context.WithDeadline(ctx, c.deadline)
 		defer cancel()
@@ -412,6 +413,11 @@
 	})
 }
 
+// run runs work of the leader in the background.
+func (s *Server) run(wg *conc.WaitGroup, name string, work func()) {
+	wg.Go(func() { duty.Run(s.events, name, nil, work) })
+}
+
 // survey removes a target when a majority of the rest of its group has reached
 // the newest settled position. Commits that are settled later count without the
 // target already, because it is lost.
@@ -477,6 +483,7 @@
 	confirm func(context.Context) error
 	ctx     context.Context
 	wg      *conc.WaitGroup
+	events  *event.Log
 
 	mu sync.Mutex // guards the fields below
 	// next is the round that has not begun; requests that arrive join it.
@@ -491,6 +498,9 @@
 	err error
 }
 
+// errRoundFailed means that a fault of the program ended a round.
+var errRoundFailed = errors.New("the confirmation of the leadership failed")
+
 // wait returns after a round that began after the call.
 func (r *rounds) wait(ctx context.Context) error {
 	r.mu.Lock()
@@ -522,9 +532,12 @@
 		if now == nil {
 			return
 		}
-		ctx, cancel := context.WithTimeout(r.ctx, confirmTimeout)
-		now.err = r.confirm(ctx)
-		cancel()
+		now.err = errRoundFailed
+		duty.Run(r.events, "confirm the leadership", nil, func() {
+			ctx, cancel := context.WithTimeout(r.ctx, confirmTimeout)
+			defer cancel()
+			now.err = r.confirm(ctx)
+		})
 		close(now.done)
 	}
 }
--- a/control/transport.go
+++ b/control/transport.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/quorum"
 	"github.com/jacinthtiller/jacinthtiller/wire"
@@ -57,7 +58,7 @@
 	ring := make(chan quorum.Message, ringMessages)
 	t.rings[name] = ring
 	c := connect.NewClient[StepRequest, wire.Empty](t.http, url+wire.ProcStep, wire.ClientOptions()...)
-	t.wg.Go(func() { t.send(t.ctx, c, ring) })
+	t.wg.Go(func() { duty.Keep(t.ctx, t.events, "send to a member", func() { t.send(t.ctx, c, ring) }) })
 	return ring
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -241,7 +241,7 @@
 	p.control = c
 	mux.Handle("/jacinthtiller.control/", c.Handler())
 	if p.adapter != nil {
-		mux.Handle("/", p.adapter.Control(c))
+		mux.Handle("/", wire.Recovered(p.events, p.adapter.Control(c)))
 	}
 	return nil
 }
@@ -291,7 +291,7 @@
 		session.WithMarks(p.marks),
 		session.WithEvents(p.events), session.WithTLS(p.guestConfig),
 	)
-	mux.Handle("/jacinthtiller.host/", wire.NewHostHandler(p.host))
+	mux.Handle("/jacinthtiller.host/", wire.NewHostHandler(p.host, p.events))
 	p.group.Go(func() { _ = p.server.Serve(p.links) })
 	p.group.Go(func() { _ = p.sessions.Serve(p.guests) })
 	return nil
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -13,11 +13,13 @@
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/control"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/entry"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/pool"
 	"github.com/jacinthtiller/jacinthtiller/relay"
 	"github.com/jacinthtiller/jacinthtiller/statement"
+	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
 const (
@@ -62,8 +64,12 @@
 		Followers:    []jacinthtiller.ViewFollower{p.statements},
 		FoundMembers: p.groupClient.SetURLs,
 	})
-	p.group.Go(func() { p.relays.Serve(p.links) })
-	p.group.Go(func() { p.statements.Serve(p.guests) })
+	p.group.Go(func() {
+		duty.Keep(context.Background(), p.events, "take other hosts", func() { p.relays.Serve(p.links) })
+	})
+	p.group.Go(func() {
+		duty.Keep(context.Background(), p.events, "take guests", func() { p.statements.Serve(p.guests) })
+	})
 	return nil
 }
 
@@ -79,7 +85,7 @@
 		pages[p.settings.MetricsListen] = mux
 	}
 	if p.settings.ReadyListen != "" && p.adapter != nil {
-		pages[p.settings.ReadyListen] = p.adapter.Ready(p.Ready)
+		pages[p.settings.ReadyListen] = wire.Recovered(p.events, p.adapter.Ready(p.Ready))
 	}
 	for address, h := range pages {
 		l, err := net.Listen("tcp", address)
--- a/entry/host.go
+++ b/entry/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/clock"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/owner"
 	"github.com/jacinthtiller/jacinthtiller/wire"
@@ -102,10 +103,11 @@
 		config: c, ctx: ctx, cancel: cancel,
 		observed: make(chan jacinthtiller.ObserveRequest, observeQueue), renewNow: make(chan struct{}, 1),
 	}
-	h.group.Go(h.follow)
-	h.group.Go(h.apply)
-	h.group.Go(h.renew)
-	h.group.Go(h.report)
+	for name, f := range map[string]func(){
+		"follow views": h.follow, "apply views": h.apply, "renew the lease": h.renew, "report targets": h.report,
+	} {
+		h.group.Go(func() { duty.Keep(h.ctx, c.Events, name, f) })
+	}
 	return h
 }
 
--- a/event/process.go
+++ b/event/process.go
@@ -20,4 +20,8 @@
 		"The settings were read again; what may change while the process runs is in force.")
 	SettingsRefused = register(107, "settings-refused", logrus.WarnLevel,
 		"The settings were read again and have faults; the process goes on with those that it has.")
+	WorkPanicked = register(108, "work-panicked", logrus.ErrorLevel,
+		"A fault of the program ended one piece of work, which the field work names; report it with the stack.")
+	DutyGivenUp = register(109, "duty-given-up", logrus.ErrorLevel,
+		"A duty of the process failed again and again; the process ends, so that it is started anew.")
 )
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
@@ -100,7 +101,7 @@
 	}
 	p.routes.Store(map[string]jacinthtiller.Route{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
-	p.group.Go(p.sweep)
+	p.group.Go(func() { duty.Keep(p.ctx, p.events, "close idle connections", p.sweep) })
 	return p
 }
 
--- a/pool/way.go
+++ b/pool/way.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
@@ -166,7 +167,7 @@
 	}
 	t.p.group.Go(func() {
 		defer w.end()
-		t.probe(w)
+		duty.Run(t.p.events, "probe a target", nil, func() { t.probe(w) })
 	})
 }
 
--- a/quorum/drive.go
+++ b/quorum/drive.go
@@ -3,14 +3,27 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/jacinthtiller/jacinthtiller/clock"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
+// errFault stops a node in which the program has a fault. What was not saved was answered to nobody, so that opening the
+// folder again is safe, as after a crash.
+var errFault = errors.New("a fault of the program stopped the member")
+
 // drive feeds the core until the node stops.
 func (n *Node) drive() {
 	defer n.end()
+	if !duty.Run(n.config.Events, "drive the log", event.Fields{"member": n.config.Name}, n.feed) {
+		n.halt(errFault)
+		n.failOpen(errFault)
+	}
+}
+
+func (n *Node) feed() {
 	for {
 		events, ok := n.gather()
 		if !ok {
@@ -108,12 +121,7 @@
 
 // step runs one step and its effects, the durable ones first.
 func (n *Node) step(events []Event) error {
-	n.mu.Lock()
-	configuration := n.core.log.configurationIndex()
-	e := n.core.Step(clock.Now(), events...)
-	deadline := n.core.Deadline()
-	n.confirmedAt = n.core.ConfirmedAt()
-	n.mu.Unlock()
+	e, configuration, deadline := n.stepCore(events)
 	if e.Durable() {
 		if err := n.store.save(e); err != nil {
 			return fmt.Errorf("save: %w", err)
@@ -129,6 +137,17 @@
 	return nil
 }
 
+// stepCore runs one step of the core, and returns its effects, the index of the members before it and when the next step is
+// due.
+func (n *Node) stepCore(events []Event) (e Effects, configuration uint64, deadline time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	configuration = n.core.log.configurationIndex()
+	e = n.core.Step(clock.Now(), events...)
+	n.confirmedAt = n.core.ConfirmedAt()
+	return e, configuration, n.core.Deadline()
+}
+
 // answer finishes refused requests and files the appended ones under their index.
 func (n *Node) answer(e Effects) {
 	for _, a := range e.Answers {
@@ -274,6 +293,10 @@
 		n.halt(errors.New("the state machine ended unexpectedly")) // no effect after a regular stop
 		close(n.applyDone)
 	}()
+	duty.Run(n.config.Events, "apply the log", event.Fields{"member": n.config.Name}, n.applyTasks)
+}
+
+func (n *Node) applyTasks() {
 	snapshot := n.applied.Load()
 	for {
 		select {
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/pool"
 	"github.com/jacinthtiller/jacinthtiller/wire"
@@ -51,7 +52,7 @@
 		}
 		s.group.Go(func() {
 			defer s.leave(c)
-			s.serve(c)
+			duty.Run(s.events, "relay the work of another host", nil, func() { s.serve(c) })
 		})
 	})
 }
@@ -120,48 +121,60 @@
 			return
 		}
 		var a answer
-		conn, a = s.run(h, conn, in.decode(time.Now()))
+		if conn, a = s.open(h, conn, in); conn != nil {
+			var open bool
+			if a, open = s.run(conn, in.decode(time.Now())); !open {
+				conn = nil
+			}
+		}
 		if err := f.write(time.Now().Add(answerLimit), a); err != nil {
 			return
 		}
 	}
 }
 
-// run runs one job, on the connection of the open transaction if there is one, and returns the connection if it stays open.
-func (s *Server) run(h hello, conn *pool.Conn, j jacinthtiller.Job) (*pool.Conn, answer) {
-	if conn == nil {
-		t := s.pool.FindNamed(h.Database, h.Target)
-		if t == nil {
-			return nil, answer{Outcome: outcomeUnreached, Text: "the host does not know the target any more"}
-		}
-		var err error
-		if conn, err = t.OpenOwn(j); err != nil {
-			return nil, answer{Outcome: failedOpening(err), Text: err.Error()}
-		}
+// open returns the connection of the open transaction, or takes one for a job; without one it returns the answer.
+func (s *Server) open(h hello, conn *pool.Conn, in job) (*pool.Conn, answer) {
+	if conn != nil {
+		return conn, answer{}
+	}
+	t := s.pool.FindNamed(h.Database, h.Target)
+	if t == nil {
+		return nil, answer{Outcome: outcomeUnreached, Text: "the host does not know the target any more"}
 	}
+	conn, err := t.OpenOwn(in.decode(time.Now()))
+	if err != nil {
+		return nil, answer{Outcome: failedOpening(err), Text: err.Error()}
+	}
+	return conn, answer{}
+}
+
+// run runs one job on the connection and reports whether a transaction is open on it afterwards. Otherwise the
+// connection has been given back.
+func (s *Server) run(conn *pool.Conn, j jacinthtiller.Job) (a answer, open bool) {
 	r, err := conn.Run(j)
 	var notSent *jacinthtiller.NotSentError
 	switch {
 	case errors.As(err, &notSent):
 		conn.Drop("not sent")
-		return nil, answer{Outcome: outcomeNotSent, Text: err.Error()}
+		return answer{Outcome: outcomeNotSent, Text: err.Error()}, false
 	case err != nil:
 		conn.Drop("no answer")
-		return nil, answer{Outcome: outcomeBroken, Text: err.Error()}
+		return answer{Outcome: outcomeBroken, Text: err.Error()}, false
 	}
-	a := answer{
+	a = answer{
 		Outcome: outcomeReply, State: r.State, Term: r.Position.Term, Idx: r.Position.Index,
 		Fail: string(r.Fail), Text: r.FailText, Body: r.Body,
 	}
 	switch {
 	case r.State != jacinthtiller.StateIdle:
-		return conn, a
+		return a, true
 	case r.Fail == jacinthtiller.FailNoStatement || r.Fail == jacinthtiller.FailOther:
 		conn.Drop("unexpected state")
 	default:
 		conn.Put()
 	}
-	return nil, a
+	return a, false
 }
 
 // failedOpening tells a target that could not be reached from one that refused, and from one that too many wait for.
--- a/statement/place.go
+++ b/statement/place.go
@@ -77,7 +77,7 @@
 				return place{}, false
 			}
 			if l.target.Direct() && l.target.Crowded() {
-				n.s.group.Go(func() { n.s.askFreshness(l) })
+				n.s.run("ask a primary for its position", func() { n.s.askFreshness(l) })
 				return place{}, false
 			}
 		}
--- a/statement/read.go
+++ b/statement/read.go
@@ -79,9 +79,12 @@
 	if err != nil {
 		return r, sent, err
 	}
+	n.using = c
 	q.through = c.Through()
 	sent = now()
-	if r, err = c.Run(j); err != nil {
+	r, err = c.Run(j)
+	n.using = nil
+	if err != nil {
 		if notRun(err) {
 			sent = time.Time{}
 		}
--- a/statement/server.go
+++ b/statement/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/clock"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/pool"
 	"github.com/jacinthtiller/jacinthtiller/replica"
@@ -94,7 +95,7 @@
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.view.Store(&jacinthtiller.View{})
 	s.lease.Store(&jacinthtiller.Lease{})
-	s.group.Go(s.reportSuspicions)
+	s.group.Go(func() { duty.Keep(s.ctx, s.events, "report suspicions", s.reportSuspicions) })
 	return s
 }
 
@@ -119,7 +120,7 @@
 func (s *Server) learnFreshness() {
 	for name, d := range s.view.Load().Databases {
 		if l, ok := s.lead(name); ok && d.Direct && l.target.Direct() && s.beginAttesting(name) {
-			s.group.Go(func() { s.askFreshness(l) })
+			s.run("ask a primary for its position", func() { s.askFreshness(l) })
 		}
 	}
 }
@@ -189,6 +190,11 @@
 	return true
 }
 
+// run runs work in the background.
+func (s *Server) run(name string, work func()) {
+	s.group.Go(func() { duty.Run(s.events, name, nil, work) })
+}
+
 func (s *Server) leave(n *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -286,7 +292,7 @@
 			for _, d := range s.view.Load().Databases {
 				t := s.suspected(d)
 				if t != nil && due.take(t, now) {
-					s.group.Go(func() { s.reportSuspicion(d, t) })
+					s.run("report a suspicion", func() { s.reportSuspicion(d, t) })
 				}
 			}
 		}
--- a/statement/session.go
+++ b/statement/session.go
@@ -8,7 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
 	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/pool"
 )
 
 // greetingHold is how long a guest's greeting waits for the host to know its routes; guests give up after 2 s.
@@ -41,19 +43,29 @@
 	marked time.Time
 	// tx is the open transaction; nil outside one.
 	tx *transaction
+	// using is the connection on which a single statement, the start or the commit of a transaction runs; nil at other
+	// times. It is given up with the session when a fault of the program ends that.
+	using *pool.Conn
 	// since is when the guest began to wait for the answer to its next request; zero unless its greeting was held.
 	since time.Time
 }
 
-// serve runs the session to its end.
+// serve runs the session to its end. A fault of the program ends this session only: its guest sees a connection that
+// breaks, which promises nothing, and what the session holds is given up.
 func (n *session) serve() {
-	defer func() {
-		n.abandon()
-		_ = n.conn.Close()
-	}()
-	if !n.greet() {
+	defer func() { _ = n.conn.Close() }()
+	welcome := false
+	duty.Run(n.s.events, "greet a guest", nil, func() { welcome = n.greet() })
+	if !welcome {
 		return
 	}
+	about := event.Fields{"guest": n.guest, "route": n.name}
+	duty.Run(n.s.events, "serve a guest", about, func() { n.converse(about) })
+	duty.Run(n.s.events, "end a session", about, n.abandon)
+}
+
+// converse answers requests until the guest is gone. It keeps the id of the present request in about.
+func (n *session) converse(about event.Fields) {
 	for {
 		r, err := n.conn.Next(n.restEnd())
 		switch {
@@ -65,6 +77,7 @@
 		case err != nil:
 			return
 		}
+		about["request"] = r.ID
 		if err := n.handle(r); err != nil {
 			return
 		}
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -69,6 +69,10 @@
 
 // abandon ends what the session has open when the guest is gone.
 func (n *session) abandon() {
+	if n.using != nil {
+		n.using.Drop("fault of the program")
+		n.using = nil
+	}
 	if n.tx != nil {
 		n.rollBack()
 		n.tx = nil
@@ -132,8 +136,10 @@
 	if err != nil {
 		return err
 	}
+	n.using = c
 	q.through = c.Through()
 	r, err := c.Run(j)
+	n.using = nil
 	switch {
 	case err != nil:
 		c.Drop("transaction not begun")
@@ -233,7 +239,9 @@
 	j := n.job(q, jacinthtiller.Position{})
 	j.Repeatable = tx.readOnly
 	sent := now()
+	n.using = tx.conn
 	r, err := tx.conn.Run(j)
+	n.using = nil
 	if err != nil {
 		tx.conn.Drop("no answer to a commit")
 		if notRun(err) || tx.readOnly {
--- a/statement/write.go
+++ b/statement/write.go
@@ -52,8 +52,11 @@
 		c.Drop("primary replaced")
 		return r, sent, &jacinthtiller.NotSentError{Cause: errReplaced}
 	}
+	n.using = c
 	sent = now()
-	if r, err = c.Run(j); err != nil {
+	r, err = c.Run(j)
+	n.using = nil
+	if err != nil {
 		c.Drop("no answer")
 		return r, sent, err
 	}
--- a/wire/host.go
+++ b/wire/host.go
@@ -10,15 +10,16 @@
 	"connectrpc.com/connect"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
 // Empty is a message without content.
 type Empty struct{}
 
 // NewHostHandler serves the procedures of an entry host.
-func NewHostHandler(p jacinthtiller.Peer) http.Handler {
+func NewHostHandler(p jacinthtiller.Peer, events *event.Log) http.Handler {
 	mux := http.NewServeMux()
-	opts := HandlerOptions()
+	opts := HandlerOptions(events)
 	mux.Handle(ProcAnnounce, connect.NewUnaryHandler(ProcAnnounce,
 		func(ctx context.Context, r *connect.Request[jacinthtiller.Announcement]) (*connect.Response[jacinthtiller.AnnounceResponse], error) {
 			out, err := p.Announce(ctx, *r.Msg)
--- a/wire/host_test.go
+++ b/wire/host_test.go
@@ -40,7 +40,7 @@
 // TestHost guards against fields lost by a codec and errors that lose their code.
 func TestHost(t *testing.T) {
 	convey.Convey("Calls carry their fields and errors", t, func() {
-		s := httptest.NewServer(wire.NewHostHandler(fakeHost{}))
+		s := httptest.NewServer(wire.NewHostHandler(fakeHost{}, nil))
 		defer s.Close()
 		p := wire.NewHostPeers(s.Client()).Peer(s.URL)
 		ctx := t.Context()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,9 @@
 
 	"connectrpc.com/connect"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jacinthtiller/jacinthtiller/duty"
+	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
 // compressMinBytes is the size from which answers are compressed. Views are; for the small answers of the statement
@@ -102,15 +106,33 @@
 }
 
 // HandlerOptions are the options of every handler.
-func HandlerOptions() []connect.HandlerOption {
+// A fault of the program in one call ends only that call, with a line in the log.
+func HandlerOptions(events *event.Log) []connect.HandlerOption {
 	return []connect.HandlerOption{
 		connect.WithCodec(CBOR{}),
 		connect.WithCodec(JSON{}),
 		connect.WithCompressMinBytes(compressMinBytes),
 		connect.WithReadMaxBytes(MaxMessageBytes),
+		connect.WithRecover(func(_ context.Context, s connect.Spec, _ http.Header, fault any) error {
+			duty.Report(events, "answer a call", event.Fields{"procedure": s.Procedure}, fault)
+			return connect.NewError(connect.CodeInternal, errFault)
+		}),
 	}
 }
 
+// errFault is the answer to a call in which the program has a fault.
+var errFault = errors.New("a fault of the program ended the call; its log has the stack")
+
+// Recovered ends only the call, with a line in the log, when the program has a fault in it.
+func Recovered(events *event.Log, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f := event.Fields{"method": r.Method, "path": r.URL.Path}
+		if !duty.Run(events, "answer a call", f, func() { h.ServeHTTP(w, r) }) {
+			http.Error(w, errFault.Error(), http.StatusInternalServerError)
+		}
+	})
+}
+
 // ClientOptions are the options of every client between our own processes.
 func ClientOptions() []connect.ClientOption {
 	return []connect.ClientOption{
