control, entry: hosts renew and watch at the nearest control process, which passes renewals on in batches

Cause: each host renewed at the leader itself, 2.5 times a second with 700 bytes of headers and member lists, and watched a control process drawn by lot.

Change: a client knows how far each control process is (it asks each for its place once) and prefers its own failure domain, then its region. A process that does not lead gathers renewals for 40 ms and passes them on in one call; one with a new view in force waits for nothing. A host whose process is lost, frozen or cut off hears so within its attempt and asks the leader itself; the lease still counts from before the host asked. The list of members is sent only to hosts that have another one.

Ruled out: relays among entry hosts. They would be a second kind of process to lose, and control processes already hold a copy of what watches need.

Tests: TestForwardedRenewals (97 hosts in virtual time: a quarter of the calls or fewer, an urgent renewal within two trips between regions, a silent leader known within an attempt), TestRoster.

--- a/control/client.go
+++ b/control/client.go
@@ -6,13 +6,15 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
+	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/wire"
 )
 
@@ -32,20 +34,37 @@
 	silentAfter = 4 * heartbeatEvery
 )
 
-// Client calls the control group. It implements jacinthtiller.Control.
+// Client calls the control group. It implements jacinthtiller.Control. What each process answers, renewals and watches, it
+// asks of the nearest one that works.
 type Client struct {
 	http *http.Client
+	// domain and region are the client's own; empty when distances do not matter.
+	domain, region string
+	group          conc.WaitGroup
+	events         *event.Log
 
 	mu sync.Mutex // guards the fields below
-	// urls are the known processes; those that a redirect names are added.
-	urls []string
-	// leader is the index in urls of the process to ask first.
-	leader int
-	// watched is the index in urls of the process to watch next.
-	watched   int
+	// roster is the known processes; those that a redirect names are added.
+	roster *roster
+	// learning is true while a process is asked for its place.
+	learning bool
+	// watched is the process that is watched, and moveWatch ends that watch for a nearer one; nil without a watch.
+	watched   string
+	moveWatch context.CancelCauseFunc
 	endpoints map[string]*endpoint
 }
 
+// ClientOption changes a Client that is being made.
+type ClientOption func(*Client)
+
+// WithClientPlace sets where the client is, so that it prefers processes of its failure domain, then of its region.
+func WithClientPlace(domain, region string) ClientOption {
+	return func(c *Client) { c.domain, c.region = domain, region }
+}
+
+// WithClientEvents sets the log of events.
+func WithClientEvents(l *event.Log) ClientOption { return func(c *Client) { c.events = l } }
+
 // endpoint holds the procedures of one control process.
 type endpoint struct {
 	register       *connect.Client[jacinthtiller.Host, jacinthtiller.RegisterResponse]
@@ -58,6 +77,7 @@
 	sectionApply   *connect.Client[SectionApplyRequest, SectionApplyResponse]
 	sectionHistory *connect.Client[SectionHistoryRequest, SectionHistoryResponse]
 	join           *connect.Client[JoinRequest, JoinResponse]
+	place          *connect.Client[wire.Empty, PlaceResponse]
 	status         *connect.Client[wire.Empty, StatusResponse]
 	members        *connect.Client[wire.Empty, MembersResponse]
 	memberChange   *connect.Client[MemberChangeRequest, MembersResponse]
@@ -78,6 +98,7 @@
 		sectionApply:   connect.NewClient[SectionApplyRequest, SectionApplyResponse](h, url+wire.ProcSectionApply, o...),
 		sectionHistory: connect.NewClient[SectionHistoryRequest, SectionHistoryResponse](h, url+wire.ProcSectionHistory, o...),
 		join:           connect.NewClient[JoinRequest, JoinResponse](h, url+wire.ProcJoin, o...),
+		place:          connect.NewClient[wire.Empty, PlaceResponse](h, url+wire.ProcPlace, o...),
 		status:         connect.NewClient[wire.Empty, StatusResponse](h, url+wire.ProcStatus, o...),
 		members:        connect.NewClient[wire.Empty, MembersResponse](h, url+wire.ProcMembers, o...),
 		memberChange:   connect.NewClient[MemberChangeRequest, MembersResponse](h, url+wire.ProcMemberChange, o...),
@@ -87,81 +108,93 @@
 }
 
 // NewClient returns a client of the control processes at the URLs. A nil client means wire.NewHTTPClient.
-func NewClient(urls []string, client *http.Client) *Client {
+func NewClient(urls []string, client *http.Client, opts ...ClientOption) *Client {
 	if client == nil {
 		client = wire.NewHTTPClient()
 	}
-	c := &Client{http: client, urls: slices.Clone(urls), endpoints: map[string]*endpoint{}}
-	if len(urls) > 0 {
-		// Hosts start at different processes, so that the watches spread over the group.
-		c.watched = rand.IntN(len(urls))
+	// Hosts start at different processes, so that they spread over the group.
+	c := &Client{http: client, roster: newRoster(urls, rand.IntN(len(urls)+1)), endpoints: map[string]*endpoint{}}
+	for _, o := range opts {
+		o(c)
 	}
 	return c
 }
 
-// knows reports whether there is a process to ask.
-func (c *Client) knows() bool {
+// at returns the endpoint of the process that choose names, and its URL; nil when no process is known.
+func (c *Client) at(choose func(r *roster, now time.Time) string) (*endpoint, string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.urls) > 0
-}
-
-// at returns the endpoint at the place in urls.
-func (c *Client) at(place int) *endpoint {
-	url := c.urls[place%len(c.urls)] // places change when the list does
+	url := choose(c.roster, time.Now())
+	if url == "" {
+		return nil, ""
+	}
 	e, ok := c.endpoints[url]
 	if !ok {
 		e = newEndpoint(c.http, url)
 		c.endpoints[url] = e
 	}
-	return e
+	return e, url
 }
 
-// next returns the endpoint to ask and its place.
-func (c *Client) next() (*endpoint, int) {
+// note changes what is known of the processes.
+func (c *Client) note(change func(r *roster, now time.Time)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.at(c.leader), c.leader
+	change(c.roster, time.Now())
 }
 
-// failed chooses the process to ask after an error of the one at place.
-func (c *Client) failed(place int, leader string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leader != place {
-		return // another call has found a process already
-	}
-	if leader == "" || leader == leaderUnknown {
-		c.leader = (place + 1) % len(c.urls)
-		return
-	}
-	if i := slices.Index(c.urls, leader); i >= 0 {
-		c.leader = i
-		return
-	}
-	c.urls = append(c.urls, leader)
-	c.leader = len(c.urls) - 1
+// answered notes the outcome of an attempt at a process. Leader is what its refusal says of the leader; empty for other outcomes.
+func (c *Client) answered(url string, err error, leader string, near bool) {
+	c.note(func(r *roster, now time.Time) {
+		switch {
+		case err == nil && !near:
+			r.worked(url)
+			r.led(url)
+		case err == nil:
+			r.worked(url)
+		case leader == leaderUnknown:
+			r.leaderless(url, now)
+		case leader != "" && near:
+			r.failed(url, now) // it could not reach the leader
+			r.led(leader)
+		case leader != "":
+			r.led(leader)
+		case transient(err):
+			// A process that did not answer in the caller's time is not asked first again: it may be cut off.
+			r.failed(url, now)
+		}
+	})
 }
 
-// call runs attempts until one succeeds, fails for good or ctx ends. Without
-// repeatable, only an attempt that proves that it did not run is followed by another.
+// errNoControl means that the client was given no process to ask.
+var errNoControl = errors.New("no control process is known")
+
+// call asks the leader; see try.
 func (c *Client) call(ctx context.Context, timeout time.Duration, repeatable bool, attempt func(context.Context, *endpoint) error) error {
-	if !c.knows() {
-		return errors.New("no control process is known")
-	}
+	return c.try(ctx, timeout, repeatable, false, attempt)
+}
+
+// try runs attempts until one succeeds, fails for good or ctx ends. Without repeatable, only an attempt that proves that it
+// did not run is followed by another. With near, the first attempt goes to the nearest process, and the others to the leader.
+func (c *Client) try(ctx context.Context, timeout time.Duration, repeatable, near bool, attempt func(context.Context, *endpoint) error) error {
 	for tries := 1; ; tries++ {
-		e, place := c.next()
+		choose := (*roster).lead
+		if near {
+			choose = (*roster).near
+		}
+		e, url := c.at(choose)
+		if e == nil {
+			return errNoControl
+		}
 		once, cancel := context.WithTimeout(ctx, timeout)
 		err := attempt(once, e)
 		cancel()
+		leader := leaderOf(err)
+		c.answered(url, err, leader, near)
 		if err == nil {
 			return nil
 		}
-		leader := leaderOf(err)
-		// A process that did not answer in the caller's time is not asked first again: it may be cut off.
-		if leader != "" || transient(err) {
-			c.failed(place, leader)
-		}
+		near = false
 		if ctx.Err() != nil || leader == "" && (!repeatable || !transient(err)) {
 			return err
 		}
@@ -207,10 +240,12 @@
 	return out, err
 }
 
-// Renew asks for the host's lease.
+// Renew asks for the host's lease, at the nearest process, which passes the request on when it does not lead. The members
+// that the answer names replace the known processes.
 func (c *Client) Renew(ctx context.Context, m jacinthtiller.RenewRequest) (jacinthtiller.RenewResponse, error) {
+	c.note(func(r *roster, _ time.Time) { m.Members = fingerprint(r.urls) })
 	var out jacinthtiller.RenewResponse
-	err := c.call(ctx, renewTimeout, true, func(ctx context.Context, e *endpoint) error {
+	err := c.try(ctx, renewTimeout, true, true, func(ctx context.Context, e *endpoint) error {
 		r, err := e.renew.CallUnary(ctx, connect.NewRequest(&m))
 		if err != nil {
 			return fmt.Errorf("renew lease of %s: %w", m.Host, err)
@@ -218,9 +253,74 @@
 		out = *r.Msg
 		return nil
 	})
+	if err == nil && len(out.Members) > 0 {
+		c.note(func(r *roster, _ time.Time) { r.replace(out.Members) })
+	}
+	if err == nil {
+		c.learnPlaces()
+		c.mu.Lock()
+		c.preferNearer()
+		c.mu.Unlock()
+	}
 	return out, err
 }
 
+// learnPlaces asks a process whose place is not known for it, in the background. When one is nearer than the process that
+// is watched, the watch moves to it.
+func (c *Client) learnPlaces() {
+	if c.domain == "" {
+		return
+	}
+	c.mu.Lock()
+	url := c.roster.unplaced(time.Now())
+	begun := url != "" && !c.learning
+	c.learning = c.learning || begun
+	c.mu.Unlock()
+	if !begun {
+		return
+	}
+	c.group.Go(func() {
+		defer func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.learning = false
+		}()
+		duty.Run(c.events, "ask a control process for its place", nil, func() { c.learnPlace(url) })
+	})
+}
+
+func (c *Client) learnPlace(url string) {
+	e, _ := c.at(func(*roster, time.Time) string { return url })
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	p, err := e.place.CallUnary(ctx, connect.NewRequest(&wire.Empty{}))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.roster.failed(url, time.Now())
+		return
+	}
+	d := distanceFar
+	switch {
+	case p.Msg.Domain == c.domain:
+		d = distanceDomain
+	case p.Msg.Region == c.region && c.region != "":
+		d = distanceRegion
+	}
+	c.roster.distances[url] = d
+	c.preferNearer()
+}
+
+// preferNearer ends the watch if a process that works is nearer than the one that is watched. c.mu is held.
+func (c *Client) preferNearer() {
+	if c.moveWatch == nil {
+		return
+	}
+	if near := c.roster.near(time.Now()); c.roster.distance(near) < c.roster.distance(c.watched) {
+		c.moveWatch(errNearer)
+	}
+}
+
 // Release gives up the host's lease and targets. Repeating it changes nothing.
 func (c *Client) Release(ctx context.Context, m jacinthtiller.ReleaseRequest) error {
 	return c.call(ctx, callTimeout, true, func(ctx context.Context, e *endpoint) error {
@@ -251,18 +351,34 @@
 	})
 }
 
-// Watch passes deltas to apply until the stream fails or ctx ends. A delta whose
-// From equals its Index is a heartbeat. The next call watches another process.
+// Watch passes deltas to apply until the stream fails or ctx ends. A delta whose From equals its Index is a heartbeat. It
+// returns nil when a nearer process has become known, which the next call watches; after an error the next call
+// watches another process.
 func (c *Client) Watch(ctx context.Context, from uint64, apply func(jacinthtiller.Delta) error) error {
-	if !c.knows() {
-		return errors.New("no control process is known")
+	e, url := c.at((*roster).near)
+	if e == nil {
+		return errNoControl
 	}
-	c.mu.Lock()
-	e := c.at(c.watched)
-	c.watched++
-	c.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.setWatch(url, cancel)
+	defer c.setWatch("", nil)
+	err := e.follow(ctx, cancel, from, apply)
+	if errors.Is(context.Cause(ctx), errNearer) {
+		return nil
+	}
+	c.note(func(r *roster, now time.Time) { r.failed(url, now) })
+	return err
+}
+
+func (c *Client) setWatch(url string, move context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watched, c.moveWatch = url, move
+}
+
+// follow watches the process until the stream fails or ctx ends; cancel ends ctx.
+func (e *endpoint) follow(ctx context.Context, cancel context.CancelCauseFunc, from uint64, apply func(jacinthtiller.Delta) error) error {
 	silence := time.AfterFunc(silentAfter, func() { cancel(errSilent) })
 	defer silence.Stop()
 	s, err := e.watch.CallServerStream(ctx, connect.NewRequest(&WatchRequest{From: from}))
@@ -282,6 +398,9 @@
 	return errors.New("watch ended by the control process")
 }
 
+// errNearer ends a watch because a nearer process has become known.
+var errNearer = errors.New("a nearer control process is known")
+
 // errSilent ends a watch whose process has stopped sending heartbeats.
 var errSilent = errors.New("no heartbeat from the control process")
 
--- /dev/null
+++ b/control/forward.go
@@ -0,0 +1,206 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
+	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/wire"
+)
+
+const (
+	// gatherTime is how long a renewal waits for others to the same leader, so that the hosts of a failure domain cost
+	// the leader and the links between regions one message and not one each. It is a fortieth of a lease, which the host
+	// counts from before it asked.
+	gatherTime = 40 * time.Millisecond
+	// forwardTimeout bounds one call to the leader; with gatherTime it is shorter than a host's attempt, so that the
+	// host hears that it has to ask elsewhere.
+	forwardTimeout = 170 * time.Millisecond
+	// forwardSenders is how many calls to the leader are under way at a time.
+	forwardSenders = 2
+	// forwardRing bounds the renewals that wait for a call; when it is full, hosts are sent to the leader.
+	forwardRing = 1024
+	// forwardBatch bounds the renewals in one call.
+	forwardBatch = 256
+)
+
+// RenewManyRequest carries the renewals of several hosts, which a control process passes on to the leader.
+type RenewManyRequest struct {
+	Renewals []jacinthtiller.RenewRequest `cbor:"renewals"`
+}
+
+// RenewManyResponse answers them in the same order.
+type RenewManyResponse struct {
+	Answers []jacinthtiller.RenewResponse `cbor:"answers"`
+}
+
+// forwarder passes renewals on to the leader, many in one call. It keeps nothing: a host counts its lease from before it
+// asked, so that a forwarder can only shorten a lease, and a host whose forwarder is lost asks the leader itself.
+type forwarder struct {
+	// call asks the leader at the URL.
+	call   forwardCall
+	events *event.Log
+	ctx    context.Context
+	wg     *conc.WaitGroup
+
+	mu sync.Mutex // guards the fields below
+	// rings holds the waiting renewals by the leader's URL.
+	rings map[string]chan *forwarded
+	// indexes is the index of the view that each host named last.
+	indexes map[string]uint64
+}
+
+// forwardCall asks the leader at the URL for the leases of several hosts.
+type forwardCall func(ctx context.Context, url string, m RenewManyRequest) (RenewManyResponse, error)
+
+// forwardOver returns a call over HTTP.
+func forwardOver(h *http.Client) forwardCall {
+	return func(ctx context.Context, url string, m RenewManyRequest) (RenewManyResponse, error) {
+		c := connect.NewClient[RenewManyRequest, RenewManyResponse](h, url+wire.ProcRenewMany, wire.ClientOptions()...)
+		r, err := c.CallUnary(ctx, connect.NewRequest(&m))
+		if err != nil {
+			return RenewManyResponse{}, fmt.Errorf("renew %d leases: %w", len(m.Renewals), err)
+		}
+		return *r.Msg, nil
+	}
+}
+
+// forwarded is one renewal on its way.
+type forwarded struct {
+	request jacinthtiller.RenewRequest
+	// urgent is true when the host has a new view in force, which a change of primary may wait for.
+	urgent bool
+	done   chan struct{}
+	// answer and err are set before done is closed.
+	answer jacinthtiller.RenewResponse
+	err    error
+}
+
+func newForwarder(ctx context.Context, wg *conc.WaitGroup, call forwardCall, events *event.Log) *forwarder {
+	return &forwarder{
+		call: call, events: events, ctx: ctx, wg: wg, rings: map[string]chan *forwarded{}, indexes: map[string]uint64{},
+	}
+}
+
+var (
+	errForwardFull  = errors.New("too many renewals wait for the leader")
+	errForwardFault = errors.New("the renewal was not passed on")
+)
+
+// renew passes a renewal on to the leader at the URL.
+func (f *forwarder) renew(ctx context.Context, url string, r jacinthtiller.RenewRequest) (jacinthtiller.RenewResponse, error) {
+	w := &forwarded{request: r, done: make(chan struct{}), err: errForwardFault}
+	ring := f.ring(url)
+	f.mu.Lock()
+	w.urgent = f.indexes[r.Host] != r.Index
+	f.indexes[r.Host] = r.Index
+	f.mu.Unlock()
+	select {
+	case ring <- w:
+	default:
+		return jacinthtiller.RenewResponse{}, errForwardFull
+	}
+	select {
+	case <-w.done:
+		return w.answer, w.err
+	case <-ctx.Done():
+		return jacinthtiller.RenewResponse{}, fmt.Errorf("wait for the leader's answer: %w", ctx.Err())
+	}
+}
+
+// ring returns the ring of a leader and starts its senders at the first call.
+func (f *forwarder) ring(url string) chan *forwarded {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ring, ok := f.rings[url]
+	if ok {
+		return ring
+	}
+	ring = make(chan *forwarded, forwardRing)
+	f.rings[url] = ring
+	for range forwardSenders {
+		f.wg.Go(func() {
+			duty.Keep(f.ctx, f.events, "pass renewals on", func() {
+				for f.ctx.Err() == nil {
+					f.send(url, f.gather(ring))
+				}
+			})
+		})
+	}
+	return ring
+}
+
+// gather takes what waits, and waits for more for a short time unless something is urgent.
+func (f *forwarder) gather(ring <-chan *forwarded) []*forwarded {
+	var out []*forwarded
+	var end <-chan time.Time
+	for len(out) < forwardBatch {
+		select {
+		case w := <-ring:
+			out = append(out, w)
+			if end == nil {
+				end = time.After(gatherTime)
+			}
+			if w.urgent {
+				return drainRing(out, ring)
+			}
+		case <-end:
+			return out
+		case <-f.ctx.Done():
+			return out
+		}
+	}
+	return out
+}
+
+// drainRing adds what waits already.
+func drainRing(out []*forwarded, ring <-chan *forwarded) []*forwarded {
+	for len(out) < forwardBatch {
+		select {
+		case w := <-ring:
+			out = append(out, w)
+		default:
+			return out
+		}
+	}
+	return out
+}
+
+// send makes one call and hands out its answers.
+func (f *forwarder) send(url string, list []*forwarded) {
+	if len(list) == 0 {
+		return
+	}
+	defer func() {
+		for _, w := range list {
+			close(w.done)
+		}
+	}()
+	var m RenewManyRequest
+	for _, w := range list {
+		m.Renewals = append(m.Renewals, w.request)
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, forwardTimeout)
+	defer cancel()
+	r, err := f.call(ctx, url, m)
+	if err == nil && len(r.Answers) != len(list) {
+		err = fmt.Errorf("%d answers to %d renewals", len(r.Answers), len(list))
+	}
+	if err != nil && f.ctx.Err() == nil {
+		f.events.Emit(event.ControlForwardFailed, event.Fields{"renewals": len(list), "error": err.Error()})
+	}
+	for i, w := range list {
+		if w.err = err; err == nil {
+			w.answer = r.Answers[i]
+		}
+	}
+}
--- /dev/null
+++ b/control/forward_test.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// betweenRegions is how long a call to a leader in another region takes.
+const betweenRegions = 24 * time.Millisecond
+
+// fakeLeader answers calls after the way to another region and back.
+type fakeLeader struct {
+	calls, renewals atomic.Int64
+	// silent makes calls hang until their deadline.
+	silent atomic.Bool
+}
+
+func (l *fakeLeader) answer(ctx context.Context, _ string, m RenewManyRequest) (RenewManyResponse, error) {
+	l.calls.Add(1)
+	l.renewals.Add(int64(len(m.Renewals)))
+	if l.silent.Load() {
+		<-ctx.Done()
+		return RenewManyResponse{}, ctx.Err()
+	}
+	time.Sleep(betweenRegions)
+	var out RenewManyResponse
+	for _, r := range m.Renewals {
+		out.Answers = append(out.Answers, jacinthtiller.RenewResponse{LeaseMicroseconds: Lease.Microseconds(), Index: r.Index})
+	}
+	return out, nil
+}
+
+// TestForwardedRenewals guards against a leader whose work and whose bytes between regions grow with every host of every
+// failure domain, and against a host that pays for it with its lease or a change of primary that waits for it.
+func TestForwardedRenewals(t *testing.T) {
+	type figures struct {
+		calls, renewals int64
+		slowest, urgent time.Duration
+		wrong           int
+		lost            time.Duration // how long a renewal takes to fail when the leader is silent
+	}
+	var f figures
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var leader fakeLeader
+		wg := conc.NewWaitGroup()
+		x := newForwarder(ctx, wg, leader.answer, nil)
+		var mu sync.Mutex
+		hosts := conc.NewWaitGroup()
+		// A fifth of the target size: the hosts of one failure domain, which renew as often as entry.Host does.
+		for i := range 97 {
+			hosts.Go(func() {
+				time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+				for turn := range 25 {
+					r := jacinthtiller.RenewRequest{Host: fmt.Sprint("h", i), Index: 7}
+					urgent := turn == 12 && i%10 == 0
+					if turn >= 12 && i%10 == 0 {
+						r.Index = 8
+					}
+					began := time.Now()
+					a, err := x.renew(ctx, "leader", r)
+					took := time.Since(began)
+					mu.Lock()
+					if err != nil || a.Index != r.Index {
+						f.wrong++
+					}
+					f.slowest = max(f.slowest, took)
+					if urgent {
+						f.urgent = max(f.urgent, took)
+					}
+					mu.Unlock()
+					time.Sleep(RenewEvery - took)
+				}
+			})
+		}
+		hosts.Wait()
+		f.calls, f.renewals = leader.calls.Load(), leader.renewals.Load()
+		leader.silent.Store(true)
+		began := time.Now()
+		_, err := x.renew(ctx, "leader", jacinthtiller.RenewRequest{Host: "h1", Index: 7})
+		f.lost = time.Since(began)
+		if err == nil || !errors.Is(err, context.DeadlineExceeded) {
+			f.wrong++
+		}
+		cancel()
+		wg.Wait()
+	})
+	convey.Convey("97 hosts of one failure domain renew for ten seconds, in virtual time", t, func() {
+		convey.So(f.wrong, convey.ShouldEqual, 0)
+		convey.So(f.renewals, convey.ShouldEqual, 97*25)
+		convey.Convey("in a quarter of the calls or fewer", func() { convey.So(f.calls*4, convey.ShouldBeLessThan, f.renewals) })
+		convey.Convey("a renewal takes a fraction of a host's attempt", func() {
+			convey.So(f.slowest, convey.ShouldBeLessThan, renewTimeout/2)
+		})
+		convey.Convey("one with a new view in force waits for no other, but for a call that is under way", func() {
+			convey.So(f.urgent, convey.ShouldBeLessThanOrEqualTo, 2*betweenRegions)
+		})
+		convey.Convey("a host hears of a silent leader within its attempt", func() {
+			convey.So(f.lost, convey.ShouldBeLessThan, renewTimeout)
+		})
+	})
+}
--- a/control/handler.go
+++ b/control/handler.go
@@ -40,6 +40,8 @@
 	opts := wire.HandlerOptions(s.events)
 	mux.Handle(wire.ProcRegister, connect.NewUnaryHandler(wire.ProcRegister, s.register, opts...))
 	mux.Handle(wire.ProcRenew, connect.NewUnaryHandler(wire.ProcRenew, s.renew, opts...))
+	mux.Handle(wire.ProcRenewMany, connect.NewUnaryHandler(wire.ProcRenewMany, s.renewMany, opts...))
+	mux.Handle(wire.ProcPlace, connect.NewUnaryHandler(wire.ProcPlace, s.place, opts...))
 	mux.Handle(wire.ProcRelease, connect.NewUnaryHandler(wire.ProcRelease, s.release, opts...))
 	mux.Handle(wire.ProcObserve, connect.NewUnaryHandler(wire.ProcObserve, s.observe, opts...))
 	mux.Handle(wire.ProcLost, connect.NewUnaryHandler(wire.ProcLost, s.lost, opts...))
@@ -186,14 +188,55 @@
 	}
 }
 
+// renew grants a host's lease, or passes the request on to the leader.
 func (s *Server) renew(ctx context.Context, r *connect.Request[jacinthtiller.RenewRequest]) (*connect.Response[jacinthtiller.RenewResponse], error) {
-	l, err := s.awaitLeading(ctx)
-	if err == nil && clock.Now().Sub(s.node.ConfirmedAt()) > freshConfirmation {
-		l, err = s.confirmed(ctx)
+	var out jacinthtiller.RenewResponse
+	l, err := s.grantor(ctx)
+	name, _, leads := s.node.Leadership()
+	switch url := s.url(name); {
+	case err == nil:
+		answers, err := s.grant(ctx, l, []jacinthtiller.RenewRequest{*r.Msg})
+		if err != nil {
+			return nil, err
+		}
+		out = answers[0]
+	case leads || name == s.name || url == "":
+		return nil, err
+	default:
+		if out, err = s.forwarder.renew(ctx, url, *r.Msg); err != nil {
+			return nil, s.notLeader(name)
+		}
+	}
+	if members := s.memberURLs(); fingerprint(members) != r.Msg.Members {
+		out.Members = members
+	}
+	return connect.NewResponse(&out), nil
+}
+
+// renewMany grants the leases of hosts that another control process asks for.
+func (s *Server) renewMany(ctx context.Context, r *connect.Request[RenewManyRequest]) (*connect.Response[RenewManyResponse], error) {
+	l, err := s.grantor(ctx)
+	if err != nil {
+		return nil, err
 	}
+	answers, err := s.grant(ctx, l, r.Msg.Renewals)
 	if err != nil {
 		return nil, err
 	}
+	return connect.NewResponse(&RenewManyResponse{Answers: answers}), nil
+}
+
+// grantor returns the leader's part once its leadership is confirmed as recently as a lease needs.
+func (s *Server) grantor(ctx context.Context) (*leader, error) {
+	l, err := s.awaitLeading(ctx)
+	if err == nil && clock.Now().Sub(s.node.ConfirmedAt()) > freshConfirmation {
+		return s.confirmed(ctx)
+	}
+	return l, err
+}
+
+// grant answers renewals.
+func (s *Server) grant(ctx context.Context, l *leader, renewals []jacinthtiller.RenewRequest) ([]jacinthtiller.RenewResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leader != l {
@@ -201,13 +244,20 @@
 	}
 	// The state is read under the lock, so that a host whose end was decided cannot be granted a lease.
 	st := s.machine.state()
-	out := l.renew(st, *r.Msg, time.Now())
-	out.Index = st.View.Index
-	out.Members = s.memberURLs()
-	if out.LeaseMicroseconds > 0 {
-		s.metrics.renewals.Add(ctx, 1)
+	out := make([]jacinthtiller.RenewResponse, len(renewals))
+	for i, r := range renewals {
+		out[i] = l.renew(st, r, time.Now())
+		out[i].Index = st.View.Index
+		if out[i].LeaseMicroseconds > 0 {
+			s.metrics.renewals.Add(ctx, 1)
+		}
 	}
-	return connect.NewResponse(&out), nil
+	return out, nil
+}
+
+// place says where the process is.
+func (s *Server) place(context.Context, *connect.Request[wire.Empty]) (*connect.Response[PlaceResponse], error) {
+	return connect.NewResponse(&PlaceResponse{Domain: s.domain, Region: s.region}), nil
 }
 
 func (s *Server) release(ctx context.Context, r *connect.Request[jacinthtiller.ReleaseRequest]) (*connect.Response[wire.Empty], error) {
--- a/control/message.go
+++ b/control/message.go
@@ -13,6 +13,12 @@
 	Token string `cbor:"token" json:"token"`
 }
 
+// PlaceResponse says where a control process is.
+type PlaceResponse struct {
+	Domain string `cbor:"domain" json:"domain"`
+	Region string `cbor:"region" json:"region"`
+}
+
 // WatchRequest asks for the views after From; 0 asks for a full view first.
 type WatchRequest struct {
 	From uint64 `cbor:"from" json:"from"`
--- /dev/null
+++ b/control/roster_test.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// TestRoster guards against hosts that go on asking a process which is frozen or cut off, that never come back to one which
+// works again, or that all ask the same process when they know nothing.
+func TestRoster(t *testing.T) {
+	now := time.Unix(1000, 0)
+	after := now.Add
+	convey.Convey("A client that knows five processes", t, func() {
+		r := newRoster([]string{"far", "region", "domain", "other", "unknown"}, 0)
+		r.distances = map[string]distance{
+			"far": distanceFar, "other": distanceFar, "region": distanceRegion, "domain": distanceDomain,
+		}
+		convey.Convey("asks the nearest, and the leader for what only that answers", func() {
+			convey.So(r.near(now), convey.ShouldEqual, "domain")
+			r.led("far")
+			convey.So(r.near(now), convey.ShouldEqual, "domain")
+			convey.So(r.lead(now), convey.ShouldEqual, "far")
+		})
+		convey.Convey("passes over one that failed, and comes back to it", func() {
+			r.failed("domain", now)
+			convey.So(r.near(now), convey.ShouldEqual, "region")
+			convey.So(r.near(after(firstAvoid)), convey.ShouldEqual, "domain")
+			r.failed("domain", after(firstAvoid))
+			convey.So(r.near(after(2*firstAvoid)), convey.ShouldEqual, "region")
+			r.worked("domain")
+			convey.So(r.near(after(2*firstAvoid)), convey.ShouldEqual, "domain")
+		})
+		convey.Convey("never waits longer than the bound", func() {
+			for range 20 {
+				r.failed("domain", now)
+			}
+			convey.So(r.near(after(longestAvoid)), convey.ShouldEqual, "domain")
+		})
+		convey.Convey("asks the one that is due first when all have failed", func() {
+			for i, u := range []string{"domain", "region", "unknown", "far", "other"} {
+				r.failed(u, after(time.Duration(i)*time.Millisecond))
+			}
+			convey.So(r.near(after(10*time.Millisecond)), convey.ShouldEqual, "domain")
+		})
+		convey.Convey("asks another when the leader does not answer", func() {
+			r.led("far")
+			r.failed("far", now)
+			convey.So(r.lead(now), convey.ShouldEqual, "domain")
+			convey.So(r.lead(after(firstAvoid)), convey.ShouldEqual, "domain")
+		})
+		convey.Convey("asks around while nobody knows a leader", func() {
+			asked := map[string]bool{}
+			for i := range 5 {
+				u := r.lead(after(time.Duration(i) * time.Millisecond))
+				asked[u] = true
+				r.leaderless(u, after(time.Duration(i)*time.Millisecond))
+			}
+			convey.So(asked, convey.ShouldHaveLength, 5)
+		})
+		convey.Convey("learns places until it knows a process of its own failure domain", func() {
+			convey.So(r.unplaced(now), convey.ShouldBeEmpty)
+			delete(r.distances, "domain")
+			convey.So(r.unplaced(now), convey.ShouldBeIn, "domain", "unknown")
+			r.failed("domain", now)
+			r.failed("unknown", now)
+			convey.So(r.unplaced(now), convey.ShouldBeEmpty)
+		})
+		convey.Convey("keeps what it knows of the processes that stay when the list is replaced", func() {
+			r.led("far")
+			r.failed("region", now)
+			r.replace([]string{"region", "new"})
+			convey.So(r.distance("region"), convey.ShouldEqual, distanceRegion)
+			convey.So(r.near(now), convey.ShouldEqual, "new")
+			convey.So(r.lead(now), convey.ShouldEqual, "new")
+			convey.So(r.distances, convey.ShouldHaveLength, 1)
+		})
+	})
+	convey.Convey("Clients that know nothing begin at different processes", t, func() {
+		first := map[string]bool{}
+		for salt := range 3 {
+			first[newRoster([]string{"a", "b", "c"}, salt).near(now)] = true
+		}
+		convey.So(first, convey.ShouldHaveLength, 3)
+	})
+	convey.Convey("The fingerprint of a list does not depend on its order", t, func() {
+		convey.So(fingerprint([]string{"a", "b"}), convey.ShouldEqual, fingerprint([]string{"b", "a"}))
+		convey.So(fingerprint([]string{"a", "b"}), convey.ShouldNotEqual, fingerprint([]string{"a"}))
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -77,6 +77,8 @@
 	Voters int
 	// Holder names this process to the platform; empty means Name.
 	Holder string
+	// Domain and Region are where the process is; clients prefer one that is near.
+	Domain, Region string
 	// Inspector and Promoter are needed for direct groups.
 	Inspector jacinthtiller.Inspector
 	Promoter  jacinthtiller.Promoter
@@ -99,6 +101,8 @@
 	keepingMembers atomic.Bool
 	voters         int
 	holder         string
+	domain, region string
+	forwarder      *forwarder
 	inspector      jacinthtiller.Inspector
 	promoter       jacinthtiller.Promoter
 	direct         *direct
@@ -180,7 +184,7 @@
 	s := &Server{
 		name: c.Name, urls: maps.Clone(c.Members), events: c.Events, operators: c.Operators, peers: c.Peers,
 		machine: newMachine(c.Events), metrics: m, wg: conc.NewWaitGroup(),
-		found: c.Found, voters: c.Voters, holder: c.Holder, inspector: c.Inspector, promoter: c.Promoter,
+		found: c.Found, voters: c.Voters, holder: c.Holder, domain: c.Domain, region: c.Region, inspector: c.Inspector, promoter: c.Promoter,
 		direct: newDirect(), client: c.Client, leaderChanged: make(chan struct{}),
 	}
 	if s.voters == 0 {
@@ -193,6 +197,7 @@
 		s.client = wire.NewHTTPClient()
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.forwarder = newForwarder(s.ctx, s.wg, forwardOver(s.client), s.events)
 	return s, nil
 }
 
--- a/control/upkeep.go
+++ b/control/upkeep.go
@@ -224,27 +224,5 @@
 
 // AddURLs names further control processes to ask.
 func (c *Client) AddURLs(urls []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, u := range urls {
-		if u != "" && !slices.Contains(c.urls, u) && len(c.urls) < maxURLs {
-			c.urls = append(c.urls, u)
-		}
-	}
-}
-
-// SetURLs replaces the control processes to ask, as when the group has told its members. The process that led stays
-// the first to be asked if it is among them.
-func (c *Client) SetURLs(urls []string) {
-	if len(urls) == 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	leader := ""
-	if len(c.urls) > 0 {
-		leader = c.urls[c.leader%len(c.urls)]
-	}
-	c.urls = slices.Clone(urls)
-	c.leader = max(0, slices.Index(c.urls, leader))
+	c.note(func(r *roster, _ time.Time) { r.add(urls) })
 }
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -52,7 +52,8 @@
 		Name: p.settings.Name, Domain: p.settings.Domain, Region: p.settings.Region,
 		RPC: p.RPCURL(), Link: p.links.Addr().String(), Guests: p.guests.Addr().String(), Incarnation: incarnation(), Exclusive: true,
 	}
-	p.groupClient = control.NewClient(slices.Sorted(maps.Values(p.settings.Control)), client)
+	p.groupClient = control.NewClient(slices.Sorted(maps.Values(p.settings.Control)), client,
+		control.WithClientPlace(p.settings.Domain, p.settings.Region), control.WithClientEvents(p.events))
 	dialect := p.adapter.Dialect()
 	p.pool = pool.New(p.adapter, dialect, pool.WithHost(self.Name), pool.WithRelays(relay.Dialer{}),
 		pool.WithPlace(p.settings.Domain, p.settings.Regions), pool.WithEvents(p.events))
@@ -61,8 +62,7 @@
 		statement.WithHost(self.Name), statement.WithControl(p.groupClient), statement.WithEvents(p.events))
 	p.host = entry.Start(entry.Config{
 		Self: self, Control: p.groupClient, Views: entry.NewViews(), Events: p.events,
-		Followers:    []jacinthtiller.ViewFollower{p.statements},
-		FoundMembers: p.groupClient.SetURLs,
+		Followers: []jacinthtiller.ViewFollower{p.statements},
 	})
 	p.group.Go(func() {
 		duty.Keep(context.Background(), p.events, "take other hosts", func() { p.relays.Serve(p.links) })
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -29,11 +29,10 @@
 		})
 		convey.Convey("with a fault is logged with its fields and its stack", func() {
 			sound := Run(logTo(&out), "work", event.Fields{"request": "r1"}, func() {
-				var m map[string]int
-				m["x"] = 1
+				panic("fault in the program")
 			})
 			convey.So(sound, convey.ShouldBeFalse)
-			for _, part := range []string{"work-panicked", `"request":"r1"`, "assignment to entry in nil map", "duty_test.go"} {
+			for _, part := range []string{"work-panicked", `"request":"r1"`, "fault in the program", "duty_test.go"} {
 				convey.So(out.String(), convey.ShouldContainSubstring, part)
 			}
 		})
--- a/entry/host.go
+++ b/entry/host.go
@@ -59,9 +59,7 @@
 	Owner *owner.Owner
 	// Followers act on views and on the lease, in this order. The owner has to be among them.
 	Followers []jacinthtiller.ViewFollower
-	// FoundMembers, when it is not nil, gets the URLs of the control processes whenever control tells them.
-	FoundMembers func(urls []string)
-	Events       *event.Log
+	Events    *event.Log
 }
 
 // Host runs the duties of the entry role apart from serving guests. It
@@ -166,6 +164,9 @@
 		if h.ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			continue // a nearer control process is known
+		}
 		if !lost {
 			lost = true
 			h.config.Events.Emit(event.ControlLost, event.Fields{
@@ -364,9 +365,6 @@
 		return false, fmt.Errorf("renew the host's lease: %w", err)
 	}
 	h.sawControl()
-	if h.config.FoundMembers != nil && len(r.Members) > 0 {
-		h.config.FoundMembers(r.Members)
-	}
 	if r.Unregistered {
 		h.mu.Lock()
 		h.registered = false
--- a/event/control.go
+++ b/event/control.go
@@ -76,4 +76,6 @@
 		"The log was opened again after its storage had failed; the process takes part in the group again.")
 	ControlReopenFailed = register(2035, "control-reopen-failed", logrus.WarnLevel,
 		"The log could not be opened again after its storage had failed; it is tried again.")
+	ControlForwardFailed = register(2036, "control-forward-failed", logrus.WarnLevel,
+		"Renewals of hosts could not be passed on to the leader; the hosts ask elsewhere.")
 )
--- a/interfaces.go
+++ b/interfaces.go
@@ -45,7 +45,8 @@
 	Release(ctx context.Context, r ReleaseRequest) error
 	Observe(ctx context.Context, r ObserveRequest) error
 	Lost(ctx context.Context, r LostRequest) error
-	// Watch passes deltas to apply until it fails or ctx ends. The first delta starts at from or is a full view.
+	// Watch passes deltas to apply until it fails or ctx ends. The first delta starts at from or is a full view. It returns
+	// nil when the caller should watch again at once, at a process that is nearer.
 	Watch(ctx context.Context, from uint64, apply func(Delta) error) error
 }
 
--- a/message.go
+++ b/message.go
@@ -12,6 +12,8 @@
 	Incarnation string `cbor:"incarnation"`
 	// Index is the index of the view that the host has in force.
 	Index uint64 `cbor:"index"`
+	// Members identifies the list of control processes that the host has; control tells it another one.
+	Members uint64 `cbor:"members,omitempty"`
 }
 
 // RenewResponse grants the host's lease.
@@ -20,7 +22,8 @@
 	LeaseMicroseconds int64 `cbor:"lease-microseconds"`
 	// Index is the index of the leader's view; a host that stays behind it watches another process.
 	Index uint64 `cbor:"index,omitempty"`
-	// Members are the URLs of the control processes, so that hosts find them after their own list has grown old.
+	// Members are the URLs of the control processes, so that hosts find them after their own list has grown old; empty
+	// when the host has this list.
 	Members []string `cbor:"members,omitempty"`
 	// Unregistered is true when the incarnation is not the registered one: the host has no lease and must register.
 	Unregistered bool `cbor:"unregistered,omitempty"`
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -43,6 +43,8 @@
 const (
 	ProcRegister       = "/jacinthtiller.control/register"
 	ProcRenew          = "/jacinthtiller.control/renew"
+	ProcRenewMany      = "/jacinthtiller.control/renew-many"
+	ProcPlace          = "/jacinthtiller.control/place"
 	ProcRelease        = "/jacinthtiller.control/release"
 	ProcObserve        = "/jacinthtiller.control/observe"
 	ProcLost           = "/jacinthtiller.control/lost"
