statement: a host that is cut off from all others refuses at once; one without control waits

A guest has two more tries, at other hosts.

Ruled out: to refuse whenever the lease has ended. While control is away for all hosts a refused guest finds the same elsewhere and has used up its tries before control is back.

Change: a host without a lease asks five others every 0.2 s whether they can be reached. When two looks in a row find nobody it is cut off: it is not ready, and refuses at once what needs control, with a time to come back of up to 150 ms, because others serve it now. Replicas whose freshness is known go on serving reads.

Test: TestIsolation in virtual time: refused after 0 ms when cut off, held for the whole time when others can be reached.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -77,7 +77,7 @@
 
 // directReady reports whether the host can serve guests of direct groups. The caller holds p.mu.
 func (p *Process) directReady() bool {
-	return p.host.Ready() && p.statements.Configured() && clock.Now().Before(p.host.LeaseDeadline().Add(unreadyAfter))
+	return p.host.Ready() && p.statements.Configured() && !p.statements.Isolated() && clock.Now().Before(p.host.LeaseDeadline().Add(unreadyAfter))
 }
 
 // openPages serves readiness and metrics at addresses of their own.
--- a/direct.go
+++ b/direct.go
@@ -349,7 +349,8 @@
 	DialRelay(ctx context.Context, address string, t Target) (RelayConn, error)
 }
 
-// FreshnessQuestion asks a host for a log position of a database that includes every commit acknowledged longer ago than Age.
+// FreshnessQuestion asks a host for a log position of a database that includes every commit acknowledged longer ago than
+// Age. Without a database it only asks whether the host answers.
 type FreshnessQuestion struct {
 	Database string
 	// Term is the term that the position has to be in.
--- a/gateway.go
+++ b/gateway.go
@@ -96,6 +96,13 @@
 	return ranked(p.near[domain], xxhash.Sum64String(database), n)
 }
 
+// Spread returns n live hosts of all failure domains in an order that depends on the name, which is not among them.
+func (p Placement) Spread(name string, n int) []Host {
+	out := ranked(p.hosts, xxhash.Sum64String(name), n+1)
+	out = slices.DeleteFunc(out, func(h Host) bool { return h.Name == name })
+	return out[:min(n, len(out))]
+}
+
 // ranked returns n hosts in an order that depends on the salt.
 func ranked(list []placedHost, salt uint64, n int) []Host {
 	ranks := make([]hostRank, len(list))
--- /dev/null
+++ b/statement/isolation_test.go
@@ -0,0 +1,89 @@
+package statement
+
+import (
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// cutOff stands for other hosts that cannot be reached while it is set.
+type cutOff struct{ on atomic.Bool }
+
+func (c *cutOff) AskFreshness(_ string, _ jacinthtiller.FreshnessQuestion, deadline time.Time) (jacinthtiller.FreshnessAnswer, error) {
+	if c.on.Load() {
+		time.Sleep(time.Until(deadline))
+		return jacinthtiller.FreshnessAnswer{}, errors.New("no answer")
+	}
+	return jacinthtiller.FreshnessAnswer{}, nil
+}
+
+// TestIsolation guards against the pattern of a network that falls apart: a host that is cut off from all others holds each
+// request to the end of its time, while other hosts would serve it; and against a host that refuses what it could serve a
+// moment later when control is away for all hosts.
+func TestIsolation(t *testing.T) {
+	type result struct {
+		answer string
+		// heldMilliseconds is how long the request was held.
+		heldMilliseconds int64
+	}
+	ask := func(isolated bool) (first, later, healed result) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t)
+			b.server.Close()
+			var others cutOff
+			b.server = New(b.pool, dialect{}, nil, WithHost("h0"), WithKeepers("d", &others))
+			for _, n := range []string{"h1", "h2", "h3"} {
+				b.view.Hosts[n] = jacinthtiller.Host{Name: n, Domain: "d", Link: n}
+			}
+			b.lease(time.Second)
+			b.server.Apply(b.view)
+			others.on.Store(isolated)
+			g := b.guest(jacinthtiller.ClassPrimary)
+			one := func() result {
+				began := time.Now()
+				a := g.ask("READ 1")
+				return result{a, time.Since(began).Milliseconds()}
+			}
+			time.Sleep(1010 * time.Millisecond) // the lease has just ended
+			first = one()
+			time.Sleep(time.Second)
+			later = one()
+			others.on.Store(false)
+			b.lease(time.Minute)
+			healed = one()
+			g.leave()
+			b.close()
+		})
+		return first, later, healed
+	}
+	cut, cutLater, cutHealed := ask(true)
+	away, awayLater, awayHealed := ask(false)
+	convey.Convey("Requests at a host that has lost its lease, in virtual time", t, func() {
+		convey.Convey("are refused at once when the host reaches nobody, and served once it does", func() {
+			convey.So(cut.answer, convey.ShouldEqual, "busy I")
+			convey.So(cutLater, convey.ShouldResemble, result{"busy I", 0})
+			convey.So(cutHealed, convey.ShouldResemble, result{"passed I", 0})
+		})
+		convey.Convey("wait for control when the other hosts can be reached", func() {
+			convey.So(away.answer, convey.ShouldEqual, "busy I")
+			convey.So(away.heldMilliseconds, convey.ShouldBeGreaterThan, 350)
+			convey.So(awayLater.heldMilliseconds, convey.ShouldBeGreaterThan, 350)
+			convey.So(awayHealed, convey.ShouldResemble, result{"passed I", 0})
+		})
+	})
+	convey.Convey("One look that finds nobody does not count", t, func() {
+		var i isolation
+		convey.So(i.look(false, 5, 0), convey.ShouldBeFalse)
+		convey.So(i.look(false, 5, 0), convey.ShouldBeTrue)
+		convey.So(i.look(false, 5, 1), convey.ShouldBeFalse)
+		convey.So(i.look(false, 5, 0), convey.ShouldBeFalse)
+		convey.So(i.look(true, 0, 0), convey.ShouldBeFalse)
+		convey.So(i.look(false, 0, 0), convey.ShouldBeFalse)
+	})
+}
--- a/statement/keeper.go
+++ b/statement/keeper.go
@@ -127,6 +127,9 @@
 // Freshness answers another host of the failure domain: from what is known here, or after asking the primary. It
 // implements jacinthtiller.FreshnessSource.
 func (s *Server) Freshness(q jacinthtiller.FreshnessQuestion, deadline time.Time) jacinthtiller.FreshnessAnswer {
+	if q.Database == "" {
+		return jacinthtiller.FreshnessAnswer{}
+	}
 	deadline = time.Now().Add(time.Until(deadline) * keeperAnswer / 100)
 	age := time.Duration(q.AgeMicroseconds) * time.Microsecond
 	for {
--- a/statement/read.go
+++ b/statement/read.go
@@ -20,7 +20,7 @@
 		if !ok {
 			// Targets that refused may take the request a little later; a new primary may be found.
 			tried = nil
-			if q.crowdedOut() || !n.s.waitAgain(changed, q.deadline) {
+			if q.crowdedOut() || n.s.unservable() || !n.s.waitAgain(changed, q.deadline) {
 				return n.unserved(q, ran)
 			}
 			continue
@@ -115,6 +115,8 @@
 	switch {
 	case q.reason != "":
 		return q.reason
+	case s.unservable():
+		return "the host is cut off from the other hosts and from control"
 	case d.Primary == "":
 		return "the primary is being replaced"
 	case !s.lease.Load().Valid(now()):
--- a/statement/server.go
+++ b/statement/server.go
@@ -53,6 +53,8 @@
 
 	view  atomic.Pointer[jacinthtiller.View]
 	lease atomic.Pointer[jacinthtiller.Lease]
+	// isolated is true while the host is cut off from all others.
+	isolated atomic.Bool
 	// sample counts requests, for the sample of those that succeeded.
 	sample atomic.Uint64
 
@@ -106,6 +108,7 @@
 	s.view.Store(&jacinthtiller.View{})
 	s.lease.Store(&jacinthtiller.Lease{})
 	s.group.Go(func() { duty.Keep(s.ctx, s.events, "report suspicions", s.reportSuspicions) })
+	s.group.Go(func() { duty.Keep(s.ctx, s.events, "look whether the host is cut off", s.watchIsolation) })
 	return s
 }
 
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -89,7 +89,7 @@
 		p, ok := n.findOpening(arrived, tried)
 		if !ok {
 			tried = nil
-			if q.crowdedOut() || !n.s.waitAgain(changed, q.deadline) {
+			if q.crowdedOut() || n.s.unservable() || !n.s.waitAgain(changed, q.deadline) {
 				return false
 			}
 			continue
