statement, relay, replica: a keeper tells positions of several ages

Cause: a keeper told its newest position only, half a second old at most.

Change: an answer holds up to five positions, from the oldest that is young enough to the newest. A host keeps them, so that it also asks less often.

Tests: TestWithin, TestKeeperAnswers, TestQuestions.

--- a/direct.go
+++ b/direct.go
@@ -359,10 +359,15 @@
 	AgeMicroseconds int64
 }
 
-// FreshnessAnswer answers a FreshnessQuestion.
+// FreshnessAnswer answers a FreshnessQuestion. Positions of different ages are told, because a replica that is behind holds
+// the older ones only.
 type FreshnessAnswer struct {
-	// Known is false when the host knows no such position; the other fields are then zero.
-	Known    bool
+	// Known holds positions of the term, the oldest first; it is empty when the host knows none that is young enough.
+	Known []AgedPosition
+}
+
+// AgedPosition is a position that a primary had some time ago.
+type AgedPosition struct {
 	Position Position
 	// AgeMicroseconds is how long ago the primary was asked for the position, when the answer was made. Whoever gets the
 	// answer counts it from before its own question, so that the way of the answer only makes it older.
--- a/relay/frame.go
+++ b/relay/frame.go
@@ -90,8 +90,12 @@
 }
 
 type freshness struct {
+	_     struct{} `cbor:",toarray"`
+	Known []aged
+}
+
+type aged struct {
 	_         struct{} `cbor:",toarray"`
-	Known     bool
 	Term, Idx uint64
 	AgeMicros int64
 }
--- a/relay/question.go
+++ b/relay/question.go
@@ -54,9 +54,13 @@
 		return jacinthtiller.FreshnessAnswer{}, fmt.Errorf("ask host at %s: %w", address, err)
 	}
 	x.keep(address, p)
-	return jacinthtiller.FreshnessAnswer{
-		Known: a.Known, Position: jacinthtiller.Position{Term: a.Term, Index: a.Idx}, AgeMicroseconds: a.AgeMicros,
-	}, nil
+	var out jacinthtiller.FreshnessAnswer
+	for _, k := range a.Known {
+		out.Known = append(out.Known, jacinthtiller.AgedPosition{
+			Position: jacinthtiller.Position{Term: k.Term, Index: k.Idx}, AgeMicroseconds: k.AgeMicros,
+		})
+	}
+	return out, nil
 }
 
 // open returns an idle path, or a new one.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -281,9 +281,15 @@
 	if q.Database != "db" {
 		return jacinthtiller.FreshnessAnswer{}
 	}
-	return jacinthtiller.FreshnessAnswer{
-		Known: true, Position: jacinthtiller.Position{Term: q.Term, Index: 5}, AgeMicroseconds: q.AgeMicroseconds - 1,
-	}
+	return answerAt(q.Term)
+}
+
+// answerAt returns the answer that fakeSource gives.
+func answerAt(term uint64) jacinthtiller.FreshnessAnswer {
+	return jacinthtiller.FreshnessAnswer{Known: []jacinthtiller.AgedPosition{
+		{Position: jacinthtiller.Position{Term: term, Index: 5}, AgeMicroseconds: 99},
+		{Position: jacinthtiller.Position{Term: term, Index: 7}, AgeMicroseconds: 12},
+	}}
 }
 
 // TestQuestions guards against answers about freshness that belong to another question, and against a host that goes on
@@ -312,13 +318,11 @@
 		for term := range uint64(3) {
 			a, err := ask("db", term)
 			convey.So(err, convey.ShouldBeNil)
-			convey.So(a, convey.ShouldResemble, jacinthtiller.FreshnessAnswer{
-				Known: true, Position: jacinthtiller.Position{Term: term, Index: 5}, AgeMicroseconds: 99,
-			})
+			convey.So(a, convey.ShouldResemble, answerAt(term))
 		}
 		a, err := ask("other", 1)
 		convey.So(err, convey.ShouldBeNil)
-		convey.So(a.Known, convey.ShouldBeFalse)
+		convey.So(a.Known, convey.ShouldBeEmpty)
 		convey.Convey("is asked on a new path when the old one was closed", func() {
 			s.mu.Lock()
 			for c := range s.paths {
@@ -330,7 +334,7 @@
 				a, err = ask("db", 7)
 			}
 			convey.So(err, convey.ShouldBeNil)
-			convey.So(a.Position.Term, convey.ShouldEqual, 7)
+			convey.So(a, convey.ShouldResemble, answerAt(7))
 		})
 	})
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -176,7 +176,10 @@
 			jacinthtiller.FreshnessQuestion{Database: q.Database, Term: q.Term, AgeMicroseconds: q.AgeMicros},
 			instant(max(1, q.RemainingMillis), time.Now()),
 		)
-		out := freshness{Known: a.Known, Term: a.Position.Term, Idx: a.Position.Index, AgeMicros: a.AgeMicroseconds}
+		var out freshness
+		for _, p := range a.Known {
+			out.Known = append(out.Known, aged{Term: p.Position.Term, Idx: p.Position.Index, AgeMicros: p.AgeMicroseconds})
+		}
 		if err := f.write(time.Now().Add(answerLimit), out); err != nil {
 			return
 		}
--- a/replica/freshness.go
+++ b/replica/freshness.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,29 @@
 	return Attested{}, false
 }
 
+// Within returns at most count attestations of the term for times from at on, the oldest first: the oldest, the newest, and
+// some that lie evenly between them.
+func (f *Freshness) Within(term uint64, at time.Time, count int) []Attested {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if term != f.term {
+		return nil
+	}
+	first := slices.IndexFunc(f.kept, func(a Attested) bool { return !a.At.Before(at) })
+	if first < 0 || count < 1 {
+		return nil
+	}
+	list := f.kept[first:]
+	if len(list) <= count {
+		return slices.Clone(list)
+	}
+	out := make([]Attested, 0, count)
+	for i := range count - 1 {
+		out = append(out, list[i*len(list)/(count-1)])
+	}
+	return append(out, list[len(list)-1])
+}
+
 // Lag returns by how much a log that ends at the position is behind the primary at the time, and false when nothing is
 // known in the term. A log that holds the newest known position has no lag. Exact is false for a log that is older than
 // all that is known: it is behind by at least the lag returned, which is no more than the host has known the primary for.
--- a/replica/freshness_test.go
+++ b/replica/freshness_test.go
@@ -103,3 +103,37 @@
 		})
 	})
 }
+
+// TestWithin guards against another host that is told only the newest position, which replicas that are behind lack, or one
+// that is too old or of another term.
+func TestWithin(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := map[string]struct {
+		term         uint64
+		sinceSeconds int
+		count        int
+		want         []uint64 // the positions' indexes, which are the seconds of their times
+	}{
+		"all that fit":                  {2, 5, 10, []uint64{5, 6, 7, 8, 9}},
+		"the oldest and the newest":     {2, 5, 2, []uint64{5, 9}},
+		"some between":                  {2, 1, 5, []uint64{1, 3, 5, 7, 9}},
+		"none is young enough":          {2, 10, 5, nil},
+		"another term":                  {1, 0, 5, nil},
+		"as many as asked for, of many": {2, 0, 4, []uint64{0, 3, 6, 9}},
+	}
+	convey.Convey("Of ten positions, one a second", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var f Freshness
+				for i := range uint64(10) {
+					f.Attest(2, Attested{At: start.Add(time.Duration(i) * time.Second), Position: jacinthtiller.Position{Term: 2, Index: i}})
+				}
+				var got []uint64
+				for _, a := range f.Within(c.term, start.Add(time.Duration(c.sinceSeconds)*time.Second), c.count) {
+					got = append(got, a.Position.Index)
+				}
+				convey.So(got, convey.ShouldResemble, c.want)
+			})
+		}
+	})
+}
--- a/statement/keeper.go
+++ b/statement/keeper.go
@@ -26,6 +26,8 @@
 	// refreshAfter is the age from which on a keeper that is asked asks the primary again in the background, so that the
 	// next question need not wait. It is a third of the least age that routes usually allow.
 	refreshAfter = 500 * time.Millisecond
+	// keeperPositions is how many positions of different ages an answer holds at most.
+	keeperPositions = 5
 	// clockRatePercent is added to an age because the clocks of two hosts may run at rates that differ by it.
 	clockRatePercent = 2
 )
@@ -96,11 +98,11 @@
 			s.events.Emit(event.KeeperSilent, event.Fields{"database": q.Database, "keeper": h.Name, "error": err.Error()})
 			continue
 		}
-		s.metrics.asked(a.Known)
-		if a.Known {
-			age := time.Duration(a.AgeMicroseconds) * time.Microsecond
-			s.fresh(q.Database).Attest(a.Position.Term, replica.Attested{
-				At: asked.Add(-age - age*clockRatePercent/100), Position: a.Position,
+		s.metrics.asked(len(a.Known) > 0)
+		for _, k := range a.Known {
+			age := time.Duration(k.AgeMicroseconds) * time.Microsecond
+			s.fresh(q.Database).Attest(k.Position.Term, replica.Attested{
+				At: asked.Add(-age - age*clockRatePercent/100), Position: k.Position,
 			})
 		}
 		return
@@ -135,11 +137,17 @@
 	for {
 		changed := s.watch()
 		at := clock.Now()
-		if a, ok := s.fresh(q.Database).Newest(q.Term); ok && at.Sub(a.At) <= age {
-			if at.Sub(a.At) > refreshAfter {
+		if list := s.fresh(q.Database).Within(q.Term, at.Add(-age), keeperPositions); len(list) > 0 {
+			if at.Sub(list[len(list)-1].At) > refreshAfter {
 				s.refresh(q.Database)
 			}
-			return jacinthtiller.FreshnessAnswer{Known: true, Position: a.Position, AgeMicroseconds: at.Sub(a.At).Microseconds()}
+			var out jacinthtiller.FreshnessAnswer
+			for _, a := range list {
+				out.Known = append(out.Known, jacinthtiller.AgedPosition{
+					Position: a.Position, AgeMicroseconds: at.Sub(a.At).Microseconds(),
+				})
+			}
+			return out
 		}
 		s.refresh(q.Database)
 		if !s.wait(changed, deadline) {
--- a/statement/keeper_test.go
+++ b/statement/keeper_test.go
@@ -159,12 +159,20 @@
 		}
 		convey.Convey("tells it with its age", func() {
 			a := ask(1, 1500*time.Millisecond)
-			convey.So(a.Known, convey.ShouldBeTrue)
-			convey.So(a.Position, convey.ShouldResemble, position)
-			convey.So(a.AgeMicroseconds, convey.ShouldBeBetween, 1_000_000, 1_400_000)
+			convey.So(a.Known, convey.ShouldHaveLength, 1)
+			convey.So(a.Known[0].Position, convey.ShouldResemble, position)
+			convey.So(a.Known[0].AgeMicroseconds, convey.ShouldBeBetween, 1_000_000, 1_400_000)
 		})
-		convey.Convey("does not when it is too old", func() { convey.So(ask(1, 900*time.Millisecond).Known, convey.ShouldBeFalse) })
-		convey.Convey("does not for another term", func() { convey.So(ask(2, 1500*time.Millisecond).Known, convey.ShouldBeFalse) })
+		convey.Convey("tells a younger one besides, for replicas that are not behind", func() {
+			newer := jacinthtiller.Position{Term: 1, Index: 8}
+			b.server.fresh("db").Attest(1, replica.Attested{At: clock.Now().Add(-100 * time.Millisecond), Position: newer})
+			a := ask(1, 1500*time.Millisecond)
+			convey.So(a.Known, convey.ShouldHaveLength, 2)
+			convey.So(a.Known[0].Position, convey.ShouldResemble, position)
+			convey.So(a.Known[1].Position, convey.ShouldResemble, newer)
+		})
+		convey.Convey("does not when it is too old", func() { convey.So(ask(1, 900*time.Millisecond).Known, convey.ShouldBeEmpty) })
+		convey.Convey("does not for another term", func() { convey.So(ask(2, 1500*time.Millisecond).Known, convey.ShouldBeEmpty) })
 	})
 	convey.Convey("A host counts the age of an answer from before its question", t, func() {
 		b := newBench(t)
@@ -186,7 +194,7 @@
 
 func (k slowKeeper) AskFreshness(string, jacinthtiller.FreshnessQuestion, time.Time) (jacinthtiller.FreshnessAnswer, error) {
 	time.Sleep(time.Duration(k.way) * time.Microsecond)
-	return jacinthtiller.FreshnessAnswer{
-		Known: true, Position: jacinthtiller.Position{Term: 1, Index: 9}, AgeMicroseconds: 300_000,
-	}, nil
+	return jacinthtiller.FreshnessAnswer{Known: []jacinthtiller.AgedPosition{
+		{Position: jacinthtiller.Position{Term: 1, Index: 9}, AgeMicroseconds: 300_000},
+	}}, nil
 }
