--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -56,6 +56,20 @@
 			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 100, 9)).Code, convey.ShouldEqual, codeStale)
 			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 101, 1)).Code, convey.ShouldEqual, codeDone)
 		})
+		convey.Convey("does not take back a target that has left, or leaves, after a restart from a snapshot", func() {
+			leaving := saying("b", "db", "10.0.0.2:1", 100, 7)
+			leaving.State = jacinthtiller.StateLeaving
+			enlist(leaving)
+			do(Command{Delist: &delistCommand{Target: "a", BornMilliseconds: 100}})
+			b, err := encode(s)
+			convey.So(err, convey.ShouldBeNil)
+			s = newState()
+			convey.So(decode(b, s), convey.ShouldBeNil)
+			convey.So(enlist(saying("a", "db", "10.0.0.1:1", 100, 9)).Code, convey.ShouldEqual, codeStale)
+			convey.So(enlist(saying("b", "db", "10.0.0.2:1", 100, 6)).Code, convey.ShouldEqual, codeStale)
+			convey.So(targets("db"), convey.ShouldResemble, []string{"b"})
+			convey.So(s.View.Databases["db"].Targets["b"].State, convey.ShouldEqual, jacinthtiller.StateLeaving)
+		})
 		convey.Convey("keeps the younger incarnation when the leave of the former one comes late", func() {
 			enlist(saying("a", "db", "10.0.0.1:1", 200, 1))
 			convey.So(do(Command{Delist: &delistCommand{Target: "a", BornMilliseconds: 100}}).Code, convey.ShouldEqual, codeStale)
