entry: a watch is behind only when it does not reach what the leader had

Cause: while hosts come and go, as during a planned stop of many, the leader's view is ahead of every host's at each renewal.

Change: the watch is compared with the index that the leader had when the host first saw it ahead; the limit is 150 ms.

Test: TestBehind; fails with the former comparison.

--- a/entry/host.go
+++ b/entry/host.go
@@ -26,8 +26,9 @@
 	renewTimeout = 800 * time.Millisecond
 	// catchUpInterval is the pause before a renewal after one that waits for a newer view.
 	catchUpInterval = 20 * time.Millisecond
-	// behindLimit is how long a watch may stay behind the leader's view; a delta arrives within milliseconds.
-	behindLimit = 100 * time.Millisecond
+	// behindLimit is how long a watch may take to reach a view that the leader had: control holds messages about hosts back
+	// for 50 ms, and the way between regions and a busy process take as long.
+	behindLimit = 150 * time.Millisecond
 	// behindInterval is the pause before the renewal that decides whether the watch is still behind.
 	behindInterval = 120 * time.Millisecond
 	// retryInterval is the pause after a failed call to control.
@@ -85,8 +86,10 @@
 	applied uint64
 	// stopWatch ends the present watch; nil before the first one.
 	stopWatch context.CancelFunc
-	// behindSince is since when renewals have shown a newer view than the watch; zero while they do not.
+	// behindSince is since when the watch has not reached the view behindIndex, which the leader had then; zero while the
+	// watch is not behind.
 	behindSince time.Time
+	behindIndex uint64
 	// controlSeen is when control last answered.
 	controlSeen time.Time
 	// registered is true once control recorded this incarnation.
@@ -199,8 +202,9 @@
 	switch {
 	case leader <= index:
 		h.behindSince = time.Time{}
-	case h.behindSince.IsZero():
-		h.behindSince = now
+	// While hosts come and go the leader is always a little ahead. The watch works as long as it reaches what the leader had.
+	case h.behindSince.IsZero() || index >= h.behindIndex:
+		h.behindSince, h.behindIndex = now, leader
 	case now.Sub(h.behindSince) >= behindLimit && h.stopWatch != nil:
 		h.stopWatch()
 	}
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -288,3 +288,35 @@
 		}
 	})
 }
+
+// TestBehind guards against a watch that is given up, and opened anew by every host, while hosts register by the hundred and
+// the leader is always a little ahead; and against one that is kept although its process is cut off.
+func TestBehind(t *testing.T) {
+	cases := map[string]struct {
+		follows bool
+		kept    bool
+	}{
+		"the watch has what the leader had": {true, true},
+		"the watch stands still":            {false, false},
+	}
+	convey.Convey("The leader's view changes between all renewals", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				h := &Host{config: Config{Views: NewViews()}}
+				kept := true
+				h.stopWatch = func() { kept = false }
+				h.config.Views.Offer(jacinthtiller.View{Index: 10})
+				now := time.Unix(1000, 0)
+				for i := range 20 {
+					leader := uint64(11 + i)
+					h.compareView(leader, now)
+					if c.follows {
+						h.config.Views.Offer(jacinthtiller.View{Index: leader})
+					}
+					now = now.Add(behindInterval)
+				}
+				convey.So(kept, convey.ShouldEqual, c.kept)
+			})
+		}
+	})
+}
