--- a/statement/keeper.go
+++ b/statement/keeper.go
@@ -32,37 +32,46 @@
 	clockRatePercent = 2
 )
 
-// learning is one question about the freshness of a database, for which all reads that need it wait.
+// learning is one question about the freshness of a database, for which all reads that allow the same age wait.
 type learning struct {
 	done chan struct{}
 }
 
+// learningKey names what a question is about.
+type learningKey struct {
+	database string
+	// maxAgeMilliseconds is the greatest age that the route of the reads allows.
+	maxAgeMilliseconds int64
+}
+
 // keepers are the questions of one host to the keepers of its failure domain. The server's mutex guards it.
 type keepers struct {
-	// asking holds the questions under way by database.
-	asking map[string]*learning
+	// asking holds the questions under way.
+	asking map[learningKey]*learning
 	// avoided holds until when a host is passed over.
 	avoided map[string]time.Time
 }
 
-// learn waits until a keeper has told the freshness of a database, or could not, and reports whether one was asked. Age is
-// how old the answer may be.
-func (s *Server) learn(database string, term uint64, age time.Duration) bool {
+// learn waits until a keeper has told the freshness of the route's database in the term, or could not, and reports whether
+// one was asked.
+func (s *Server) learn(route jacinthtiller.Route, term uint64) bool {
+	age := (time.Duration(route.MaxAgeMilliseconds)*time.Millisecond - ageMargin) * (100 - clockRatePercent) / 100
 	if s.asker == nil || age <= 0 {
 		return false
 	}
-	list := s.pool.Placement().Keepers(s.domain, database, keepersTried)
+	list := s.pool.Placement().Keepers(s.domain, route.Database, keepersTried)
 	if len(list) == 0 || list[0].Name == s.host {
 		return false
 	}
+	key := learningKey{route.Database, route.MaxAgeMilliseconds}
 	s.mu.Lock()
-	l := s.keepers.asking[database]
+	l := s.keepers.asking[key]
 	if l == nil {
 		l = &learning{done: make(chan struct{})}
-		s.keepers.asking[database] = l
-		q := jacinthtiller.FreshnessQuestion{Database: database, Term: term, AgeMicroseconds: age.Microseconds()}
+		s.keepers.asking[key] = l
+		q := jacinthtiller.FreshnessQuestion{Database: route.Database, Term: term, AgeMicroseconds: age.Microseconds()}
 		s.run("ask a keeper for the freshness of a database", func() {
-			defer s.endLearning(database, l)
+			defer s.endLearning(key, l)
 			s.askKeepers(q, list)
 		})
 	}
@@ -74,10 +83,10 @@
 	return true
 }
 
-func (s *Server) endLearning(database string, l *learning) {
+func (s *Server) endLearning(key learningKey, l *learning) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.keepers.asking, database)
+	delete(s.keepers.asking, key)
 	close(l.done)
 }
 
--- a/statement/place.go
+++ b/statement/place.go
@@ -72,10 +72,8 @@
 	d := n.s.view.Load().Databases[route.Database]
 	l, leads := n.s.lead(route.Database)
 	after, fresh := n.freshPosition(route, arrived, d)
-	if !fresh && route.Class != jacinthtiller.ClassPrimary {
-		if age := now().Sub(n.oldest(route, arrived)); n.s.learn(route.Database, d.Term, age) {
-			after, fresh = n.freshPosition(route, arrived, d)
-		}
+	if !fresh && route.Class != jacinthtiller.ClassPrimary && n.s.learn(route, d.Term) {
+		after, fresh = n.freshPosition(route, arrived, d)
 	}
 	if !fresh {
 		if !leads || slices.Contains(tried, l.target) || !l.target.Usable(time.Now()) {
--- a/statement/server.go
+++ b/statement/server.go
@@ -99,7 +99,7 @@
 	s := &Server{
 		pool: p, dialect: d, listen: l, changed: make(chan struct{}), metrics: newMetrics(),
 		freshness: map[string]*replica.Freshness{}, attesting: map[string]time.Time{}, sessions: map[*session]struct{}{},
-		keepers: keepers{asking: map[string]*learning{}, avoided: map[string]time.Time{}},
+		keepers: keepers{asking: map[learningKey]*learning{}, avoided: map[string]time.Time{}},
 	}
 	for _, o := range opts {
 		o(s)
