statement: a host that shares its side of a cut with most others lets requests wait

Change: a host refuses at once only if at most a third of the others that it asks are without a lease as well.

--- a/statement/isolation.go
+++ b/statement/isolation.go
@@ -16,7 +16,8 @@
 
 // A host without a lease cannot tell by that alone what its guests should do. When control is away for all hosts, it is best
 // to wait: a guest that is refused finds the same at every other host and soon has no try left. When the host is on the
-// wrong side of a cut, it is best to refuse at once: others serve. So the host asks others whether they hold a lease.
+// wrong side of a cut with few others, it is best to refuse at once: most others serve. So the host asks others whether they
+// hold a lease.
 
 const (
 	// isolationLook is the time between looks while the host has no lease.
@@ -28,6 +29,9 @@
 	isolationSilent = 2
 	// isolationTimeout bounds one question: several ways between regions and back at a busy host.
 	isolationTimeout = 250 * time.Millisecond
+	// isolationShare is the share of the others, in percent, that may be without a lease too: with more of them a guest that
+	// is refused uses up its three tries at hosts that cannot serve it either.
+	isolationShare = 34
 	// isolationLooks is how many looks in a row must show the same.
 	isolationLooks = 2
 )
@@ -35,10 +39,12 @@
 // look is what one look at the others has found.
 type look struct{ asked, leased, silent int }
 
-// cutOff reports whether waiting for control is of no use by this look: another host has a lease, or the network has
-// fallen apart. Of few hosts that are asked, all must be silent.
+// cutOff reports whether a guest is better off elsewhere by this look: the network has fallen apart, and most others have a
+// lease or are on the other side. Of few hosts that are asked, all must be silent.
 func (l look) cutOff() bool {
-	return l.leased > 0 || l.asked > 0 && l.silent >= min(isolationSilent, l.asked)
+	without := l.asked - l.leased - l.silent
+	apart := l.leased > 0 || l.asked > 0 && l.silent >= min(isolationSilent, l.asked)
+	return apart && without*100 <= l.asked*isolationShare
 }
 
 // isolation is what a host that has lost its lease has found out about the others.
