statement, admission: a request that was held for control or for a primary may still wait for room; hosts that start are not cut off

Cause: a request may wait for room for 45% of its statement's time.

Change: a request that was held longer than 50 ms may wait for room for 90% of its time, as the first one of a guest whose greeting was held could already. A host that has had no lease yet does not count as cut off. The refusal says what binds.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -248,7 +248,7 @@
 	case jacinthtiller.ReasonQueue:
 		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunQueueFull, r, "the queue of the target is too long")
 	case jacinthtiller.ReasonDeadline:
-		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, r, "canceled or past its deadline after waiting %s for a slot", waited)
+		return jacinthtiller.NotRun(jacinthtiller.CodeNotRunDeadline, r, "no room within the time that it may wait; it waited %s", waited)
 	}
 	return jacinthtiller.NotRun(jacinthtiller.CodeNotRunShutdown, jacinthtiller.ReasonDraining, "the target takes no new work")
 }
--- a/statement/isolation.go
+++ b/statement/isolation.go
@@ -74,7 +74,9 @@
 			return
 		case <-ticks.C:
 		}
-		leased := s.lease.Load().Valid(clock.Now())
+		// A host that has had no lease yet is starting, perhaps with all others, which are silent until they are back.
+		held := *s.lease.Load()
+		leased := held.Valid(clock.Now()) || held.Deadline.IsZero()
 		var l look
 		if !leased && s.asker != nil {
 			l = s.askOthers()
--- a/statement/read.go
+++ b/statement/read.go
@@ -18,6 +18,7 @@
 		changed := n.s.watch()
 		p, ok := n.findPlace(q.route, arrived, tried)
 		if !ok {
+			n.s.noteHeld(q)
 			// Targets that refused may take the request a little later; a new primary may be found.
 			tried = nil
 			if q.crowdedOut() || n.s.unservable() || !n.s.waitAgain(changed, q.deadline) {
@@ -56,6 +57,13 @@
 	}
 }
 
+// noteHeld takes note that a request without a place has to wait for control or for a primary, if it does.
+func (s *Server) noteHeld(q *request) {
+	if _, leads := s.lead(q.route.Database); !leads && time.Since(q.arrived) > shortHold {
+		q.held()
+	}
+}
+
 // crowdedOut reports whether a request that lacks room need not wait for it any longer: the time for that has passed, or it
 // is known already that the request would not have its turn in it.
 func (q *request) crowdedOut() bool { return q.full || q.crowded && !time.Now().Before(q.admit) }
--- a/statement/return_test.go
+++ b/statement/return_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -66,3 +67,35 @@
 		convey.So(log, convey.ShouldResemble, []string{"a: STATUS"})
 	})
 }
+
+// TestHeldRequests guards against the pattern of the second after an outage of control: requests that were held for a lease are
+// refused as soon as it is back, because the time that they may wait for room had passed meanwhile, with the targets idle.
+func TestHeldRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		class    jacinthtiller.ReadClass
+		requests []string
+	}{
+		"a read of the primary":       {jacinthtiller.ClassPrimary, []string{"READ 1"}},
+		"a read of any target":        {jacinthtiller.ClassBounded, []string{"READ 1"}},
+		"a write":                     {jacinthtiller.ClassPrimary, []string{"WRITE 1 x"}},
+		"the start of a transaction":  {jacinthtiller.ClassPrimary, []string{"BEGIN", "READ 1"}},
+		"a transaction that is empty": {jacinthtiller.ClassPrimary, []string{"BEGIN", "COMMIT"}},
+	} {
+		var got string
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t)
+			b.lease(-time.Second)
+			g := b.guest(c.class)
+			back := time.AfterFunc(250*time.Millisecond, func() { b.lease(time.Minute) }) // of 400, of which 180 for room
+			for _, r := range c.requests {
+				got = g.ask(r)
+			}
+			back.Stop()
+			g.leave()
+			b.close()
+		})
+		convey.Convey("While control is away for most of its time, "+name, t, func() {
+			convey.So(got, convey.ShouldStartWith, "passed")
+		})
+	}
+}
--- a/statement/session.go
+++ b/statement/session.go
@@ -20,11 +20,11 @@
 // it is refused, with a time to come back: a guest that waits to the end of its time has none left to try again.
 const admitPercent = 45
 
-// heldAdmitPercent is the same for the first request of a guest whose greeting was held: the crowd after an outage passes
-// soon, and this guest has waited already.
+// heldAdmitPercent is the same for a request that was held for want of control or of a primary, and for the first one of a
+// guest whose greeting was: the crowd after an outage passes soon, and this guest has waited already, but not for room.
 const heldAdmitPercent = 90
 
-// shortHold is how long a greeting may be held without counting as a part of the time that the guest's first request took.
+// shortHold is how long a greeting or a request may be held without counting as held.
 const shortHold = 50 * time.Millisecond
 
 // session is one guest's connection.
@@ -263,6 +263,11 @@
 	return q, true
 }
 
+// held gives a request that had to wait for control or for a primary the time of such a one to wait for room.
+func (q *request) held() {
+	q.admit = q.arrived.Add(time.Duration(q.route.StatementMilliseconds) * time.Millisecond * heldAdmitPercent / 100)
+}
+
 // work runs a request that a target has to run.
 func (n *session) work(r jacinthtiller.GuestRequest) error {
 	if n.tx != nil {
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -88,6 +88,7 @@
 		changed := n.s.watch()
 		p, ok := n.findOpening(arrived, tried)
 		if !ok {
+			n.s.noteHeld(q)
 			tried = nil
 			if q.crowdedOut() || n.s.unservable() || !n.s.waitAgain(changed, q.deadline) {
 				return false
--- a/statement/write.go
+++ b/statement/write.go
@@ -9,10 +9,14 @@
 // write runs a single write on the primary. It is tried again only while it is certain that it did not run.
 func (n *session) write(q *request) error {
 	for {
+		asked := time.Now()
 		l, ok := n.s.awaitLead(q.route.Database, q.deadline)
 		if !ok {
 			return n.refuse(q)
 		}
+		if time.Since(asked) > shortHold {
+			q.held()
+		}
 		r, sent, err := n.writeAt(l, q)
 		switch {
 		case err == nil && r.Fail == "":
