--- a/statement/account.go
+++ b/statement/account.go
@@ -27,7 +27,7 @@
 // comeBack returns after how many milliseconds a guest should ask again.
 func (s *Server) comeBack(q *request) int64 {
 	back := int64(comeBackBusy)
-	if s.unservable() {
+	if s.Isolated() {
 		return rand.Int64N(comeBackBusy) // another host serves it now
 	}
 	if s.view.Load().Databases[q.route.Database].Primary == "" {
--- a/statement/isolation.go
+++ b/statement/isolation.go
@@ -120,8 +120,5 @@
 	s.announce()
 }
 
-// unservable reports whether waiting for control is of no use, because the host is cut off.
-func (s *Server) unservable() bool { return s.isolated.Load() && !s.lease.Load().Valid(clock.Now()) }
-
-// Isolated reports whether the host is cut off from control while others are not, or from others too.
-func (s *Server) Isolated() bool { return s.unservable() }
+// Isolated reports whether waiting for control is of no use to guests, because the host is cut off and most others are not.
+func (s *Server) Isolated() bool { return s.isolated.Load() && !s.lease.Load().Valid(clock.Now()) }
--- a/statement/lead.go
+++ b/statement/lead.go
@@ -72,7 +72,7 @@
 		if l, ok := s.lead(database); ok {
 			return l, true
 		}
-		if s.unservable() || !s.wait(changed, deadline) {
+		if s.Isolated() || !s.wait(changed, deadline) {
 			return lead{}, false
 		}
 	}
--- a/statement/read.go
+++ b/statement/read.go
@@ -21,7 +21,7 @@
 			n.s.noteHeld(q)
 			// Targets that refused may take the request a little later; a new primary may be found.
 			tried = nil
-			if q.crowdedOut() || n.s.unservable() || !n.s.waitAgain(changed, q.deadline) {
+			if q.crowdedOut() || n.s.Isolated() || !n.s.waitAgain(changed, q.deadline) {
 				return n.unserved(q, ran)
 			}
 			continue
@@ -123,7 +123,7 @@
 	switch {
 	case q.reason != "":
 		return q.reason
-	case s.unservable():
+	case s.Isolated():
 		return "the host is cut off from the other hosts and from control"
 	case d.Primary == "":
 		return "the primary is being replaced"
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -90,7 +90,7 @@
 		if !ok {
 			n.s.noteHeld(q)
 			tried = nil
-			if q.crowdedOut() || n.s.unservable() || !n.s.waitAgain(changed, q.deadline) {
+			if q.crowdedOut() || n.s.Isolated() || !n.s.waitAgain(changed, q.deadline) {
 				return false
 			}
 			continue
