control, entry: a busy control group gets fewer and longer attempts instead of more

Hosts gave an attempt to renew up after 250 ms, which closes its connection, and tried again at once; a process that passes renewals on sent its hosts to the leader after 170 ms; and a watch that was behind for 150 ms was opened anew. Each is right for a process that is cut off, and keeps one that is busy from ever catching up.

Change: an attempt may take up to 0.8 s after failures, and twice what the last answer took; the same for calls that pass renewals on, up to 0.64 s. A watch that is behind is given up once a second at most, and ever more rarely up to 8 s.

Tests: TestBusyLeader (fewer than half of ten renewals were answered with a timeout that started anew after each answer), TestBehind (a minute late for all hosts: at most 12 new watches of a host).

--- a/control/client.go
+++ b/control/client.go
@@ -21,8 +21,10 @@
 const (
 	// callTimeout bounds one attempt, so that a process that hangs does not use up the caller's time.
 	callTimeout = 500 * time.Millisecond
-	// renewTimeout bounds one attempt to renew; four of them fit into a lease when the leader is cut off.
+	// renewTimeout bounds one attempt to renew; four of them fit into a lease when the leader is cut off. It grows up
+	// to longestRenew, which leaves half of a lease, while control is busy.
 	renewTimeout = 250 * time.Millisecond
+	longestRenew = 800 * time.Millisecond
 	// lostTimeout bounds one attempt to report a lost target: a promotion waits for the report, and repeating it
 	// changes nothing.
 	lostTimeout = 250 * time.Millisecond
@@ -46,6 +48,8 @@
 	mu sync.Mutex // guards the fields below
 	// roster is the known processes; those that a redirect names are added.
 	roster *roster
+	// renewals are the attempts to renew.
+	renewals attempts
 	// learning is true while a process is asked for its place.
 	learning bool
 	// watched is the process that is watched, and moveWatch ends that watch for a nearer one; nil without a watch.
@@ -244,9 +248,15 @@
 // Renew asks for the host's lease, at the nearest process, which passes the request on when it does not lead. The members
 // that the answer names replace the known processes.
 func (c *Client) Renew(ctx context.Context, m jacinthtiller.RenewRequest) (jacinthtiller.RenewResponse, error) {
-	c.note(func(r *roster, _ time.Time) { m.Members = fingerprint(r.urls) })
+	var timeout time.Duration
+	var began time.Time
+	c.note(func(r *roster, _ time.Time) {
+		m.Members = fingerprint(r.urls)
+		timeout = c.renewals.timeout(renewTimeout, longestRenew)
+	})
 	var out jacinthtiller.RenewResponse
-	err := c.try(ctx, renewTimeout, true, true, func(ctx context.Context, e *endpoint) error {
+	err := c.try(ctx, timeout, true, true, func(ctx context.Context, e *endpoint) error {
+		began = time.Now()
 		r, err := e.renew.CallUnary(ctx, connect.NewRequest(&m))
 		if err != nil {
 			return fmt.Errorf("renew lease of %s: %w", m.Host, err)
@@ -254,9 +264,12 @@
 		out = *r.Msg
 		return nil
 	})
-	if err == nil && len(out.Members) > 0 {
-		c.note(func(r *roster, _ time.Time) { r.replace(out.Members) })
-	}
+	c.note(func(r *roster, now time.Time) {
+		c.renewals = c.renewals.after(err != nil, now.Sub(began))
+		if err == nil && len(out.Members) > 0 {
+			r.replace(out.Members)
+		}
+	})
 	if err == nil {
 		c.learnPlaces()
 		c.mu.Lock()
--- a/control/forward.go
+++ b/control/forward.go
@@ -25,6 +25,8 @@
 	// forwardTimeout bounds one call to the leader; with gatherTime it is shorter than a host's attempt, so that the
 	// host hears that it has to ask elsewhere.
 	forwardTimeout = 170 * time.Millisecond
+	// longestForward is the same for a leader that is busy: it should not be asked by every host itself.
+	longestForward = 640 * time.Millisecond
 	// forwardSenders is how many calls to the leader are under way at a time.
 	forwardSenders = 2
 	// forwardRing bounds the renewals that wait for a call; when it is full, hosts are sent to the leader.
@@ -55,6 +57,8 @@
 	mu sync.Mutex // guards the fields below
 	// rings holds the waiting renewals by the leader's URL.
 	rings map[string]chan *forwarded
+	// calls are the attempts at the leader.
+	calls attempts
 	// indexes is the index of the view that each host named last.
 	indexes map[string]uint64
 }
@@ -175,6 +179,20 @@
 	return out
 }
 
+// timeout returns how long the next call may take.
+func (f *forwarder) timeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls.timeout(forwardTimeout, longestForward)
+}
+
+// note takes note of the outcome of a call.
+func (f *forwarder) note(err error, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = f.calls.after(err != nil, took)
+}
+
 // send makes one call and hands out its answers.
 func (f *forwarder) send(url string, list []*forwarded) {
 	if len(list) == 0 {
@@ -189,9 +207,11 @@
 	for _, w := range list {
 		m.Renewals = append(m.Renewals, w.request)
 	}
-	ctx, cancel := context.WithTimeout(f.ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, f.timeout())
 	defer cancel()
+	began := time.Now()
 	r, err := f.call(ctx, url, m)
+	f.note(err, time.Since(began))
 	if err == nil && len(r.Answers) != len(list) {
 		err = fmt.Errorf("%d answers to %d renewals", len(r.Answers), len(list))
 	}
--- a/control/forward_test.go
+++ b/control/forward_test.go
@@ -112,3 +112,34 @@
 		})
 	})
 }
+
+// TestBusyLeader guards against the pattern of a mass return: the leader is so busy that it answers after the time of an attempt,
+// each attempt that is given up is work for nothing, and repeating it keeps the leader busy for good.
+func TestBusyLeader(t *testing.T) {
+	var answered, failed int
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		wg := conc.NewWaitGroup()
+		x := newForwarder(ctx, wg, func(ctx context.Context, _ string, m RenewManyRequest) (RenewManyResponse, error) {
+			select {
+			case <-time.After(500 * time.Millisecond): // three times what a call may take at first
+			case <-ctx.Done():
+				return RenewManyResponse{}, ctx.Err()
+			}
+			return RenewManyResponse{Answers: make([]jacinthtiller.RenewResponse, len(m.Renewals))}, nil
+		}, nil)
+		for range 10 {
+			if _, err := x.renew(ctx, "leader", jacinthtiller.RenewRequest{Host: "h"}); err != nil {
+				failed++
+			} else {
+				answered++
+			}
+		}
+		cancel()
+		wg.Wait()
+	})
+	convey.Convey("Of ten renewals through a leader that takes half a second, most are answered", t, func() {
+		convey.So(failed, convey.ShouldBeLessThanOrEqualTo, 5)
+		convey.So(answered, convey.ShouldBeGreaterThanOrEqualTo, 5)
+	})
+}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -213,7 +213,9 @@
 		owned := func(target, owner string) func() bool {
 			return func() bool { return db().Targets[target].Owner == owner }
 		}
-		eventually(t, "first primary", func() bool { return db().Primary == "t1" && owned("t1", "h1")() && owned("t2", "h2")() && owned("t3", "h3")() })
+		eventually(t, "first primary", func() bool {
+			return db().Primary == "t1" && owned("t1", "h1")() && owned("t2", "h2")() && owned("t3", "h3")()
+		})
 
 		convey.Convey("promotes away a lost primary and takes it back as a replica", func() {
 			convey.So(c.Lost(ctx, jacinthtiller.LostRequest{
--- a/entry/host.go
+++ b/entry/host.go
@@ -29,6 +29,10 @@
 	// behindLimit is how long a watch may take to reach a view that the leader had: control holds messages about hosts back
 	// for 50 ms, and the way between regions and a busy process take as long.
 	behindLimit = 150 * time.Millisecond
+	// behindPause and longestBehindPause bound the time between two watches that are given up because they are behind; it
+	// doubles until one is not. Control that is overloaded is late for all hosts, and new watches would only add to its work.
+	behindPause        = time.Second
+	longestBehindPause = 8 * time.Second
 	// behindInterval is the pause before the renewal that decides whether the watch is still behind.
 	behindInterval = 120 * time.Millisecond
 	// retryInterval is the pause after a failed call to control.
@@ -90,6 +94,9 @@
 	// watch is not behind.
 	behindSince time.Time
 	behindIndex uint64
+	// behindStops counts the watches given up in a row because they were behind, and behindUntil is until when no other is.
+	behindStops int
+	behindUntil time.Time
 	// controlSeen is when control last answered.
 	controlSeen time.Time
 	// registered is true once control recorded this incarnation.
@@ -201,11 +208,13 @@
 	defer h.mu.Unlock()
 	switch {
 	case leader <= index:
-		h.behindSince = time.Time{}
+		h.behindSince, h.behindStops = time.Time{}, 0
 	// While hosts come and go the leader is always a little ahead. The watch works as long as it reaches what the leader had.
 	case h.behindSince.IsZero() || index >= h.behindIndex:
 		h.behindSince, h.behindIndex = now, leader
-	case now.Sub(h.behindSince) >= behindLimit && h.stopWatch != nil:
+	case now.Sub(h.behindSince) >= behindLimit && h.stopWatch != nil && !now.Before(h.behindUntil):
+		h.behindUntil = now.Add(min(longestBehindPause, behindPause<<min(h.behindStops, 10)))
+		h.behindStops++
 		h.stopWatch()
 	}
 }
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -319,4 +319,16 @@
 			})
 		}
 	})
+	convey.Convey("Control is overloaded and late for all hosts for a minute", t, func() {
+		h := &Host{config: Config{Views: NewViews()}}
+		stops := 0
+		h.stopWatch = func() { stops++ }
+		h.config.Views.Offer(jacinthtiller.View{Index: 10})
+		now := time.Unix(1000, 0)
+		for range 500 {
+			h.compareView(11, now)
+			now = now.Add(behindInterval)
+		}
+		convey.So(stops, convey.ShouldBeBetween, 2, 12)
+	})
 }
