control: changes of targets share a message, and bursts of new primaries do

Cause: a change of any database went to each watch at once, by a message of its own. When 1,435 targets report after a loss of power and 480 databases get a primary, each host receives and applies 1,915 messages; one costs a host 1.6 ms at 300 hosts and 1,440 targets (a run of pool.Apply on such a view, one core of this machine at full speed), 3 s of processor time of which it has 0.19 a second. Ruled out: waiting for all kinds alike. A change of primary that waits 50 ms would cost the failover that.

Change: a change is urgent when it is of a primary, term, candidate, edition or section, or of an owned group. Others wait up to 50 ms for one another, urgent ones 10 ms, and the first after a pause not at all. Watches wait for the same times, so that they share encoded messages. The list of recent changes is copied every 1,024 changes; it was with each one once full.

--- a/control/machine.go
+++ b/control/machine.go
@@ -13,7 +13,7 @@
 )
 
 // recentChanges is how many indexes a watcher may lag behind and still get a
-// delta. At 670 configuration changes a day this covers more than a day.
+// delta, and twice as many are kept at most. At 670 configuration changes a day this covers more than a day.
 const recentChanges = 1024
 
 // machine is the replicated state machine. It implements quorum.Machine.
@@ -22,18 +22,21 @@
 
 	mu sync.Mutex // guards the fields below
 	s  *state
-	// base is the index of the oldest view that recent leads from.
+	// base is the index of the oldest view that the last recentChanges of recent lead from.
 	base   uint64
 	recent []changes
 	// changed is closed and replaced when the view changes.
 	changed chan struct{}
+	// urgent is closed and replaced when the view changes in something that may not wait.
+	urgent chan struct{}
 	// encoded holds the deltas to the current view by the index that they start from.
 	encoded map[uint64]*encodedDelta
 }
 
 func newMachine(events *event.Log) *machine {
 	return &machine{
-		events: events, s: newState(), changed: make(chan struct{}), encoded: map[uint64]*encodedDelta{},
+		events: events, s: newState(), changed: make(chan struct{}), urgent: make(chan struct{}),
+		encoded: map[uint64]*encodedDelta{},
 	}
 }
 
@@ -53,11 +56,13 @@
 	m.s = next
 	if !ch.empty() {
 		m.recent = append(m.recent, ch)
-		if len(m.recent) > recentChanges {
-			m.base = m.recent[0].index
-			m.recent = slices.Clone(m.recent[1:])
+		if n := len(m.recent) - recentChanges; n > 0 {
+			m.base = m.recent[n-1].index
+			if n >= recentChanges { // trimmed rarely, because each time copies all that stay
+				m.recent = slices.Clone(m.recent[n:])
+			}
 		}
-		m.announceChange()
+		m.announceChange(ch.urgent)
 	}
 	report(m.events, before, next, ch)
 	b, err := encode(out)
@@ -67,9 +72,13 @@
 	return b
 }
 
-func (m *machine) announceChange() {
+func (m *machine) announceChange(urgent bool) {
 	close(m.changed)
 	m.changed = make(chan struct{})
+	if urgent {
+		close(m.urgent)
+		m.urgent = make(chan struct{})
+	}
 	m.encoded = map[uint64]*encodedDelta{}
 }
 
@@ -85,7 +94,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.s, m.recent, m.base = s, nil, s.View.Index
-	m.announceChange()
+	m.announceChange(true)
 	return nil
 }
 
@@ -94,7 +103,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.s, m.recent, m.base = newState(), nil, 0
-	m.announceChange()
+	m.announceChange(true)
 }
 
 func (m *machine) state() *state {
@@ -110,6 +119,13 @@
 	return m.s, m.changed
 }
 
+// urgentChange returns a channel that is closed when the view changes in something that may not wait.
+func (m *machine) urgentChange() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.urgent
+}
+
 // delta returns what leads from the view at from to the current one, and a
 // channel that is closed when the view changes. A watcher that is ahead of this
 // process gets nothing.
@@ -121,7 +137,7 @@
 	}
 	d, ok := m.encoded[from]
 	if !ok {
-		d = &encodedDelta{delta: m.build(from)}
+		d = m.build(from)
 		m.encoded[from] = d
 	}
 	return d, m.changed
@@ -144,14 +160,15 @@
 }
 
 // build makes a delta from the names of what changed since from.
-func (m *machine) build(from uint64) jacinthtiller.Delta {
+func (m *machine) build(from uint64) *encodedDelta {
 	v := m.s.View
 	if from == 0 || from < m.base {
-		return jacinthtiller.Delta{
+		return &encodedDelta{urgent: true, delta: jacinthtiller.Delta{
 			Index: v.Index, Document: v.Document, Hosts: v.Hosts, Databases: v.Databases, Sections: v.Sections,
 			Edition: v.Edition,
-		}
+		}}
 	}
+	urgent := false
 	d := jacinthtiller.Delta{
 		From: from, Index: v.Index, Document: v.Document,
 		Hosts: map[string]jacinthtiller.Host{}, Databases: map[string]jacinthtiller.Database{},
@@ -159,6 +176,7 @@
 	}
 	removed := map[string]bool{}
 	for i := len(m.recent) - 1; i >= 0 && m.recent[i].index > from; i-- {
+		urgent = urgent || m.recent[i].urgent
 		for _, n := range m.recent[i].hosts {
 			if h, ok := v.Hosts[n]; ok {
 				d.Hosts[n] = h
@@ -177,15 +195,17 @@
 		}
 	}
 	d.RemovedHosts = slices.Sorted(maps.Keys(removed))
-	return d
+	return &encodedDelta{delta: d, urgent: urgent}
 }
 
 // encodedDelta is a delta that is encoded once for all its watchers.
 type encodedDelta struct {
 	delta jacinthtiller.Delta
-	once  sync.Once
-	raw   []byte
-	err   error
+	// urgent is true when the delta holds a change that may not wait for others.
+	urgent bool
+	once   sync.Once
+	raw    []byte
+	err    error
 }
 
 // MarshalCBOR returns the encoded delta.
--- a/control/registry.go
+++ b/control/registry.go
@@ -19,7 +19,7 @@
 	now := c.Edition
 	e.s.View.Edition, e.s.EditionText = &now, c.Text
 	e.s.View.Document = e.changes.index
-	e.changes.edition = true
+	e.changes.edition, e.changes.urgent = true, true
 	return answer{Revision: now.Number}
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -109,6 +109,8 @@
 	direct         *direct
 	client         *http.Client
 
+	// began is when the server was made.
+	began time.Time
 	// ctx ends when the server closes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -197,7 +199,7 @@
 		name: c.Name, urls: maps.Clone(c.Members), events: c.Events, operators: c.Operators, peers: c.Peers,
 		machine: newMachine(c.Events), metrics: m, wg: conc.NewWaitGroup(),
 		found: c.Found, voters: c.Voters, holder: c.Holder, domain: c.Domain, region: c.Region, inspector: c.Inspector, promoter: c.Promoter,
-		direct: newDirect(), client: c.Client, leaderChanged: make(chan struct{}),
+		direct: newDirect(), client: c.Client, began: time.Now(), leaderChanged: make(chan struct{}),
 	}
 	if s.voters == 0 {
 		s.voters = defaultVoters
--- a/control/state.go
+++ b/control/state.go
@@ -90,6 +90,9 @@
 	index                      uint64
 	hosts, databases, sections []string
 	edition                    bool
+	// urgent is true for all changes but those of hosts and of targets that come, go or change their state: a new primary,
+	// edition or section decides what hosts may answer.
+	urgent bool
 }
 
 func (c changes) empty() bool {
@@ -182,6 +185,10 @@
 	if !e.own["databases"] {
 		e.s.View.Databases, e.own["databases"] = maps.Clone(e.s.View.Databases), true
 	}
+	old := e.s.View.Databases[d.Name]
+	if !d.Direct || old.Term != d.Term || old.Primary != d.Primary || old.Former != d.Former || old.Candidate != d.Candidate {
+		e.changes.urgent = true
+	}
 	e.s.View.Databases[d.Name] = d
 	e.changes.databases = append(e.changes.databases, d.Name)
 }
@@ -546,7 +553,7 @@
 	e.s.View.Sections = maps.Clone(e.s.View.Sections)
 	e.s.View.Sections[c.Team] = now
 	e.s.View.Document = e.changes.index
-	e.changes.sections = append(e.changes.sections, c.Team)
+	e.changes.sections, e.changes.urgent = append(e.changes.sections, c.Team), true
 	e.s.Histories = maps.Clone(e.s.Histories)
 	list := append(slices.Clone(e.s.Histories[c.Team]), now)
 	e.s.Histories[c.Team] = list[max(0, len(list)-HistoryRevisions):]
--- a/control/watch.go
+++ b/control/watch.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-
-	"github.com/jacinthtiller/jacinthtiller"
 )
 
 const (
@@ -15,10 +13,13 @@
 	heartbeatEvery = time.Second
 	// isolatedAfter is how long a process without a leader goes on serving watches.
 	isolatedAfter = 2 * time.Second
-	// hostsEvery is the least time between two messages of a watch that tell only which hosts have come or gone. When
-	// hundreds of them register at once, each would otherwise be told of each other by a message of its own. It delays a
-	// host's first lease by as much, a thirtieth of a lease.
-	hostsEvery = 50 * time.Millisecond
+	// routineEvery is the least time between two messages of a watch that change no primary, edition or section. When hundreds
+	// of hosts or targets register at once, each would otherwise be a message to every host. It delays a host's first lease
+	// by as much, a thirtieth of a lease.
+	routineEvery = 50 * time.Millisecond
+	// urgentEvery is the least time between two messages with other changes. After a loss of power each database gets a
+	// primary within a second or two; it delays a change of primary by a two-hundredth of the two seconds that one may take.
+	urgentEvery = 10 * time.Millisecond
 )
 
 // watch streams views. A process that knows no leader ends its watches, because
@@ -30,12 +31,13 @@
 	ticks := time.NewTicker(heartbeatEvery)
 	defer ticks.Stop()
 	alone := time.Now().Add(isolatedAfter)
-	var p pace
+	p := pace{start: s.began}
 	for {
+		urgent := s.machine.urgentChange() // before the delta, so that no change falls between them
 		d, changed := s.machine.delta(from)
 		var held <-chan time.Time
 		if d != nil {
-			due := p.due(d.delta, time.Now())
+			due := p.due(d.urgent, time.Now())
 			if due.IsZero() {
 				if err := out.Send(d); err != nil {
 					return fmt.Errorf("send delta: %w", err)
@@ -44,7 +46,7 @@
 				s.metrics.deltas.Add(ctx, 1)
 				continue
 			}
-			held = time.After(time.Until(due))
+			held, changed = time.After(time.Until(due)), urgent
 		}
 		select {
 		case <-changed:
@@ -72,24 +74,32 @@
 	}
 }
 
-// pace decides when the messages of one watch are sent.
+// pace decides when the messages of one watch are sent. All watches of a process wait for the same times, so that most of
+// them stand at the same index and share what is encoded.
 type pace struct {
-	// next is from when on a message about hosts alone may be sent.
-	next time.Time
+	// start is the origin of the times at which messages are sent.
+	start time.Time
+	// routine and urgent are from when on a message of the kind may be sent.
+	routine, urgent time.Time
 }
 
-// due returns zero when the delta is to be sent now, which counts as done, and otherwise when to ask again.
-func (p *pace) due(d jacinthtiller.Delta, now time.Time) time.Time {
-	if onlyHosts(d) && now.Before(p.next) {
-		return p.next
+// due returns zero when the message is to be sent now, which counts as done, and otherwise when to ask again.
+func (p *pace) due(urgent bool, now time.Time) time.Time {
+	next := p.routine
+	if urgent {
+		next = p.urgent
+	}
+	if now.Before(next) {
+		return next
+	}
+	p.routine = p.after(now, routineEvery)
+	if urgent {
+		p.urgent = p.after(now, urgentEvery)
 	}
-	p.next = now.Add(hostsEvery)
 	return time.Time{}
 }
 
-// onlyHosts reports whether a delta tells only of hosts that have come or gone, which changes nothing of what the
-// others may answer.
-func onlyHosts(d jacinthtiller.Delta) bool {
-	return d.From != 0 && len(d.Databases) == 0 && len(d.Sections) == 0 && d.Edition == nil &&
-		len(d.RemovedDatabases) == 0 && len(d.RemovedSections) == 0
+// after returns the first multiple of the interval since the start that is later than now.
+func (p *pace) after(now time.Time, every time.Duration) time.Time {
+	return now.Add(every - now.Sub(p.start)%every)
 }
