control: attempts store when the last one began and was answered, not how long it took

Cause: a duration kept as a number of microseconds in a field, against the house style. No change of behaviour: the tests of control pass unchanged (go test ./control).

--- a/control/attempt.go
+++ b/control/attempt.go
@@ -8,21 +8,21 @@
 type attempts struct {
 	// failures counts those in a row.
 	failures int
-	// tookMicroseconds is what the last answer took.
-	tookMicroseconds int64
+	// began and answered are when the last attempt that was answered began and had its answer; both are zero before the first.
+	began, answered time.Time
 }
 
 // timeout returns it for the next attempt, between the least and the longest.
 func (a attempts) timeout(least, longest time.Duration) time.Duration {
-	answer := 2 * time.Duration(a.tookMicroseconds) * time.Microsecond
+	answer := 2 * a.answered.Sub(a.began)
 	return min(longest, max(answer, least<<min(a.failures, 10)))
 }
 
-// after returns the attempts after one that failed or was answered in the time.
-func (a attempts) after(failed bool, took time.Duration) attempts {
+// after returns the attempts after one that failed or was answered now.
+func (a attempts) after(failed bool, began, now time.Time) attempts {
 	if failed {
 		a.failures++
 		return a
 	}
-	return attempts{tookMicroseconds: took.Microseconds()}
+	return attempts{began: began, answered: now}
 }
--- a/control/client.go
+++ b/control/client.go
@@ -265,7 +265,7 @@
 		return nil
 	})
 	c.note(func(r *roster, now time.Time) {
-		c.renewals = c.renewals.after(err != nil, now.Sub(began))
+		c.renewals = c.renewals.after(err != nil, began, now)
 		if err == nil && len(out.Members) > 0 {
 			r.replace(out.Members)
 		}
--- a/control/forward.go
+++ b/control/forward.go
@@ -187,10 +187,10 @@
 }
 
 // note takes note of the outcome of a call.
-func (f *forwarder) note(err error, took time.Duration) {
+func (f *forwarder) note(err error, began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.calls = f.calls.after(err != nil, took)
+	f.calls = f.calls.after(err != nil, began, time.Now())
 }
 
 // send makes one call and hands out its answers.
@@ -211,7 +211,7 @@
 	defer cancel()
 	began := time.Now()
 	r, err := f.call(ctx, url, m)
-	f.note(err, time.Since(began))
+	f.note(err, began)
 	if err == nil && len(r.Answers) != len(list) {
 		err = fmt.Errorf("%d answers to %d renewals", len(r.Answers), len(list))
 	}
