control, entry, admission, daemon, standin: files with two subjects are split

The tests of these packages pass unchanged (go test ./control ./daemon ./standin ./admission ./entry).

--- /dev/null
+++ b/control/ownership.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// eachOwned changes all targets of a host.
+func (e *editor) eachOwned(host string, change func(jacinthtiller.Target) jacinthtiller.Target) {
+	for _, n := range slices.Sorted(maps.Keys(e.s.View.Databases)) {
+		d := e.s.View.Databases[n]
+		changed := false
+		for _, t := range d.Targets {
+			if t.Owner == host {
+				d, changed = d.WithTarget(change(t)), true
+			}
+		}
+		if changed {
+			e.setDatabase(d)
+		}
+	}
+}
+
+func (e *editor) observe(c observeCommand) answer {
+	a := c.Announcement
+	e.noteAnnounced(a)
+	d, known := e.s.View.Databases[a.Database]
+	if !known {
+		d = jacinthtiller.Database{Name: a.Database, Targets: map[string]jacinthtiller.Target{}}
+	}
+	old, seen := d.Targets[a.Target]
+	if !seen && d.Term > 0 && len(d.Targets) > d.GroupSize {
+		// One target may join before the one that it replaces has left. With more, a
+		// majority of the new group need not hold what a majority of the old one settled.
+		return answer{Code: codeStale}
+	}
+	t := old
+	t.Name, t.Database, t.Address, t.Domain, t.State = a.Target, a.Database, a.Address, a.Domain, a.State
+	if e.s.Leaving[key(a.Database, a.Target)] {
+		t.State = jacinthtiller.StateLeaving
+	}
+	if t.Lost {
+		t = e.found(t, c)
+	}
+	size := max(d.GroupSize, a.GroupSize)
+	if known && seen && t == old && size == d.GroupSize {
+		return answer{Index: e.s.View.Index}
+	}
+	d.GroupSize = size
+	e.setDatabase(d.WithTarget(t))
+	return answer{}
+}
+
+// found returns a lost target that has announced itself. Its owner gave up the
+// former epoch by reporting it as lost, so an owner gets the target at a new one.
+func (e *editor) found(t jacinthtiller.Target, c observeCommand) jacinthtiller.Target {
+	t.Lost = false
+	t.Epoch++
+	reporter, ok := e.s.View.Hosts[c.Host]
+	if c.OwnerUnreachable && ok && !reporter.Gone && reporter.Domain == t.Domain {
+		t.Owner = reporter.Name
+	}
+	return t
+}
+
+func (e *editor) noteAnnounced(a jacinthtiller.Announcement) {
+	p, err := jacinthtiller.ParsePosition(a.Position)
+	if err != nil {
+		p = jacinthtiller.Position{}
+	}
+	now := announced{Role: a.Role, Term: a.Term, Position: p}
+	if e.s.Announced[a.Database][a.Target] == now {
+		return
+	}
+	e.s.Announced = maps.Clone(e.s.Announced)
+	group := maps.Clone(e.s.Announced[a.Database])
+	if group == nil {
+		group = map[string]announced{}
+	}
+	group[a.Target] = now
+	e.s.Announced[a.Database] = group
+}
+
+// free reports whether no host may act as the owner of the target any more.
+func (s *state) free(t jacinthtiller.Target) bool {
+	if t.Owner == "" {
+		_, pending := s.Handovers[key(t.Database, t.Name)]
+		return !pending
+	}
+	h, ok := s.View.Hosts[t.Owner]
+	return !ok || h.Gone
+}
+
+func (e *editor) assign(c assignCommand) answer {
+	d, t, ok := e.s.target(c.Database, c.Target)
+	if !ok {
+		return answer{Code: codeUnknown}
+	}
+	k := key(c.Database, c.Target)
+	pending, moving := e.s.Handovers[k]
+	handedOver := moving && c.InForce >= pending.Index
+	to, ok := e.s.View.Hosts[c.Host]
+	if t.Epoch != c.Epoch || !ok || to.Gone || !e.s.free(t) && !handedOver {
+		return answer{Code: codeStale}
+	}
+	if moving {
+		e.setHandover(k, handover{})
+	}
+	t.Owner = c.Host
+	t.Epoch++
+	e.setDatabase(d.WithTarget(t))
+	return answer{}
+}
+
+func (e *editor) unassign(c unassignCommand) answer {
+	d, t, ok := e.s.target(c.Database, c.Target)
+	if !ok || t.Epoch != c.Epoch || t.Owner == "" {
+		return answer{Code: codeStale}
+	}
+	e.setHandover(key(c.Database, c.Target), handover{Host: t.Owner, Index: e.changes.index})
+	t.Owner = ""
+	t.Epoch++
+	e.setDatabase(d.WithTarget(t))
+	return answer{}
+}
+
+// lost records that the owner gives up the target. For a primary it begins the
+// next term in the same entry, so that the promotion starts one round earlier.
+func (e *editor) lost(c lostCommand) answer {
+	d, t, ok := e.s.target(c.Database, c.Target)
+	if !ok || t.Owner != c.Host || t.Epoch != c.Epoch || t.Lost {
+		return answer{Code: codeStale}
+	}
+	t.Lost = true
+	if d.Primary == c.Target {
+		// In a planned move the target itself is well; it only needs an owner that makes it follow.
+		t.Lost = d.Moving == ""
+		t.Owner = ""
+		t.Epoch++
+		d = d.WithPrimary(d.Term+1, "")
+	}
+	e.setDatabase(d.WithTarget(t))
+	return answer{}
+}
+
+func (e *editor) leave(c leaveCommand) answer {
+	d, t, ok := e.s.target(c.Database, c.Target)
+	if !ok {
+		return answer{Code: codeUnknown}
+	}
+	e.setLeaving(key(c.Database, c.Target), true)
+	if t.State == jacinthtiller.StateLeaving {
+		return answer{Index: e.s.View.Index}
+	}
+	t.State = jacinthtiller.StateLeaving
+	e.setDatabase(d.WithTarget(t))
+	return answer{}
+}
+
+// removable reports whether a target has left: it was leaving, has stopped and is no primary.
+func removable(d jacinthtiller.Database, t jacinthtiller.Target) bool {
+	return t.State == jacinthtiller.StateLeaving && t.Lost && d.Primary != "" && d.Primary != t.Name
+}
+
+func (e *editor) remove(c removeCommand) answer {
+	d, t, ok := e.s.target(c.Database, c.Target)
+	if !ok || d.Term != c.Term || !removable(d, t) {
+		return answer{Code: codeStale}
+	}
+	k := key(c.Database, c.Target)
+	e.setLeaving(k, false)
+	e.setHandover(k, handover{})
+	d.Targets = maps.Clone(d.Targets)
+	delete(d.Targets, c.Target)
+	e.setDatabase(d)
+	e.s.Announced = maps.Clone(e.s.Announced)
+	group := maps.Clone(e.s.Announced[c.Database])
+	delete(group, c.Target)
+	e.s.Announced[c.Database] = group
+	return answer{}
+}
+
+func (e *editor) bootstrap(c bootstrapCommand) answer {
+	d, t, ok := e.s.target(c.Database, c.Target)
+	if !ok || d.Term != 0 || c.Term == 0 || t.Lost {
+		return answer{Code: codeStale}
+	}
+	e.setDatabase(d.WithPrimary(c.Term, c.Target))
+	return answer{}
+}
+
+func (e *editor) open(c openCommand) answer {
+	d, ok := e.s.View.Databases[c.Database]
+	if !ok || d.Term != c.From || c.Term <= c.From {
+		return answer{Code: codeStale}
+	}
+	if d.Term != 0 && (d.Primary == "" || !e.s.free(d.Targets[d.Primary])) {
+		return answer{Code: codeStale}
+	}
+	e.setDatabase(d.WithPrimary(c.Term, ""))
+	return answer{}
+}
+
+func (e *editor) commit(c commitCommand) answer {
+	d, t, ok := e.s.target(c.Database, c.Target)
+	if !ok || d.Term != c.Term || d.Primary != "" || t.Lost {
+		return answer{Code: codeStale}
+	}
+	d.Moving = ""
+	e.setDatabase(d.WithPrimary(c.Term, c.Target))
+	return answer{}
+}
+
+func (e *editor) move(c moveCommand) answer {
+	d, ok := e.s.View.Databases[c.Database]
+	if !ok {
+		return answer{Code: codeUnknown}
+	}
+	if d.Term != c.Term || d.Primary == "" || d.Primary == c.Target || d.Moving == c.Target {
+		return answer{Code: codeStale}
+	}
+	if c.Target != "" {
+		if t, ok := d.Targets[c.Target]; !ok || t.Lost {
+			return answer{Code: codeUnknown}
+		}
+	}
+	d.Moving = c.Target
+	e.setDatabase(d)
+	return answer{}
+}
--- /dev/null
+++ b/control/reign.go
@@ -0,0 +1,209 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/duty"
+	"github.com/jacinthtiller/jacinthtiller/event"
+)
+
+// lead runs the leader's decisions whenever this process leads the group.
+func (s *Server) lead() {
+	for s.ctx.Err() == nil {
+		changed := s.node.Changed()
+		if _, term, leads := s.node.Leadership(); leads {
+			s.reign(term)
+			s.pause(tickEvery)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+func (s *Server) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-s.ctx.Done():
+	}
+}
+
+// reign makes decisions until the process no longer leads the term.
+func (s *Server) reign(term uint64) {
+	if err := s.confirmTerm(); err != nil {
+		s.events.Emit(event.ControlProposalFailed, event.Fields{"error": err.Error()})
+		return
+	}
+	s.direct.reset()
+	s.setLeader(newLeader())
+	s.events.Emit(event.ControlLeading, event.Fields{"term": term})
+	ctx, cancel := context.WithCancel(s.ctx)
+	wg := conc.NewWaitGroup()
+	defer func() {
+		s.setLeader(nil)
+		cancel()
+		wg.Wait()
+		s.events.Emit(event.ControlFollowing, event.Fields{"term": term})
+	}()
+	// results takes the answers of fencing calls; a call waits when it is full.
+	results := make(chan fenceResult, fenceCalls)
+	slots := make(chan struct{}, fenceCalls)
+	ticks := time.NewTicker(tickEvery)
+	defer ticks.Stop()
+	for s.leads(term) {
+		st, changed := s.machine.watch()
+		d := s.decide(st)
+		s.tend(ctx, wg, term, st)
+		if s.found && s.keepingMembers.CompareAndSwap(false, true) {
+			s.run(wg, "keep members", func() { s.keepMembers(ctx) })
+		}
+		for _, c := range d.fences {
+			s.callFence(ctx, wg, c, slots, results)
+		}
+		for _, c := range d.surveys {
+			s.run(wg, "survey a group", func() { s.survey(ctx, c) })
+		}
+		if len(d.commands) > 0 && s.record(ctx, d.commands) && s.machine.state().View.Index > st.View.Index {
+			continue
+		}
+		select {
+		case <-ticks.C:
+		case <-changed:
+		case <-ctx.Done():
+		case r := <-results:
+			s.takeResults(r, results)
+		}
+	}
+}
+
+// confirmTerm returns nil once a quorum has confirmed that this process leads and all entries of earlier terms are applied.
+func (s *Server) confirmTerm() error {
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	if err := s.node.ConfirmLeader(ctx); err != nil {
+		return fmt.Errorf("begin the term: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) leads(term uint64) bool {
+	_, now, leads := s.node.Leadership()
+	return leads && now == term && s.ctx.Err() == nil
+}
+
+func (s *Server) setLeader(l *leader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = l
+	close(s.leaderChanged)
+	s.leaderChanged = make(chan struct{})
+}
+
+func (s *Server) decide(st *state) decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader.step(st, time.Now())
+}
+
+// record writes decisions to the log as one entry.
+func (s *Server) record(ctx context.Context, commands []Command) bool {
+	s.metrics.decisions.Add(ctx, int64(len(commands)))
+	if _, err := s.propose(ctx, Command{Batch: commands}); err != nil {
+		s.events.Emit(event.ControlProposalFailed, event.Fields{"error": err.Error(), "commands": len(commands)})
+		return false
+	}
+	return true
+}
+
+// takeResults records r and whatever else has arrived.
+func (s *Server) takeResults(r fenceResult, results <-chan fenceResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		s.leader.fenced(r, time.Now())
+		select {
+		case r = <-results:
+		default:
+			return
+		}
+	}
+}
+
+// callFence runs one fencing call. When all slots are taken the call is left out
+// and the leader asks again later.
+func (s *Server) callFence(ctx context.Context, wg *conc.WaitGroup, c fenceCall, slots chan struct{}, results chan<- fenceResult) {
+	select {
+	case slots <- struct{}{}:
+	default:
+		return
+	}
+	s.run(wg, "fence a target", func() {
+		defer func() { <-slots }()
+		call, cancel := context.WithDeadline(ctx, c.deadline)
+		defer cancel()
+		r := fenceResult{fenceCall: c}
+		out, err := s.peers.Peer(c.url).Fence(call, jacinthtiller.FenceRequest{
+			Database: c.database, Target: c.target, Term: c.term,
+		})
+		r.position, r.err = out.Position, err
+		s.reportFence(r)
+		select {
+		case results <- r:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// run runs work of the leader in the background.
+func (s *Server) run(wg *conc.WaitGroup, name string, work func()) {
+	wg.Go(func() { duty.Run(s.events, name, nil, work) })
+}
+
+// survey removes a target when a majority of the rest of its group has reached
+// the newest settled position. Commits that are settled later count without the
+// target already, because it is lost.
+func (s *Server) survey(ctx context.Context, c surveyCall) {
+	call, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	m, err := s.peers.Peer(c.primary).Mark(call, jacinthtiller.MarkRequest{Database: c.database})
+	// Before the first settled commit of the term the position says nothing about earlier ones.
+	if err != nil || m.Term != c.term || m.Position.Term != c.term {
+		return
+	}
+	var reached atomic.Int64
+	reached.Add(1) // the primary
+	wg := conc.NewWaitGroup()
+	for name, url := range c.others {
+		wg.Go(func() {
+			out, err := s.peers.Peer(url).WaitPosition(call, jacinthtiller.WaitPositionRequest{
+				Database: c.database, Target: name, Position: m.Position, WaitMicroseconds: surveyTimeout.Microseconds() / 2,
+			})
+			if err == nil && out.Position.Covers(m.Position) {
+				reached.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if int(reached.Load()) >= c.quorum {
+		s.record(ctx, []Command{{Remove: &removeCommand{Database: c.database, Target: c.target, Term: c.term}}})
+	}
+}
+
+func (s *Server) reportFence(r fenceResult) {
+	f := event.Fields{"database": r.database, "target": r.target, "term": r.term}
+	if r.err != nil {
+		f["error"] = r.err.Error()
+		s.events.Emit(event.ControlFenceFailed, f)
+		return
+	}
+	f["position"] = r.position.String()
+	s.events.Emit(event.ControlTargetFenced, f)
+}
--- /dev/null
+++ b/standin/settings.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"strings"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// modes applies the transaction modes that the statement names.
+func (x *transaction) modes(st *statement) {
+	for i := range st.tokens {
+		switch w := st.word(i); {
+		case w == "READ" && st.word(i+1) == "ONLY":
+			x.readOnly = true
+		case w == "READ" && st.word(i+1) == "WRITE":
+			x.readOnly = false
+		case w == "REPEATABLE" || w == "SERIALIZABLE":
+			x.snapshot = true
+		}
+	}
+}
+
+// settingName reads a name that may have a part before a dot, from token i on.
+func (st *statement) settingName(i int) string {
+	if i >= len(st.tokens) {
+		return ""
+	}
+	name := st.tokens[i].unquote()
+	for i+2 < len(st.tokens) && (st.tokens[i+1].text == "." || st.tokens[i+1].text == "-") {
+		name += st.tokens[i+1].text + st.tokens[i+2].unquote()
+		i += 2
+	}
+	return strings.ToLower(name)
+}
+
+func (st *statement) showName() string {
+	if st.has("SHOW", "TRANSACTION", "ISOLATION", "LEVEL") {
+		return "transaction_isolation"
+	}
+	return st.settingName(1)
+}
+
+// show returns the value of a setting.
+func (s *session) show(name string) (string, error) {
+	name = strings.ToLower(name)
+	if name == "log_position" {
+		return s.t.Position().String(), nil
+	}
+	if v, ok := s.settings[name]; ok {
+		return v, nil
+	}
+	for _, p := range reportedSettings {
+		if strings.EqualFold(p[0], name) {
+			return p[1], nil
+		}
+	}
+	switch name {
+	case "transaction_isolation", "default_transaction_isolation":
+		if s.tx != nil && s.tx.snapshot {
+			return "repeatable read", nil
+		}
+		return "read committed", nil
+	case "transaction_read_only":
+		if s.tx != nil && s.tx.readOnly || s.t.Role() == jacinthtiller.RoleReplica {
+			return "on", nil
+		}
+		return "off", nil
+	case "default_transaction_read_only":
+		return "off", nil
+	case "application_name", "search_path":
+		return "", nil
+	case "statement_timeout", "lock_timeout":
+		return "0", nil
+	}
+	return "", pgErrorf("42704", "unrecognized configuration parameter %q", name)
+}
+
+// set runs SET name = value, SET TRANSACTION and SET SESSION CHARACTERISTICS.
+func (s *session) set(st *statement) error {
+	i := 1
+	if w := st.word(i); w == "SESSION" || w == "LOCAL" {
+		i++
+	}
+	if st.word(i) == "TRANSACTION" {
+		if s.tx != nil {
+			s.tx.modes(st)
+		}
+		return nil
+	}
+	if st.word(i) == "CHARACTERISTICS" {
+		var x transaction
+		x.modes(st)
+		s.settings["default_transaction_read_only"] = map[bool]string{true: "on", false: "off"}[x.readOnly]
+		return nil
+	}
+	name := st.settingName(i)
+	if st.word(i) == "TIME" {
+		name = "timezone"
+	}
+	var v []string
+	for j := i; j < len(st.tokens); j++ {
+		if k := st.tokens[j]; k.text == "=" || k.is("TO") || k.is("ZONE") {
+			for _, k := range st.tokens[j+1:] {
+				v = append(v, k.unquote())
+			}
+			break
+		}
+	}
+	if name == "" || len(v) == 0 {
+		return pgErrorf("42601", "syntax error in SET")
+	}
+	if len(v) == 1 && strings.EqualFold(v[0], "DEFAULT") {
+		delete(s.settings, name)
+		return nil
+	}
+	value := strings.Join(v, "")
+	if name == "default_transaction_read_only" && (value == "true" || value == "1") {
+		value = "on"
+	}
+	s.settings[name] = value
+	return nil
+}
