entry: a host whose view is over 1 s old takes no further lease

Control was saturated: it answered renewals and could not send views, and a lease said nothing of the age of the view. Ruled out: a host without a lease that answers so; greet refuses then with busy.

Change: the host keeps which views the leader had at its renewals and when; it takes no lease while the view in force lacks for 1 s what the leader had. With the rest of a lease this stays below 3 s, the least time allowed to put a configuration in force. New event view-outdated (3010). TestViewOutdated: two of five cases keep a lease by renewals alone without the check.

--- a/entry/host.go
+++ b/entry/host.go
@@ -25,6 +25,9 @@
 	// behindLimit is how long a watch may take to reach a view that the leader had: control holds messages about hosts back
 	// for 50 ms, and the way between regions and a busy process take as long.
 	behindLimit = 150 * time.Millisecond
+	// viewLimit is how long the view in force may lack what the leader had before the host takes no further lease: with the rest
+	// of a lease, 1.5 s, an edition is in force or not obeyed within the 3 s that the strictest known deployment allows.
+	viewLimit = time.Second
 	// behindPause and longestBehindPause bound the time between two watches that are given up because they are behind; it
 	// doubles until one is not. Control that is overloaded is late for all hosts, and new watches would only add to its work.
 	behindPause        = time.Second
@@ -86,10 +89,11 @@
 	applied uint64
 	// stopWatch ends the present watch; nil before the first one.
 	stopWatch context.CancelFunc
-	// behindSince is since when the watch has not reached the view behindIndex, which the leader had then; zero while the
-	// watch is not behind.
-	behindSince time.Time
-	behindIndex uint64
+	// watchLag is what the present watch has not brought yet, and viewLags what the view in force lacks, whichever watch brought it.
+	watchLag lag
+	viewLags lags
+	// outdated is true while no lease is taken because of viewLags.
+	outdated bool
 	// behindStops counts the watches given up in a row because they were behind, and behindUntil is until when no other is.
 	behindStops int
 	behindUntil time.Time
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -11,6 +11,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/owner"
 )
 
@@ -332,3 +333,44 @@
 		convey.So(stops, convey.ShouldBeBetween, 2, 12)
 	})
 }
+
+// TestViewOutdated guards against a host that keeps its lease by renewals alone while its watches bring nothing, as under
+// control that is overloaded: it told guests that a database does not exist, by an edition that was 6 s old.
+func TestViewOutdated(t *testing.T) {
+	cases := map[string]struct {
+		// reaches is how far the view in force gets at each renewal; the leader's grows by one.
+		reaches func(leader uint64) uint64
+		leased  bool
+	}{
+		"the view follows":                    {func(leader uint64) uint64 { return leader }, true},
+		"the view is one renewal behind":      {func(leader uint64) uint64 { return leader - 1 }, true},
+		"the view stands still":               {func(uint64) uint64 { return 10 }, false},
+		"the view is ever further behind":     {func(leader uint64) uint64 { return 10 + (leader-10)/9 }, false},
+		"the view stands still, as all of it": {func(uint64) uint64 { return 1000 }, true},
+	}
+	convey.Convey("The leader's view changes at each renewal for 6 s, and the watch is opened anew twice a second", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var leased bool
+				synctest.Test(t, func(t *testing.T) {
+					control := &fakeControl{index: 10}
+					h := &Host{ctx: t.Context(), config: Config{Views: NewViews(), Control: control}}
+					h.config.Views.Offer(jacinthtiller.View{Index: 10})
+					for i := range 30 {
+						control.set(func() { control.index++ })
+						h.config.Views.Offer(jacinthtiller.View{Index: c.reaches(control.index)})
+						if i%3 == 0 {
+							h.beginWatch()
+						}
+						if _, err := h.renewOnce(); err != nil {
+							t.Error(err)
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+					leased = h.lease.Valid(clock.Now())
+				})
+				convey.So(leased, convey.ShouldEqual, c.leased)
+			})
+		}
+	})
+}
--- a/entry/renewal.go
+++ b/entry/renewal.go
@@ -92,6 +92,10 @@
 	if r.LeaseMicroseconds == 0 {
 		return false, nil // the view of the registration is not in force here yet
 	}
+	if h.viewOutdated(time.Now()) {
+		h.noteLease()
+		return true, nil // the lease that is held ends by itself; isBehind sets the pace of the next renewal
+	}
 	h.grant(asked.Add(time.Duration(r.LeaseMicroseconds) * time.Microsecond))
 	return true, nil
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -50,23 +51,65 @@
 		h.stopWatch()
 	}
 	ctx, cancel := context.WithCancel(h.ctx)
-	h.stopWatch, h.behindSince = cancel, time.Time{}
+	h.stopWatch, h.watchLag = cancel, lag{}
 	return ctx
 }
 
+// lag is a view that the leader had and the view in force has not reached.
+type lag struct {
+	// since is when the leader had the view with the index; zero when the view in force is not behind.
+	since time.Time
+	index uint64
+}
+
+// after returns the lag when the leader has one view now and another is in force.
+func (l lag) after(leader, inForce uint64, now time.Time) lag {
+	switch {
+	case leader <= inForce:
+		return lag{}
+	// While hosts come and go the leader is always a little ahead.
+	case l.since.IsZero() || inForce >= l.index:
+		return lag{since: now, index: leader}
+	}
+	return l
+}
+
+// longer reports whether the view in force has been behind for at least so long.
+func (l lag) longer(limit time.Duration, now time.Time) bool {
+	return !l.since.IsZero() && now.Sub(l.since) >= limit
+}
+
+// lags are views that the leader had and the view in force has not reached, the oldest first.
+type lags []lag
+
+// keptLags bounds lags; at a renewal each 120 ms they reach back 8 s.
+const keptLags = 64
+
+// after returns the lags when the leader has one view now and another is in force.
+func (l lags) after(leader, inForce uint64, now time.Time) lags {
+	l = slices.DeleteFunc(slices.Clone(l), func(x lag) bool { return x.index <= inForce })
+	n := len(l)
+	switch {
+	case leader <= inForce || n > 0 && leader <= l[n-1].index:
+		return l
+	case n >= keptLags:
+		l[n-1].index = leader // the view counts as older than it is
+		return l
+	}
+	return append(l, lag{since: now, index: leader})
+}
+
 // compareView ends a watch that stays behind the leader: the process that is watched may be cut off from the group,
 // which its silence would show only after seconds.
 func (h *Host) compareView(leader uint64, now time.Time) {
 	index := h.config.Views.View().Index
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.watchLag, h.viewLags = h.watchLag.after(leader, index, now), h.viewLags.after(leader, index, now)
 	switch {
 	case leader <= index:
-		h.behindSince, h.behindStops = time.Time{}, 0
-	// While hosts come and go the leader is always a little ahead. The watch works as long as it reaches what the leader had.
-	case h.behindSince.IsZero() || index >= h.behindIndex:
-		h.behindSince, h.behindIndex = now, leader
-	case now.Sub(h.behindSince) >= behindLimit && h.stopWatch != nil && !now.Before(h.behindUntil):
+		h.behindStops = 0
+	case h.watchLag.longer(behindLimit, now) && h.stopWatch != nil && !now.Before(h.behindUntil):
 		h.behindUntil = now.Add(min(longestBehindPause, behindPause<<min(h.behindStops, 10)))
 		h.behindStops++
 		h.stopWatch()
@@ -77,7 +120,26 @@
 func (h *Host) isBehind() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.behindSince.IsZero()
+	return len(h.viewLags) > 0
+}
+
+// viewOutdated reports whether the view in force is too old for another lease, and logs when that begins.
+func (h *Host) viewOutdated(now time.Time) bool {
+	h.mu.Lock()
+	was := h.outdated
+	var l lag
+	if len(h.viewLags) > 0 {
+		l = h.viewLags[0]
+	}
+	outdated := l.longer(viewLimit, now)
+	h.outdated = outdated
+	h.mu.Unlock()
+	if outdated && !was {
+		h.config.Events.Emit(event.ViewOutdated, event.Fields{
+			"index": h.config.Views.View().Index, "leader": l.index, "age-ms": now.Sub(l.since).Milliseconds(),
+		})
+	}
+	return outdated
 }
 
 // askPeers takes the newest view that the peers of the domain have.
--- a/event/entry.go
+++ b/event/entry.go
@@ -24,4 +24,6 @@
 		"A change of a target could not be reported to control; the next announcement reports it again.")
 	DocumentInvalid = register(3009, "document-invalid", logrus.ErrorLevel,
 		"A section of the accepted document cannot be read by this host; it uses the valid part.")
+	ViewOutdated = register(3010, "view-outdated", logrus.WarnLevel,
+		"The host takes no further lease, because the view in force lacks what the leader of control had; age-ms says for how long.")
 )
