control: reports of targets share entries of the log

Change: recorder, one thread that writes all reports that wait as one entry; they gather while the former one is written. A full ring refuses at once. TestMassNews, virtual time: 1,435 reports within 1.2 s, 50 ms an entry: 1,435 entries before, at most 27 now, the slowest answer below 500 ms.

--- /dev/null
+++ b/control/recorder_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestMassNews guards the log against an entry for each target when 1,435 of them report themselves for the first time
+// within 1.2 s, and against reports that wait behind others for longer than the second after which a target tries again.
+func TestMassNews(t *testing.T) {
+	const targets = 1435
+	const commit = 50 * time.Millisecond // a round of the log between regions, with its syncs
+	var entries, reports, failures atomic.Int64
+	var slowest atomic.Int64
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRecorder(ctx, nil, func(_ context.Context, c Command) (answer, error) {
+			time.Sleep(commit)
+			entries.Add(1)
+			reports.Add(int64(len(c.Batch)))
+			return answer{}, nil
+		})
+		wg := conc.NewWaitGroup()
+		wg.Go(r.run)
+		start := time.Now()
+		callers := conc.NewWaitGroup()
+		for i := range targets {
+			due := start.Add(time.Duration(i) * 1200 * time.Millisecond / targets)
+			callers.Go(func() {
+				time.Sleep(time.Until(due))
+				if err := r.record(ctx, saying(fmt.Sprint("t", i), "db", fmt.Sprint(i, ":1"), 100, 1)); err != nil {
+					failures.Add(1)
+				}
+				if took := int64(time.Since(due)); took > slowest.Load() {
+					slowest.Store(took)
+				}
+			})
+		}
+		callers.Wait()
+		cancel()
+		wg.Wait()
+	})
+	convey.Convey("1,435 first reports share the entries of the log", t, func() {
+		convey.So(failures.Load(), convey.ShouldEqual, 0)
+		convey.So(reports.Load(), convey.ShouldEqual, targets)
+		convey.So(entries.Load(), convey.ShouldBeLessThanOrEqualTo, 1200/50+3)
+		convey.So(time.Duration(slowest.Load()), convey.ShouldBeLessThan, 500*time.Millisecond)
+	})
+}
+
+// TestRecorderFailures guards against a report that is acknowledged though it is not in the log, and against one that waits
+// when too many do.
+func TestRecorderFailures(t *testing.T) {
+	lost := errors.New("not the leader")
+	var failed, faulty, full error
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		wg := conc.NewWaitGroup()
+		refusing := newRecorder(ctx, nil, func(context.Context, Command) (answer, error) { return answer{}, lost })
+		broken := newRecorder(ctx, nil, func(context.Context, Command) (answer, error) { panic("a fault") })
+		stuck := newRecorder(ctx, nil, func(ctx context.Context, _ Command) (answer, error) {
+			<-ctx.Done()
+			return answer{}, ctx.Err()
+		})
+		for _, r := range []*recorder{refusing, broken, stuck} {
+			wg.Go(r.run)
+		}
+		report := saying("t", "db", "a:1", 100, 1)
+		failed, faulty = refusing.record(ctx, report), broken.record(ctx, report)
+		wg.Go(func() { _ = stuck.record(ctx, report) }) // taken, and never written
+		synctest.Wait()
+		for range recordRing {
+			stuck.ring <- &recorded{done: make(chan struct{})}
+		}
+		full = stuck.record(ctx, report)
+		cancel()
+		wg.Wait()
+	})
+	convey.Convey("A report is acknowledged only when it is in the log", t, func() {
+		convey.So(errors.Is(failed, lost), convey.ShouldBeTrue)
+		convey.So(faulty, convey.ShouldEqual, errRecordFault)
+		convey.So(full, convey.ShouldEqual, errRecordFull)
+	})
+	convey.Convey("The reports of one entry are applied in their order", t, func() {
+		s := newState()
+		leaving := saying("t", "db", "a:1", 100, 2)
+		leaving.State = jacinthtiller.StateLeaving
+		next, _, ch := apply(s, 1, Command{Batch: []Command{
+			{Enlist: &enlistCommand{Report: saying("t", "db", "a:1", 100, 1)}},
+			{Enlist: &enlistCommand{Report: leaving}},
+			{Enlist: &enlistCommand{Report: saying("t", "db", "a:1", 100, 1)}},
+		}})
+		convey.So(next.View.Databases["db"].Targets["t"].State, convey.ShouldEqual, jacinthtiller.StateLeaving)
+		convey.So(ch.urgent, convey.ShouldBeFalse)
+	})
+}
--- a/control/reports.go
+++ b/control/reports.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	s.metrics.reports.Add(ctx, 1, reportNews)
-	if _, err := s.propose(ctx, Command{Enlist: &enlistCommand{Report: r}}); err != nil {
+	if err := s.recorder.record(ctx, r); err != nil {
 		return s.leadingError(err)
 	}
 	return nil
--- a/control/server.go
+++ b/control/server.go
@@ -100,6 +100,7 @@
 	holder         string
 	domain, region string
 	forwarder      *forwarder
+	recorder       *recorder
 	inspector      jacinthtiller.Inspector
 	promoter       jacinthtiller.Promoter
 	direct         *direct
@@ -175,6 +176,7 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.forwarder = newForwarder(s.ctx, s.wg, forwardOver(s.client), s.events)
+	s.recorder = newRecorder(s.ctx, s.events, s.propose)
 	return s, nil
 }
 
@@ -182,6 +184,7 @@
 	s.node = n
 	s.rounds = &rounds{confirm: n.ConfirmLeader, ctx: s.ctx, wg: s.wg, events: s.events}
 	s.wg.Go(func() { duty.Keep(s.ctx, s.events, "lead control", s.lead) })
+	s.wg.Go(s.recorder.run)
 	if s.found {
 		s.wg.Go(func() { duty.Keep(s.ctx, s.events, "join the group", s.join) })
 	}
