control: questions to targets begin at a bounded rate, and at a first start only those that say they lead are asked

Cause: each database without a primary asks all its targets in rounds 40 ms apart, whatever the others do, each question by a new connection. 480 of them at the first start of all, or after a loss of power, ask 23,040 questions within 2.5 s and 59,520 within 10 s (TestMassSuccession on the former code, virtual time; all 1,920 of the first second begin within 100 ms when primaries were lost). Ruled out: a bound on questions under way. Those to a dark failure domain take 400 ms each and would hold up all others.

Change: a limiter (golang.org/x/time/rate) of 500 a second and 100 at once before each question; the timeout begins when it is sent. While a database is young, 2 s, only targets that report themselves as primaries are asked, since nothing is promoted yet. TestMassSuccession: at most 151 questions within 100 ms, 2, 4 and 6 for each database; all 480 have a primary within 1.5 s of the targets' leading, and within 10 s when all have to be promoted. go test ./control ./e2e passes.

--- a/control/direct.go
+++ b/control/direct.go
@@ -23,6 +23,11 @@
 	suspicionTimeout = 250 * time.Millisecond
 	// inspectPause is the time between two questions to a suspected primary.
 	inspectPause = 80 * time.Millisecond
+	// inspectRate is how many questions to targets the leader begins a second: those of the 155 databases whose primaries are
+	// lost with one failure domain of the expected size, of three targets each, are asked within one.
+	inspectRate = 500
+	// inspectBurst is how many may begin at once, so that a change of 33 primaries waits for nothing.
+	inspectBurst = 100
 	// succeedPause is the time between two looks at a group that has no primary.
 	succeedPause = 40 * time.Millisecond
 	// promoteTimeout bounds one order to the platform.
@@ -222,9 +227,7 @@
 func (s *Server) question(ctx context.Context, d jacinthtiller.Database) {
 	defer s.end(s.direct.assessed, d.Name)
 	t := d.Targets[d.Primary]
-	call, cancel := context.WithTimeout(ctx, suspicionTimeout)
-	status, err := s.inspector.Inspect(call, t)
-	cancel()
+	status, err := s.inspect(ctx, t, suspicionTimeout)
 	s.note(d, status, err)
 	s.pause(inspectPause)
 }
@@ -254,20 +257,29 @@
 	}
 }
 
-// surveyDirect asks the targets of a direct group for their state at the same time. A former primary that was found to
-// be out of reach is left out: waiting for it would hold up the promotion.
-func (s *Server) surveyDirect(ctx context.Context, d jacinthtiller.Database, why cause) directSurvey {
-	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+// inspect asks a target for its state. The timeout begins when the question is sent; it waits for its turn before, because
+// hundreds of databases may look for a primary at the same time.
+func (s *Server) inspect(ctx context.Context, t jacinthtiller.Target, timeout time.Duration) (jacinthtiller.TargetStatus, error) {
+	if err := s.inspections.Wait(ctx); err != nil {
+		return jacinthtiller.TargetStatus{}, fmt.Errorf("wait to ask target %s: %w", t.Name, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	status, err := s.inspector.Inspect(ctx, t)
+	if err != nil {
+		return status, fmt.Errorf("ask target %s: %w", t.Name, err)
+	}
+	return status, nil
+}
+
+// surveyDirect asks targets of a direct group for their state at the same time.
+func (s *Server) surveyDirect(ctx context.Context, d jacinthtiller.Database, targets []jacinthtiller.Target) directSurvey {
 	out := directSurvey{}
 	var mu sync.Mutex
 	var group conc.WaitGroup
-	for _, t := range d.Targets {
-		if t.Name == d.Former && (why == causeSilent || why == causeDown) {
-			continue
-		}
+	for _, t := range targets {
 		s.run(&group, "ask a target", func() {
-			status, err := s.inspector.Inspect(ctx, t)
+			status, err := s.inspect(ctx, t, inspectTimeout)
 			if err != nil {
 				s.events.Emit(event.ControlInspectFailed, event.Fields{"database": d.Name, "target": t.Name, "error": err.Error()})
 				return
@@ -315,7 +327,8 @@
 	s.direct.mu.Lock()
 	why := s.direct.reasons[d.Name]
 	s.direct.mu.Unlock()
-	v := s.surveyDirect(ctx, d, why)
+	young := d.Term == 0 && time.Now().Before(p.catchUp.Add(bootstrapWait))
+	v := s.surveyDirect(ctx, d, surveyed(d, why, young))
 	if n := v.leading(d); n != "" && d.Targets[n].State == jacinthtiller.StateServing {
 		return s.recordPrimary(ctx, wg, d, n, v[n])
 	}
@@ -333,11 +346,11 @@
 	}
 	e := s.machine.state().View.Edition
 	switch {
+	case young:
+		return false // the first primary may still report itself
 	case n == "":
 		s.delay(p, d, "no target is able to lead")
 		return false
-	case d.Term == 0 && now.Before(p.catchUp.Add(bootstrapWait)):
-		return false // the first primary may still report itself
 	case e != nil && !v.complete(d, e.Groups[d.Name]):
 		s.delay(p, d, "a target that may hold acknowledged commits does not answer")
 		return false
@@ -381,9 +394,7 @@
 	s.events.Emit(event.ControlPromoteOrdered, f)
 	end := time.Now().Add(promoteAwait)
 	for ctx.Err() == nil && time.Now().Before(end) {
-		call, cancel := context.WithTimeout(ctx, inspectTimeout)
-		status, err := s.inspector.Inspect(call, d.Targets[target])
-		cancel()
+		status, err := s.inspect(ctx, d.Targets[target], inspectTimeout)
 		if err == nil && status.Role == jacinthtiller.RolePrimary && status.Term > d.Term {
 			return s.recordPrimary(ctx, wg, d, target, status)
 		}
--- /dev/null
+++ b/control/inspect_test.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// countingInspector stands for a platform whose targets lead when they report so or were promoted. It notes when it was asked.
+type countingInspector struct {
+	mu       sync.Mutex
+	asked    []time.Time
+	promoted map[string]bool
+	// from is when the primaries begin to lead.
+	from time.Time
+	// report takes what a promoted target says of itself.
+	report func(context.Context, jacinthtiller.TargetReport) error
+}
+
+func (i *countingInspector) Inspect(_ context.Context, t jacinthtiller.Target) (jacinthtiller.TargetStatus, error) {
+	i.mu.Lock()
+	i.asked = append(i.asked, time.Now())
+	promoted := i.promoted[t.Name]
+	i.mu.Unlock()
+	time.Sleep(25 * time.Millisecond) // a way between regions and back
+	if promoted {
+		return jacinthtiller.TargetStatus{Role: jacinthtiller.RolePrimary, Term: 4}, nil
+	}
+	if t.Role == jacinthtiller.RolePrimary && !time.Now().Before(i.from) {
+		return jacinthtiller.TargetStatus{Role: jacinthtiller.RolePrimary, Term: 1}, nil
+	}
+	return jacinthtiller.TargetStatus{Role: jacinthtiller.RoleReplica}, nil
+}
+
+func (i *countingInspector) StepDown(context.Context, jacinthtiller.Target, uint64) (jacinthtiller.TargetStatus, error) {
+	return jacinthtiller.TargetStatus{}, nil
+}
+
+func (i *countingInspector) Promote(ctx context.Context, o jacinthtiller.PromoteOrder) error {
+	time.Sleep(25 * time.Millisecond)
+	i.mu.Lock()
+	i.promoted[o.Target] = true
+	i.mu.Unlock()
+	r := saying(o.Target, o.Database, o.Target+":1", 100, 2)
+	r.Role = jacinthtiller.RolePrimary
+	return i.report(ctx, r)
+}
+
+// most returns the greatest number of questions begun within the time.
+func (i *countingInspector) most(within time.Duration) int {
+	slices.SortFunc(i.asked, time.Time.Compare)
+	most := 0
+	for n, first := 0, 0; n < len(i.asked); n++ {
+		for i.asked[n].Sub(i.asked[first]) >= within {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+// TestMassSuccession guards the leader of control against questions that grow with databases times targets times attempts when
+// all look for a primary at once: each opens a connection, and control was saturated by them at 300 machines.
+func TestMassSuccession(t *testing.T) {
+	const databases = 480
+	cases := map[string]struct {
+		// late is how long after the start the primaries begin to lead, and reported whether their reports say so already.
+		late     time.Duration
+		reported bool
+		term     uint64
+		// within is how long all may take from then on, and questions how many may be asked.
+		within    time.Duration
+		questions int
+	}{
+		"first start, the primaries lead":                   {0, true, 0, 1500 * time.Millisecond, 2 * databases},
+		"first start, the primaries lead a little later":    {time.Second, true, 0, 1500 * time.Millisecond, 4 * databases},
+		"first start, nobody says that it leads":            {0, false, 0, 10 * time.Second, 6 * databases},
+		"all primaries were lost, which may take 10 s each": {0, true, 3, 10 * time.Second, 6 * databases},
+	}
+	convey.Convey("480 databases of three targets without a primary, in virtual time", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var led, most, asked int
+				synctest.Test(t, func(t *testing.T) {
+					i := &countingInspector{promoted: map[string]bool{}, from: time.Now().Add(c.late)}
+					s, err := newServer(Config{
+						Name: "c1", Members: map[string]string{"c1": "http://c1"}, Operators: &Operators{}, Inspector: i, Promoter: i,
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					i.report = s.Report
+					var index uint64
+					for d := range databases {
+						for r := range 3 {
+							n := fmt.Sprintf("t%d-%d", d, r)
+							report := saying(n, fmt.Sprint("db", d), n+":1", 100, 1)
+							if r == 0 && c.reported {
+								report.Role = jacinthtiller.RolePrimary
+							}
+							index++
+							s.machine.s, _, _ = apply(s.machine.s, index, Command{Enlist: &enlistCommand{Report: report}})
+						}
+					}
+					if c.term > 0 {
+						v := s.machine.s.View
+						v.Databases = maps.Clone(v.Databases)
+						for n, d := range v.Databases {
+							d.Term, d.Former = c.term, d.TargetNames()[0]
+							v.Databases[n] = d
+						}
+						s.machine.s.View = v
+					}
+					n := &fakeNode{machine: s.machine, leader: "c1", leads: true, changed: make(chan struct{}), index: index}
+					s.start(n)
+					time.Sleep(c.late + c.within)
+					for _, d := range s.machine.state().View.Databases {
+						if d.Primary != "" {
+							led++
+						}
+					}
+					_ = s.Close()
+					most, asked = i.most(100*time.Millisecond), len(i.asked)
+				})
+				convey.So(led, convey.ShouldEqual, databases)
+				convey.So(asked, convey.ShouldBeLessThanOrEqualTo, c.questions)
+				convey.So(most, convey.ShouldBeLessThanOrEqualTo, inspectBurst+inspectRate/10+1)
+			})
+		}
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/duty"
@@ -101,10 +102,12 @@
 	domain, region string
 	forwarder      *forwarder
 	recorder       *recorder
-	inspector      jacinthtiller.Inspector
-	promoter       jacinthtiller.Promoter
-	direct         *direct
-	client         *http.Client
+	// inspections holds the leader to the rate at which it asks targets.
+	inspections *rate.Limiter
+	inspector   jacinthtiller.Inspector
+	promoter    jacinthtiller.Promoter
+	direct      *direct
+	client      *http.Client
 
 	// began is when the server was made.
 	began time.Time
@@ -163,7 +166,7 @@
 		name: c.Name, urls: maps.Clone(c.Members), events: c.Events, operators: c.Operators, peers: c.Peers,
 		machine: newMachine(c.Events), metrics: m, wg: conc.NewWaitGroup(),
 		found: c.Found, voters: c.Voters, holder: c.Holder, domain: c.Domain, region: c.Region, inspector: c.Inspector, promoter: c.Promoter,
-		direct: newDirect(), client: c.Client, began: time.Now(), leaderChanged: make(chan struct{}),
+		direct: newDirect(), inspections: rate.NewLimiter(inspectRate, inspectBurst), client: c.Client, began: time.Now(), leaderChanged: make(chan struct{}),
 	}
 	if s.voters == 0 {
 		s.voters = defaultVoters
--- a/control/succession.go
+++ b/control/succession.go
@@ -104,6 +104,20 @@
 // directSurvey is what the targets of a direct group have answered.
 type directSurvey map[string]jacinthtiller.TargetStatus
 
+// surveyed returns the targets to ask for their state, by name. A former primary that was found to be out of reach is left
+// out: waiting for it would hold up the promotion. While a database is young only targets that report themselves as its
+// primary are asked: nothing is promoted yet, and at the first start of all there are hundreds.
+func surveyed(d jacinthtiller.Database, why cause, young bool) []jacinthtiller.Target {
+	var out []jacinthtiller.Target
+	for _, n := range d.TargetNames() {
+		lost := n == d.Former && (why == causeSilent || why == causeDown)
+		if !lost && (!young || d.Targets[n].Role == jacinthtiller.RolePrimary) {
+			out = append(out, d.Targets[n])
+		}
+	}
+	return out
+}
+
 // leading returns the target that leads a later term than the recorded one, or that leads any term when none is
 // recorded; empty when there is none.
 func (v directSurvey) leading(d jacinthtiller.Database) string {
