--- a/control/inspect_test.go
+++ b/control/inspect_test.go
@@ -72,26 +72,28 @@
 // all look for a primary at once: each opens a connection, and control was saturated by them at 300 machines.
 func TestMassSuccession(t *testing.T) {
 	const databases = 480
+	start := time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC) // of the virtual time
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	cases := map[string]struct {
-		// late is how long after the start the primaries begin to lead, and reported whether their reports say so already.
-		late     time.Duration
+		// lead is when the primaries begin to lead, and reported whether their reports say so already.
+		lead     time.Time
 		reported bool
 		term     uint64
-		// within is how long all may take from then on, and questions how many may be asked.
-		within    time.Duration
+		// until is when all must have a primary, and questions how many may have been asked.
+		until     time.Time
 		questions int
 	}{
-		"first start, the primaries lead":                   {0, true, 0, 1500 * time.Millisecond, 2 * databases},
-		"first start, the primaries lead a little later":    {time.Second, true, 0, 1500 * time.Millisecond, 4 * databases},
-		"first start, nobody says that it leads":            {0, false, 0, 10 * time.Second, 6 * databases},
-		"all primaries were lost, which may take 10 s each": {0, true, 3, 10 * time.Second, 6 * databases},
+		"first start, the primaries lead":                   {at(0), true, 0, at(1.5), 2 * databases},
+		"first start, the primaries lead a little later":    {at(1), true, 0, at(2.5), 4 * databases},
+		"first start, nobody says that it leads":            {at(0), false, 0, at(10), 6 * databases},
+		"all primaries were lost, which may take 10 s each": {at(0), true, 3, at(10), 6 * databases},
 	}
 	convey.Convey("480 databases of three targets without a primary, in virtual time", t, func() {
 		for name, c := range cases {
 			convey.Convey(name, func() {
 				var led, most, asked int
 				synctest.Test(t, func(t *testing.T) {
-					i := &countingInspector{promoted: map[string]bool{}, from: time.Now().Add(c.late)}
+					i := &countingInspector{promoted: map[string]bool{}, from: c.lead}
 					s, err := newServer(Config{
 						Name: "c1", Members: map[string]string{"c1": "http://c1"}, Operators: &Operators{}, Inspector: i, Promoter: i,
 					})
@@ -122,7 +124,7 @@
 					}
 					n := &fakeNode{machine: s.machine, leader: "c1", leads: true, changed: make(chan struct{}), index: index}
 					s.start(n)
-					time.Sleep(c.late + c.within)
+					time.Sleep(time.Until(c.until))
 					for _, d := range s.machine.state().View.Databases {
 						if d.Primary != "" {
 							led++
