pool: a host keeps only the targets that it was asked for

A view in which a host has come or gone cost a host 4.7 ms, because the gateways of 1,440 targets are ranked anew, and one in which a target has changed 2.6 ms; a host of 300 uses a few of these targets. Ruled out: views less often. First leases wait for them.

Change: targets are made, with their gateways and limits, when they are first asked for; Apply looks at these only, and builds the placement only when the hosts have changed. Until when a target is cold is kept from the view that first named it. FindNamed no longer passes over all targets. TestIsolation changed a view after it was applied, which views forbid; it copies it now. TestApplyUnused fails on the former code (1,440 targets kept instead of 2). go test ./pool ./statement ./relay ./e2e passes.

--- a/pool/apply_test.go
+++ b/pool/apply_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
@@ -90,3 +92,104 @@
 		})
 	})
 }
+
+// hugeView returns a view of 300 hosts before 480 direct groups of 3 targets.
+func hugeView() jacinthtiller.View {
+	v := jacinthtiller.View{
+		Index: 1, Hosts: map[string]jacinthtiller.Host{}, Databases: map[string]jacinthtiller.Database{},
+		Edition: &jacinthtiller.Edition{Groups: map[string]jacinthtiller.Group{}},
+	}
+	for i := range 300 {
+		n := fmt.Sprintf("host-%d", i)
+		v.Hosts[n] = jacinthtiller.Host{Name: n, Domain: fmt.Sprint("domain-", i%6), Link: "link-" + n}
+	}
+	for i := range 480 {
+		n := fmt.Sprint("db-", i)
+		d := jacinthtiller.Database{Name: n, Direct: true, Term: 1, Primary: "t0"}
+		for k := range 3 {
+			d = d.WithTarget(jacinthtiller.Target{
+				Name: fmt.Sprint("t", k), Database: n, Address: fmt.Sprintf("10.%d.%d.%d:1", k, i/250, i%250),
+				Domain: fmt.Sprint("domain-", (i+k)%6), Slots: 5, State: jacinthtiller.StateServing, ColdMilliseconds: 1000,
+			})
+		}
+		v.Databases[n] = d
+		v.Edition.Groups[n] = jacinthtiller.Group{Connections: 117}
+	}
+	return v
+}
+
+// TestApplyUnused guards hosts against work for the targets that they do not use: a host of 300 uses a few of 1,440, and when all
+// hosts and targets start at once a view comes 20 times a second.
+func TestApplyUnused(t *testing.T) {
+	convey.Convey("300 hosts before 1,440 targets, of which this host uses two", t, func() {
+		p := New(newFakeTargets(), fakeDialect{}, WithHost("host-0"))
+		defer p.Close()
+		v := hugeView()
+		p.Apply(v)
+		used, other := v.Databases["db-7"].Targets["t1"], v.Databases["db-8"].Targets["t2"]
+		convey.So(p.Find(used), convey.ShouldNotBeNil)
+		convey.So(p.FindNamed("db-8", "t2"), convey.ShouldEqual, p.Find(other))
+		convey.So(len(p.Targets()), convey.ShouldEqual, 2)
+		convey.Convey("a host that goes changes the gateways of those two, and costs nothing for the others", func() {
+			gone := withoutHost(v, "host-7")
+			turn := 0
+			perView := testing.AllocsPerRun(10, func() {
+				turn++
+				p.Apply([]jacinthtiller.View{v, gone}[turn%2])
+			})
+			convey.So(perView, convey.ShouldBeLessThan, 200)
+		})
+		convey.Convey("a target that is gone, or another incarnation, is not found any more", func() {
+			next := v
+			next.Databases = maps.Clone(v.Databases)
+			reborn := used
+			reborn.BornMilliseconds = 5
+			next.Databases["db-7"] = v.Databases["db-7"].WithTarget(reborn)
+			next.Databases["db-8"] = v.Databases["db-8"].WithoutTarget("t2")
+			p.Apply(next)
+			convey.So(p.Find(used), convey.ShouldBeNil)
+			convey.So(p.Find(reborn), convey.ShouldNotBeNil)
+			convey.So(p.FindNamed("db-8", "t2"), convey.ShouldBeNil)
+			convey.So(len(p.Targets()), convey.ShouldEqual, 1)
+		})
+		convey.Convey("a target is cold from when the view first named it, whenever it is asked for", func() {
+			var before, after bool
+			synctest.Test(t, func(t *testing.T) {
+				q := New(newFakeTargets(), fakeDialect{}, WithHost("host-0"))
+				q.Apply(v)
+				time.Sleep(900 * time.Millisecond)
+				later := v
+				later.Index++
+				q.Apply(later)
+				before = time.Now().Before(q.Find(used).coldUntil)
+				time.Sleep(200 * time.Millisecond)
+				after = time.Now().Before(q.Find(other).coldUntil)
+				q.Close()
+			})
+			convey.So(before, convey.ShouldBeTrue)
+			convey.So(after, convey.ShouldBeFalse)
+		})
+	})
+}
+
+// BenchmarkApplyUnused measures what a host pays for the coming of a target, and of a host, when it uses none of the targets.
+func BenchmarkApplyUnused(b *testing.B) {
+	v := hugeView()
+	changed := v
+	changed.Databases = maps.Clone(v.Databases)
+	target := v.Databases["db-3"].Targets["t1"]
+	target.State = jacinthtiller.StateLeaving
+	changed.Databases["db-3"] = v.Databases["db-3"].WithTarget(target)
+	for name, other := range map[string]jacinthtiller.View{"target": changed, "host": withoutHost(v, "host-7")} {
+		b.Run(name, func(b *testing.B) {
+			p := New(newFakeTargets(), fakeDialect{}, WithHost("host-0"))
+			defer p.Close()
+			p.Apply(v)
+			turn := 0
+			for b.Loop() {
+				turn++
+				p.Apply([]jacinthtiller.View{v, other}[turn%2])
+			}
+		})
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,10 +63,13 @@
 	routes atomic.Value
 
 	mu sync.Mutex // guards the fields below
-	// targets holds one entry for each incarnation that the view names.
+	// targets holds those that have been asked for, one entry for each incarnation, and only such as the view names.
 	targets map[targetKey]*Target
-	// placement is that of the newest view.
+	// view is the newest one, and placement that of its hosts.
+	view      jacinthtiller.View
 	placement jacinthtiller.Placement
+	// cold holds until when targets of the view that have not been asked for are slow after their start.
+	cold map[targetKey]time.Time
 }
 
 // targetKey names an incarnation of a target, so that connections to a former one are never taken for its successor's.
@@ -74,6 +78,10 @@
 	born                    int64
 }
 
+func keyOf(t jacinthtiller.Target) targetKey {
+	return targetKey{t.Database, t.Name, t.Address, t.BornMilliseconds}
+}
+
 // Option changes a Pool that is being made.
 type Option func(*Pool)
 
@@ -105,44 +113,82 @@
 	return p
 }
 
-// Apply follows a view: targets that it no longer names get no new work, and limits follow the number of hosts.
+// Apply follows a view: targets that it no longer names get no new work, and limits follow the number of hosts. A host
+// uses few of the targets of a large deployment; the others cost it nothing but a look.
 func (p *Pool) Apply(v jacinthtiller.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	seen := map[targetKey]bool{}
-	placement := v.Placement()
-	former := p.placement
-	p.placement = placement
+	former, moved := p.placement, !maps.Equal(p.view.Hosts, v.Hosts)
+	if moved {
+		p.placement = v.Placement()
+	}
+	p.view = v
 	if v.Edition != nil {
 		p.routes.Store(v.Edition.Routes)
 	}
-	for _, d := range v.Databases {
-		if !d.Direct {
+	p.noteCold(time.Now())
+	for k, t := range p.targets {
+		spec, ok := p.named(k)
+		if !ok {
+			delete(p.targets, k)
+			t.retire()
 			continue
 		}
-		connections := v.Connections(d.Name)
-		if connections <= 0 {
-			connections = defaultConnections
+		connections := p.connections(spec.Database)
+		if !t.follows(spec, connections) || moved && !p.placement.SameGateways(former, spec, connections) {
+			t.follow(spec, connections, p.placement.Gateways(spec, connections))
 		}
-		for _, spec := range d.Targets {
-			k := targetKey{d.Name, spec.Name, spec.Address, spec.BornMilliseconds}
-			seen[k] = true
-			t := p.targets[k]
-			if t == nil {
-				t = p.newTarget(spec)
-				p.targets[k] = t
+	}
+}
+
+// named returns the target of the view that has the key.
+func (p *Pool) named(k targetKey) (jacinthtiller.Target, bool) {
+	d := p.view.Databases[k.database]
+	spec, ok := d.Targets[k.name]
+	return spec, ok && d.Direct && keyOf(spec) == k
+}
+
+// connections returns how many connections each target of the database takes from all hosts.
+func (p *Pool) connections(database string) int {
+	if n := p.view.Connections(database); n > 0 {
+		return n
+	}
+	return defaultConnections
+}
+
+// noteCold keeps until when targets are cold, which a report tells as the time that is left.
+func (p *Pool) noteCold(now time.Time) {
+	former := p.cold
+	p.cold = map[targetKey]time.Time{}
+	for _, d := range p.view.Databases {
+		for _, t := range d.Targets {
+			if t.ColdMilliseconds <= 0 {
+				continue
 			}
-			if !t.follows(spec, connections) || !placement.SameGateways(former, spec, connections) {
-				t.follow(spec, connections, placement.Gateways(spec, connections))
+			k := keyOf(t)
+			until, known := former[k]
+			if !known {
+				until = now.Add(time.Duration(t.ColdMilliseconds) * time.Millisecond)
 			}
+			p.cold[k] = until
 		}
 	}
-	for k, t := range p.targets {
-		if !seen[k] {
-			delete(p.targets, k)
-			t.retire()
-		}
+}
+
+// find returns the target as the view names it, and makes it when it is asked for the first time; p.mu is held.
+func (p *Pool) find(k targetKey) *Target {
+	if t := p.targets[k]; t != nil {
+		return t
+	}
+	spec, ok := p.named(k)
+	if !ok || p.ctx.Err() != nil {
+		return nil
 	}
+	t := p.newTarget(spec, p.cold[k])
+	connections := p.connections(spec.Database)
+	t.follow(spec, connections, p.placement.Gateways(spec, connections))
+	p.targets[k] = t
+	return t
 }
 
 // lowestPriority is the priority from which on routes have the least share of a crowded target.
@@ -174,18 +220,15 @@
 	return ranks[lowestPriority].name
 }
 
-// FindNamed returns the youngest incarnation of a target that the pool has; nil when it has none.
+// FindNamed returns a target by its name; nil when the view has none.
 func (p *Pool) FindNamed(database, name string) *Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out *Target
-	var born int64
-	for k, t := range p.targets {
-		if k.database == database && k.name == name && (out == nil || k.born > born) {
-			out, born = t, k.born
-		}
+	spec, ok := p.view.Databases[database].Targets[name]
+	if !ok {
+		return nil
 	}
-	return out
+	return p.find(keyOf(spec))
 }
 
 // Placement returns that of the newest view.
@@ -199,10 +242,10 @@
 func (p *Pool) Find(spec jacinthtiller.Target) *Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.targets[targetKey{spec.Database, spec.Name, spec.Address, spec.BornMilliseconds}]
+	return p.find(keyOf(spec))
 }
 
-// Targets returns all targets, for dumps.
+// Targets returns the targets that have been asked for, for dumps.
 func (p *Pool) Targets() []*Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pool/target.go
+++ b/pool/target.go
@@ -73,18 +73,16 @@
 	retired bool
 }
 
-func (p *Pool) newTarget(spec jacinthtiller.Target) *Target {
+// newTarget returns a target that is cold until the time; zero when it is not.
+func (p *Pool) newTarget(spec jacinthtiller.Target, cold time.Time) *Target {
 	t := &Target{
-		p: p, database: spec.Database, name: spec.Name, spec: spec, own: &way{},
+		p: p, database: spec.Database, name: spec.Name, spec: spec, own: &way{}, coldUntil: cold,
 		gate: admission.NewGate(
 			admission.WithCapacity(queueCapacity), admission.WithForesight(), admission.WithStatementsFirst(),
 			admission.WithLog(p.events, spec.Name),
 		),
 	}
 	t.gate.SetWeights(rankWeights())
-	if spec.ColdMilliseconds > 0 {
-		t.coldUntil = time.Now().Add(time.Duration(spec.ColdMilliseconds) * time.Millisecond)
-	}
 	return t
 }
 
--- a/statement/isolation_test.go
+++ b/statement/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -38,6 +39,7 @@
 			b.server.Close()
 			var others cutOff
 			b.server = New(b.pool, dialect{}, nil, WithHost("h0"), WithKeepers("d", &others))
+			b.view.Hosts = maps.Clone(b.view.Hosts) // a view that was applied is never changed
 			for _, n := range []string{"h1", "h2", "h3"} {
 				b.view.Hosts[n] = jacinthtiller.Host{Name: n, Domain: "d", Link: n}
 			}
@@ -71,6 +73,7 @@
 		var others cutOff
 		others.on.Store(true)
 		b.server = New(b.pool, dialect{}, nil, WithHost("h0"), WithKeepers("d", &others))
+		b.view.Hosts = maps.Clone(b.view.Hosts)
 		b.view.Hosts["h1"] = jacinthtiller.Host{Name: "h1", Domain: "d", Link: "h1"}
 		b.server.Apply(b.view)
 		time.Sleep(3 * time.Second)
