pool: tests of views with all targets in use, and one view for both sizes

Cause: since targets are made when they are asked for, TestApplyCost and BenchmarkApply had none in use and measured less than they are for. They ask for all 60 first; the bounds are the same and hold (go test ./pool). The two views of the tests were alike but for their size.

--- a/pool/apply_test.go
+++ b/pool/apply_test.go
@@ -12,23 +12,27 @@
 	"github.com/jacinthtiller/jacinthtiller"
 )
 
-// largeView returns a view of 194 hosts before 20 direct groups of 3 targets that take 117 connections.
-func largeView() jacinthtiller.View {
+// largeView returns a view of 194 hosts before 60 targets, and hugeView one of 300 hosts before 1,440.
+func largeView() jacinthtiller.View { return sizedView(194, 20) }
+func hugeView() jacinthtiller.View  { return sizedView(300, 480) }
+
+// sizedView returns a view of hosts before direct groups of 3 cold targets that take 117 connections.
+func sizedView(hosts, databases int) jacinthtiller.View {
 	v := jacinthtiller.View{
 		Index: 1, Hosts: map[string]jacinthtiller.Host{}, Databases: map[string]jacinthtiller.Database{},
 		Edition: &jacinthtiller.Edition{Groups: map[string]jacinthtiller.Group{}},
 	}
-	for i := range 194 {
+	for i := range hosts {
 		n := fmt.Sprintf("host-%d", i)
 		v.Hosts[n] = jacinthtiller.Host{Name: n, Domain: fmt.Sprint("domain-", i%6), Link: "link-" + n}
 	}
-	for i := range 20 {
+	for i := range databases {
 		n := fmt.Sprint("db-", i)
 		d := jacinthtiller.Database{Name: n, Direct: true, Term: 1, Primary: "t0"}
 		for k := range 3 {
 			d = d.WithTarget(jacinthtiller.Target{
-				Name: fmt.Sprint("t", k), Database: n, Address: fmt.Sprintf("10.0.%d.%d:1", i, k),
-				Domain: fmt.Sprint("domain-", (i+k)%6), Slots: 5, State: jacinthtiller.StateServing,
+				Name: fmt.Sprint("t", k), Database: n, Address: fmt.Sprintf("10.%d.%d.%d:1", k, i/250, i%250),
+				Domain: fmt.Sprint("domain-", (i+k)%6), Slots: 5, State: jacinthtiller.StateServing, ColdMilliseconds: 1000,
 			})
 		}
 		v.Databases[n] = d
@@ -47,11 +51,22 @@
 	return v
 }
 
+// useAll asks for all targets of the view.
+func useAll(p *Pool, v jacinthtiller.View) {
+	for _, d := range v.Databases {
+		for _, t := range d.Targets {
+			p.Find(t)
+		}
+	}
+}
+
 // BenchmarkApply measures what a host pays for another host's coming or going.
 func BenchmarkApply(b *testing.B) {
 	p := New(newFakeTargets(), fakeDialect{}, WithHost("host-0"))
 	defer p.Close()
 	views := []jacinthtiller.View{largeView(), withoutHost(largeView(), "host-7")}
+	p.Apply(views[0])
+	useAll(p, views[0])
 	for i := range b.N {
 		p.Apply(views[i%2])
 	}
@@ -65,6 +80,8 @@
 		defer p.Close()
 		v := largeView()
 		p.Apply(v)
+		useAll(p, v)
+		convey.So(len(p.Targets()), convey.ShouldEqual, 60)
 		convey.Convey("a host that goes costs something only for the targets of its domain", func() {
 			gone := withoutHost(v, "host-7")
 			turn := 0
@@ -93,31 +110,6 @@
 	})
 }
 
-// hugeView returns a view of 300 hosts before 480 direct groups of 3 targets.
-func hugeView() jacinthtiller.View {
-	v := jacinthtiller.View{
-		Index: 1, Hosts: map[string]jacinthtiller.Host{}, Databases: map[string]jacinthtiller.Database{},
-		Edition: &jacinthtiller.Edition{Groups: map[string]jacinthtiller.Group{}},
-	}
-	for i := range 300 {
-		n := fmt.Sprintf("host-%d", i)
-		v.Hosts[n] = jacinthtiller.Host{Name: n, Domain: fmt.Sprint("domain-", i%6), Link: "link-" + n}
-	}
-	for i := range 480 {
-		n := fmt.Sprint("db-", i)
-		d := jacinthtiller.Database{Name: n, Direct: true, Term: 1, Primary: "t0"}
-		for k := range 3 {
-			d = d.WithTarget(jacinthtiller.Target{
-				Name: fmt.Sprint("t", k), Database: n, Address: fmt.Sprintf("10.%d.%d.%d:1", k, i/250, i%250),
-				Domain: fmt.Sprint("domain-", (i+k)%6), Slots: 5, State: jacinthtiller.StateServing, ColdMilliseconds: 1000,
-			})
-		}
-		v.Databases[n] = d
-		v.Edition.Groups[n] = jacinthtiller.Group{Connections: 117}
-	}
-	return v
-}
-
 // TestApplyUnused guards hosts against work for the targets that they do not use: a host of 300 uses a few of 1,440, and when all
 // hosts and targets start at once a view comes 20 times a second.
 func TestApplyUnused(t *testing.T) {
