statement, pool: primaries that a host never used are neither made nor asked

Change: Pool.Used returns a target only if it was asked for, and a primary that was never used is not suspected, as before; Pool.IsGateway tells without making the target whether this host connects to it.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -245,6 +246,21 @@
 	return p.find(keyOf(spec))
 }
 
+// Used returns the target as the view names it if it has been asked for, and nil otherwise.
+func (p *Pool) Used(spec jacinthtiller.Target) *Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.targets[keyOf(spec)]
+}
+
+// IsGateway reports whether this host connects to the target itself, without making it.
+func (p *Pool) IsGateway(spec jacinthtiller.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.placement.Gateways(spec, p.connections(spec.Database))
+	return len(list) == 0 || slices.ContainsFunc(list, func(h jacinthtiller.Host) bool { return h.Name == p.host })
+}
+
 // Targets returns the targets that have been asked for, for dumps.
 func (p *Pool) Targets() []*Target {
 	p.mu.Lock()
--- a/statement/keeper_test.go
+++ b/statement/keeper_test.go
@@ -198,3 +198,55 @@
 		{Position: jacinthtiller.Position{Term: 1, Index: 9}, AgeMicroseconds: 300_000},
 	}}, nil
 }
+
+// TestFirstLease guards a host of hundreds against asking about, and keeping, the primaries of all databases when it gets its
+// first lease, as all hosts do after a loss of power: it asks those that it connects to itself.
+func TestFirstLease(t *testing.T) {
+	var kept, gateways, asked int
+	direct := true
+	synctest.Test(t, func(t *testing.T) {
+		g := &group{down: map[string]bool{}}
+		p := pool.New(g, dialect{}, pool.WithHost("h0"))
+		s := New(p, dialect{}, nil)
+		v := jacinthtiller.View{
+			Index: 1, Hosts: map[string]jacinthtiller.Host{}, Databases: map[string]jacinthtiller.Database{},
+			Edition: &jacinthtiller.Edition{Number: 1, Groups: map[string]jacinthtiller.Group{}},
+		}
+		for i := range 300 {
+			n := fmt.Sprint("h", i)
+			v.Hosts[n] = jacinthtiller.Host{Name: n, Domain: fmt.Sprint("d", i%6), Link: n}
+		}
+		for i := range 480 {
+			n := fmt.Sprint("db", i)
+			d := jacinthtiller.Database{Name: n, Direct: true, Term: 1, Primary: "a"}
+			for k, name := range []string{"a", "b", "c"} {
+				d = d.WithTarget(jacinthtiller.Target{
+					Name: name, Database: n, Address: fmt.Sprint(n, name, ":1"), Domain: fmt.Sprint("d", (i+k)%6), Slots: 5,
+					State: jacinthtiller.StateServing,
+				})
+			}
+			v.Databases[n] = d
+			v.Edition.Groups[n] = jacinthtiller.Group{Connections: 117}
+		}
+		s.Apply(v)
+		s.SetLease(jacinthtiller.Lease{Host: "h0", Deadline: clock.Now().Add(time.Minute)})
+		time.Sleep(time.Second)
+		for _, d := range v.Databases {
+			if p.IsGateway(d.Targets["a"]) {
+				gateways++
+			}
+		}
+		kept, asked = len(p.Targets()), len(g.log())
+		for _, target := range p.Targets() {
+			direct = direct && target.Direct()
+		}
+		s.Close()
+		p.Close()
+	})
+	convey.Convey("300 hosts before 480 databases, one lease", t, func() {
+		convey.So(gateways, convey.ShouldBeBetween, 1, 60)
+		convey.So(kept, convey.ShouldEqual, gateways)
+		convey.So(asked, convey.ShouldEqual, gateways)
+		convey.So(direct, convey.ShouldBeTrue)
+	})
+}
--- a/statement/server.go
+++ b/statement/server.go
@@ -128,11 +128,14 @@
 	}
 }
 
-// learnFreshness asks all primaries for their positions, so that the reads which have waited for the lease can go to
-// replicas and need not wait for one another's answers.
+// learnFreshness asks the primaries that this host connects to for their positions, so that the reads which have waited for
+// the lease can go to replicas and need not wait for one another's answers.
 func (s *Server) learnFreshness() {
 	for name, d := range s.view.Load().Databases {
-		if l, ok := s.lead(name); ok && d.Direct && l.target.Direct() && s.beginAttesting(name) {
+		if !d.Direct || !s.pool.IsGateway(d.Targets[d.Primary]) {
+			continue
+		}
+		if l, ok := s.lead(name); ok && l.target.Direct() && s.beginAttesting(name) {
 			s.run("ask a primary for its position", func() { s.askFreshness(l) })
 		}
 	}
@@ -334,7 +337,7 @@
 	if !d.Direct || d.Primary == "" {
 		return nil
 	}
-	t := s.pool.Find(d.Targets[d.Primary])
+	t := s.pool.Used(d.Targets[d.Primary])
 	if t == nil || t.FailingSince().IsZero() {
 		return nil
 	}
