--- a/standin/run.go
+++ b/standin/run.go
@@ -6,11 +6,8 @@
 	"errors"
 	"fmt"
 	"math"
-	"strconv"
 	"strings"
 	"time"
-
-	"github.com/jacinthtiller/jacinthtiller"
 )
 
 // result is what a statement gave.
@@ -280,93 +277,6 @@
 	return r, nil
 }
 
-// pgSleep runs SELECT pg_sleep(seconds) in a slot.
-func (s *session) pgSleep(ctx context.Context, params []token, args []any) (*result, error) {
-	v, err := values(params, args, 1)
-	if err != nil {
-		return nil, err
-	}
-	seconds, err := strconv.ParseFloat(v[0], 64)
-	if err != nil {
-		return nil, pgErrorf("22P02", "invalid number of seconds %q", v[0])
-	}
-	sleep(ctx, time.Duration(seconds*float64(time.Second)))
-	if ctx.Err() != nil {
-		return nil, errCanceled
-	}
-	return one("pg_sleep", ""), nil
-}
-
-// values returns the arguments of a function as text.
-func values(params []token, args []any, n int) ([]string, error) {
-	if len(params) != n {
-		return nil, pgErrorf("42883", "function takes %d arguments, not %d", n, len(params))
-	}
-	out := make([]string, n)
-	for i, k := range params {
-		out[i] = k.unquote()
-		if k.kind == kindParam {
-			j, err := strconv.Atoi(k.text)
-			if err != nil || j > len(args) {
-				return nil, pgErrorf("42P02", "there is no parameter $%s", k.text)
-			}
-			out[i] = fmt.Sprint(args[j-1])
-		}
-	}
-	return out, nil
-}
-
-// one returns a result of one value.
-func one(name string, v any) *result {
-	return &result{columns: []column{{name: name, oid: callType(name)}}, rows: [][]any{{v}}, tag: "SELECT 1"}
-}
-
-// call answers the functions of the target contract and a few of PostgreSQL's.
-func (s *session) call(name string, params []token, args []any) (*result, error) {
-	switch name {
-	case "pg_backend_pid":
-		return one(name, int64(s.pid)), nil
-	case "pg_is_in_recovery":
-		return one(name, s.t.Role() == jacinthtiller.RoleReplica), nil
-	case "group_follow":
-		v, err := values(params, args, 2)
-		if err != nil {
-			return nil, err
-		}
-		term, err := parseTerm(v[0])
-		if err != nil {
-			return nil, err
-		}
-		p, err := s.t.followTerm(term, v[1])
-		return one(name, p), err
-	}
-	v, err := values(params, args, 1)
-	if err != nil {
-		return nil, err
-	}
-	if name == "current_setting" {
-		value, err := s.show(v[0])
-		return one(name, value), err
-	}
-	term, err := parseTerm(v[0])
-	if err != nil {
-		return nil, err
-	}
-	if name == "group_fence" {
-		return one(name, s.t.fence(term)), nil
-	}
-	p, err := s.t.promote(term)
-	return one(name, p), err
-}
-
-func parseTerm(s string) (uint64, error) {
-	n, err := strconv.ParseUint(s, 10, 63)
-	if err != nil || n == 0 {
-		return 0, pgErrorf("22023", "term %q is not a positive integer", s)
-	}
-	return n, nil
-}
-
 // commit ends the transaction. A write transaction is appended to the log in the same step in which sqlite commits it,
 // so that nobody reads the data and an older position.
 func (s *session) commit() error {
