control: an error while a message is compressed ends the watch

Cause: found on reading: pack sent the delta uncompressed and dropped the error, without a line in the log. Compression into memory does not fail today, so no test can bring it about; the path is there for a writer that does. Change: the error is returned, the watch ends with it, and the host logs why and opens another. go test ./control passes.

--- a/control/machine.go
+++ b/control/machine.go
@@ -209,9 +209,10 @@
 	once   sync.Once
 	raw    []byte
 	err    error
-	// packOnce guards packed, which is the delta itself while that is small.
+	// packOnce guards packed, which is the delta itself while that is small, and packErr.
 	packOnce sync.Once
 	packed   *encodedDelta
+	packErr  error
 }
 
 // MarshalCBOR returns the encoded delta.
@@ -222,18 +223,21 @@
 
 // pack returns the delta in its compressed form for watchers that understand it. A compressor for each of them would take
 // more than all else that a control process does when hundreds of hosts or targets come at once.
-func (d *encodedDelta) pack() *encodedDelta {
+func (d *encodedDelta) pack() (*encodedDelta, error) {
 	d.packOnce.Do(func() {
-		d.packed = d
 		raw, err := d.MarshalCBOR()
-		if err != nil || len(raw) < packMinBytes {
-			return // the error is returned by each send
+		if err != nil {
+			d.packErr = err
+			return
 		}
-		if b, err := pack(raw); err == nil { // without compression the delta is sent as it is
-			d.packed = &encodedDelta{delta: jacinthtiller.Delta{Packed: b}}
+		if len(raw) < packMinBytes {
+			d.packed = d
+			return
 		}
+		b, err := pack(raw)
+		d.packed, d.packErr = &encodedDelta{delta: jacinthtiller.Delta{Packed: b}}, err
 	})
-	return d.packed
+	return d.packed, d.packErr
 }
 
 // unpackDelta returns the delta that a message of a watch holds.
--- a/control/pack_test.go
+++ b/control/pack_test.go
@@ -32,7 +32,10 @@
 		raw, err := d.MarshalCBOR()
 		convey.So(err, convey.ShouldBeNil)
 		convey.Convey("is compressed once, to an eighth or less", func() {
-			one, again := d.pack(), d.pack()
+			one, err := d.pack()
+			convey.So(err, convey.ShouldBeNil)
+			again, err := d.pack()
+			convey.So(err, convey.ShouldBeNil)
 			convey.So(one, convey.ShouldEqual, again)
 			b, err := one.MarshalCBOR()
 			convey.So(err, convey.ShouldBeNil)
@@ -52,7 +55,9 @@
 			convey.So(plain.Databases, convey.ShouldResemble, s.View().Databases)
 		})
 		convey.Convey("is not put in force when it cannot be read", func() {
-			for name, b := range map[string][]byte{"not compressed": []byte("x"), "cut short": d.pack().delta.Packed[:100]} {
+			packed, err := d.pack()
+			convey.So(err, convey.ShouldBeNil)
+			for name, b := range map[string][]byte{"not compressed": []byte("x"), "cut short": packed.delta.Packed[:100]} {
 				convey.Convey(name, func() {
 					_, err := unpackDelta(jacinthtiller.Delta{Packed: b})
 					convey.So(err, convey.ShouldNotBeNil)
@@ -61,7 +66,9 @@
 		})
 		convey.Convey("of one target is sent as it is", func() {
 			small := encodedDelta{delta: jacinthtiller.Delta{From: 1, Index: 2}}
-			convey.So(small.pack(), convey.ShouldEqual, &small)
+			packed, err := small.pack()
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(packed, convey.ShouldEqual, &small)
 		})
 	})
 }
@@ -76,7 +83,8 @@
 				d := m.build(0)
 				for range 49 {
 					if shared {
-						_, _ = d.pack().MarshalCBOR()
+						packed, _ := d.pack()
+						_, _ = packed.MarshalCBOR()
 						continue
 					}
 					raw, _ := d.MarshalCBOR()
--- a/control/watch.go
+++ b/control/watch.go
@@ -41,7 +41,11 @@
 			if due.IsZero() {
 				message := d
 				if r.Msg.Unpacks {
-					message = d.pack()
+					packed, err := d.pack()
+					if err != nil {
+						return fmt.Errorf("prepare delta for a watch: %w", err)
+					}
+					message = packed
 				}
 				if err := out.Send(message); err != nil {
 					return fmt.Errorf("send delta: %w", err)
