control: log when a leaving primary stays in service

Change: control-primary-kept, once for each incarnation, with the states of the other targets; a row for operators.

--- a/control/direct.go
+++ b/control/direct.go
@@ -42,6 +42,8 @@
 	newestSequences map[string]uint64
 	// causes holds why the primary of a database was taken out of service.
 	causes map[string]cause
+	// kept holds the leaving primary of a database that was last reported as kept.
+	kept map[string]targetIncarnation
 	// overloads holds the databases that hosts report as overloaded, relieving those whose targets are being inspected for
 	// that, and relievedAt when the primary of a database was last changed for it.
 	overloads  map[string]*overload
@@ -58,7 +60,7 @@
 		evidence: map[string]*evidence{}, inspecting: map[string]bool{}, failingOver: map[string]bool{},
 		incarnations: map[string]targetIncarnation{}, newestSequences: map[string]uint64{}, causes: map[string]cause{},
 		overloads: map[string]*overload{}, relieving: map[string]bool{}, relievedAt: map[string]time.Time{},
-		suspendedAt: map[string]time.Time{}, changeMilliseconds: assumedChangeMilliseconds,
+		kept: map[string]targetIncarnation{}, suspendedAt: map[string]time.Time{}, changeMilliseconds: assumedChangeMilliseconds,
 	}
 }
 
@@ -70,6 +72,7 @@
 	clear(x.incarnations)
 	clear(x.newestSequences)
 	clear(x.causes)
+	clear(x.kept)
 	clear(x.overloads)
 	clear(x.suspendedAt)
 }
@@ -194,6 +197,7 @@
 		s.suspendPrimary(ctx, d)
 		return
 	}
+	s.reportKept(d)
 	s.checkOverload(ctx, wg, d, now)
 	if (suspected || reportsReplica) && s.startTask(x.inspecting, d.Name) {
 		s.runAsync(wg, "inspect a suspected primary", func() { s.inspectPrimary(ctx, d) })
