--- /dev/null
+++ b/pool/leaving_test.go
@@ -0,0 +1,92 @@
+package pool
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+)
+
+// TestQueueOfLeavingTarget guards against requests that wait in the queue of a target when it begins to leave and reach it
+// seconds later, although other targets could run them.
+func TestQueueOfLeavingTarget(t *testing.T) {
+	const wait = 10 * time.Second // a route with a long timeout
+	leave := func(d jacinthtiller.Database, target string) jacinthtiller.Database {
+		s := d.Targets[target]
+		s.State = jacinthtiller.StateLeaving
+		return d.WithTarget(s)
+	}
+	cases := map[string]struct {
+		target string
+		change func(d jacinthtiller.Database) jacinthtiller.Database
+		// runs is true when the requests stay in the queue.
+		runs bool
+	}{
+		"a replica leaves": {"b", func(d jacinthtiller.Database) jacinthtiller.Database { return leave(d, "b") }, false},
+		"the primary leaves and stays in service": {"a", func(d jacinthtiller.Database) jacinthtiller.Database {
+			return leave(d, "a")
+		}, true},
+		"the primary leaves and goes out of service": {"a", func(d jacinthtiller.Database) jacinthtiller.Database {
+			return leave(d, "a").WithPrimary(d.Term, "")
+		}, false},
+		"another target leaves": {"b", func(d jacinthtiller.Database) jacinthtiller.Database { return leave(d, "c") }, true},
+	}
+	for name, c := range cases {
+		var refused, ran int
+		var refusedWithin time.Duration
+		synctest.Test(t, func(*testing.T) {
+			f := newFakeTargets()
+			f.reply = func(string, jacinthtiller.TargetRequest) (jacinthtiller.Reply, error) {
+				time.Sleep(4 * time.Second)
+				return jacinthtiller.Reply{Body: []byte("ok"), State: jacinthtiller.StateIdle}, nil
+			}
+			p := New(f, fakeDialect{}, WithHost("h0"))
+			v := view(1, 30)
+			p.Apply(v)
+			target := p.Find(v.Databases["db"].Targets[c.target])
+			var changedAt time.Time
+			var wg conc.WaitGroup
+			results := make(chan error, 6)
+			for range cap(results) { // of which four run at once
+				wg.Go(func() {
+					j := newJob("read")
+					j.Deadline = time.Now().Add(wait)
+					_, err := run(target, j)
+					if err != nil {
+						refusedWithin = max(refusedWithin, time.Since(changedAt))
+					}
+					results <- err
+				})
+			}
+			synctest.Wait()
+			changedAt = time.Now()
+			v.Index++
+			v.Databases = map[string]jacinthtiller.Database{"db": c.change(v.Databases["db"])}
+			p.Apply(v)
+			wg.Wait()
+			for range cap(results) {
+				var notRun *jacinthtiller.Error
+				if err := <-results; err == nil {
+					ran++
+				} else if errors.As(err, &notRun) && notRun.Reason == jacinthtiller.ReasonDraining {
+					refused++
+				}
+			}
+			p.Close()
+		})
+		convey.Convey("Requests wait for a target and "+name, t, func() {
+			if c.runs {
+				convey.So(ran, convey.ShouldEqual, 6)
+				return
+			}
+			convey.So(ran, convey.ShouldEqual, 4)
+			convey.So(refused, convey.ShouldEqual, 2)
+			convey.So(refusedWithin, convey.ShouldBeLessThan, 100*time.Millisecond)
+		})
+	}
+}
