--- a/statement/leaving_test.go
+++ b/statement/leaving_test.go
@@ -75,7 +75,7 @@
 func TestUnservableRefused(t *testing.T) {
 	const leaving = jacinthtiller.StateLeaving
 	groups := map[string]map[string]jacinthtiller.TargetState{
-		"all targets have left": {},
+		"all targets have left":                        {},
 		"the last target leaves and is out of service": {"a": leaving},
 	}
 	requests := map[string]struct {
