control: take a leaving primary out of service when its time ends

Cause: a leaving primary went out of service only together with a change of primary. In a group without another target there was none, so hosts sent it work until it exited. A time limit was left to an event that may never come. A leader that did not receive the report takes the time as over. Ruled out: a timer on each host, because a host that was cut off learns of the report late; a mark in the log, because a suspended primary is known to hosts of earlier versions, too.

--- a/control/direct.go
+++ b/control/direct.go
@@ -42,6 +42,9 @@
 	newestSequences map[string]uint64
 	// causes holds why the primary of a database was taken out of service.
 	causes map[string]cause
+	// leaveDeadlines holds until when a leaving target may get work. Only targets whose reports this leader has received have
+	// one; the time of the others is taken as over, because another process may have acknowledged their reports long ago.
+	leaveDeadlines map[targetIncarnation]time.Time
 	// kept holds the leaving primary of a database that was last reported as kept.
 	kept map[string]targetIncarnation
 	// overloads holds the databases that hosts report as overloaded, relieving those whose targets are being inspected for
@@ -60,7 +63,7 @@
 		evidence: map[string]*evidence{}, inspecting: map[string]bool{}, failingOver: map[string]bool{},
 		incarnations: map[string]targetIncarnation{}, newestSequences: map[string]uint64{}, causes: map[string]cause{},
 		overloads: map[string]*overload{}, relieving: map[string]bool{}, relievedAt: map[string]time.Time{},
-		kept: map[string]targetIncarnation{}, suspendedAt: map[string]time.Time{}, changeMilliseconds: assumedChangeMilliseconds,
+		leaveDeadlines: map[targetIncarnation]time.Time{}, kept: map[string]targetIncarnation{}, suspendedAt: map[string]time.Time{}, changeMilliseconds: assumedChangeMilliseconds,
 	}
 }
 
@@ -72,6 +75,7 @@
 	clear(x.incarnations)
 	clear(x.newestSequences)
 	clear(x.causes)
+	clear(x.leaveDeadlines)
 	clear(x.kept)
 	clear(x.overloads)
 	clear(x.suspendedAt)
@@ -82,7 +86,7 @@
 func (x *directState) isOutOfOrder(r jacinthtiller.TargetReport) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	incarnation := targetIncarnation{Target: r.Target, StartedMilliseconds: r.StartedMilliseconds}
+	incarnation := incarnationOf(targetFromReport(r))
 	if x.incarnations[r.Target] == incarnation && r.Sequence < x.newestSequences[r.Target] {
 		return true
 	}
@@ -179,7 +183,7 @@
 	x := s.direct
 	x.mu.Lock()
 	e := x.evidence[d.Name]
-	replaceCause := replacementCause(d, e, hosts, now)
+	replaceCause := replacementCause(d, e, hosts, x.leaveDeadlines[incarnationOf(d.Targets[d.Primary])], now)
 	suspected := e != nil && e.target == d.Primary && e.suspectingHosts(now) > 0
 	reportsReplica := d.Targets[d.Primary].Role == jacinthtiller.RoleReplica
 	var f event.Fields
@@ -197,7 +201,7 @@
 		s.suspendPrimary(ctx, d)
 		return
 	}
-	s.reportKept(d)
+	s.reportKept(d, now)
 	s.checkOverload(ctx, wg, d, now)
 	if (suspected || reportsReplica) && s.startTask(x.inspecting, d.Name) {
 		s.runAsync(wg, "inspect a suspected primary", func() { s.inspectPrimary(ctx, d) })
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -1,20 +1,49 @@
 package control
 
 import (
+	"time"
+
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
+// DefaultLeaveMilliseconds is the default of Config.LeaveMilliseconds.
+const DefaultLeaveMilliseconds = 7000
+
+// leaveMargin is how long before the end of its time a leaving primary is taken out of service. A host that gets no views
+// renews its lease for up to a second more and then holds it for Lease; the rest is for requests on their way.
+const leaveMargin = time.Second + Lease + 500*time.Millisecond
+
+// setLeaveDeadline sets until when a target that reports itself as leaving may get work. The first report of an incarnation
+// counts; a target that serves again has no deadline.
+func (x *directState) setLeaveDeadline(r jacinthtiller.TargetReport, deadline time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	k := incarnationOf(targetFromReport(r))
+	if _, ok := x.leaveDeadlines[k]; r.State != jacinthtiller.StateLeaving {
+		delete(x.leaveDeadlines, k)
+	} else if !ok {
+		x.leaveDeadlines[k] = deadline
+	}
+}
+
+// forgetLeaveDeadline forgets the deadline of a target that departs.
+func (x *directState) forgetLeaveDeadline(t jacinthtiller.Target) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.leaveDeadlines, incarnationOf(t))
+}
+
 // reportKept reports once for each incarnation that a leaving primary stays in service.
-func (s *Server) reportKept(d jacinthtiller.Database) {
+func (s *Server) reportKept(d jacinthtiller.Database, now time.Time) {
 	t := d.Targets[d.Primary]
 	if t.State != jacinthtiller.StateLeaving {
 		return
 	}
-	kept := targetIncarnation{Target: t.Name, StartedMilliseconds: t.StartedMilliseconds}
 	s.direct.mu.Lock()
-	reported := s.direct.kept[d.Name] == kept
-	s.direct.kept[d.Name] = kept
+	reported := s.direct.kept[d.Name] == incarnationOf(t)
+	s.direct.kept[d.Name] = incarnationOf(t)
+	deadline := s.direct.leaveDeadlines[incarnationOf(t)]
 	s.direct.mu.Unlock()
 	if reported {
 		return
@@ -26,6 +55,7 @@
 		}
 	}
 	s.events.Emit(event.ControlPrimaryKept, event.Fields{
-		"database": d.Name, "target": d.Primary, "term": d.Term, "others": others, "index": s.machine.state().View.Index,
+		"database": d.Name, "target": d.Primary, "term": d.Term, "others": others,
+		"milliseconds": deadline.Sub(now).Milliseconds(), "index": s.machine.state().View.Index,
 	})
 }
--- a/control/registry.go
+++ b/control/registry.go
@@ -109,7 +109,7 @@
 
 // recordDeparture records that the target's present incarnation has left.
 func (e *editor) recordDeparture(t jacinthtiller.Target) {
-	list := append(slices.Clone(e.s.Departed), targetIncarnation{Target: t.Name, StartedMilliseconds: t.StartedMilliseconds})
+	list := append(slices.Clone(e.s.Departed), incarnationOf(t))
 	e.s.Departed = list[max(0, len(list)-maxDeparted):]
 }
 
--- a/control/replacement.go
+++ b/control/replacement.go
@@ -75,12 +75,16 @@
 }
 
 // replacementCause decides whether the primary of a direct group has to be replaced. hosts is how many hosts hold a
-// lease and connect to the primary directly.
-func replacementCause(d jacinthtiller.Database, e *evidence, hosts int, now time.Time) cause {
+// lease and connect to the primary directly, and leaveDeadline until when the primary may stay in service although it is
+// leaving.
+func replacementCause(d jacinthtiller.Database, e *evidence, hosts int, leaveDeadline, now time.Time) cause {
 	t, ok := d.Targets[d.Primary]
 	if !ok {
 		return causeDeparted
 	}
+	if t.State == jacinthtiller.StateLeaving && !now.Before(leaveDeadline) {
+		return causeLeaving
+	}
 	replaceable := slices.ContainsFunc(d.TargetNames(), func(n string) bool {
 		return n != d.Primary && d.Targets[n].State == jacinthtiller.StateServing
 	})
--- a/control/reports.go
+++ b/control/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
 )
@@ -26,6 +27,7 @@
 		return nil
 	}
 	s.metrics.targetReports.Add(ctx, 1, outcomeNew)
+	s.direct.setLeaveDeadline(r, time.Now().Add(time.Duration(s.leaveMilliseconds)*time.Millisecond-leaveMargin))
 	if err := s.recorder.record(ctx, r); err != nil {
 		return s.asNotLeadingError(err)
 	}
@@ -49,6 +51,7 @@
 		if !d.Direct || !ok {
 			continue
 		}
+		s.direct.forgetLeaveDeadline(t)
 		c := delistCommand{Target: target, StartedMilliseconds: t.StartedMilliseconds}
 		if _, err := s.propose(ctx, Command{Delist: &c}); err != nil {
 			return s.asNotLeadingError(err)
--- a/control/server.go
+++ b/control/server.go
@@ -77,6 +77,9 @@
 	LeaseHolder string
 	// Domain and Region are the location of the process; clients prefer a near one.
 	Domain, Region string
+	// LeaveMilliseconds is how long after its report a leaving target of a direct group may get work; 0 means
+	// DefaultLeaveMilliseconds.
+	LeaveMilliseconds int
 	// Inspector and Promoter are required for direct groups.
 	Inspector jacinthtiller.Inspector
 	Promoter  jacinthtiller.Promoter
@@ -98,10 +101,12 @@
 	// changingMembers is true while a change of the members is in progress.
 	changingMembers atomic.Bool
 	voters          int
-	leaseHolder     string
-	domain, region  string
-	forwarder       *forwarder
-	recorder        *recorder
+	// leaveMilliseconds is Config.LeaveMilliseconds.
+	leaveMilliseconds int
+	leaseHolder       string
+	domain, region    string
+	forwarder         *forwarder
+	recorder          *recorder
 	// inspectLimiter limits the rate at which the leader inspects targets.
 	inspectLimiter *rate.Limiter
 	inspector      jacinthtiller.Inspector
@@ -164,7 +169,7 @@
 	s := &Server{
 		name: c.Name, urls: maps.Clone(c.Members), events: c.Events, operators: c.Operators, peers: c.Peers,
 		machine: newMachine(c.Events), metrics: m, wg: conc.NewWaitGroup(),
-		managesMembers: c.ManagesMembers, voters: c.Voters, leaseHolder: c.LeaseHolder, domain: c.Domain, region: c.Region, inspector: c.Inspector, promoter: c.Promoter,
+		managesMembers: c.ManagesMembers, voters: c.Voters, leaveMilliseconds: c.LeaveMilliseconds, leaseHolder: c.LeaseHolder, domain: c.Domain, region: c.Region, inspector: c.Inspector, promoter: c.Promoter,
 		direct: newDirectState(), inspectLimiter: rate.NewLimiter(inspectRate, inspectBurst), client: c.Client, startedAt: time.Now(), leaderChanged: make(chan struct{}),
 	}
 	if s.voters == 0 {
@@ -173,6 +178,9 @@
 	if s.leaseHolder == "" {
 		s.leaseHolder = s.name
 	}
+	if s.leaveMilliseconds == 0 {
+		s.leaveMilliseconds = DefaultLeaveMilliseconds
+	}
 	if s.client == nil {
 		s.client = wire.NewHTTPClient()
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -38,6 +38,10 @@
 	StartedMilliseconds int64  `cbor:"born-milliseconds"`
 }
 
+func incarnationOf(t jacinthtiller.Target) targetIncarnation {
+	return targetIncarnation{Target: t.Name, StartedMilliseconds: t.StartedMilliseconds}
+}
+
 // announced is the replicated part of a target's announcement.
 type announced struct {
 	Role     jacinthtiller.Role     `cbor:"role"`
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -226,6 +226,7 @@
 		Name: p.settings.Name, Dir: p.settings.DataDir, Members: p.settings.Control, Bootstrap: p.settings.Bootstrap,
 		Peers: wire.NewHostPeers(client), Events: p.events, Operators: operators, Client: client,
 		Domain: p.settings.Domain, Region: p.settings.Region,
+		LeaveMilliseconds: max(1, p.settings.LeaveMilliseconds),
 	}
 	if len(p.settings.Seeds) > 0 {
 		config.ManagesMembers, config.Voters = true, 2*p.settings.Tolerate+1
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -14,6 +14,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/sirupsen/logrus"
+
+	"github.com/jacinthtiller/jacinthtiller/control"
 )
 
 // EnvPrefix is the prefix of environment variables that set flags.
@@ -60,6 +62,8 @@
 	// LogFormat is text or json.
 	LogFormat string
 	TraceFile string
+	// LeaveMilliseconds is how long after its report a leaving target of a direct group may get work, 0 to 600000.
+	LeaveMilliseconds int
 	// DrainMilliseconds bounds a graceful stop, 0 to 600000.
 	DrainMilliseconds int
 	// TLS files; a certificate and its key are given together.
@@ -145,6 +149,8 @@
 	fs.StringVar(&s.LogFormat, "log-format", "text", "text or json")
 	fs.StringVar(&s.TraceFile, "trace-file", "", "file to which every event is written as JSON lines")
 	fs.IntVar(&s.DrainMilliseconds, "drain-milliseconds", 30000, "bound of a graceful stop in milliseconds, 0 to 600000")
+	fs.IntVar(&s.LeaveMilliseconds, "leave-milliseconds", control.DefaultLeaveMilliseconds,
+		"time after its report in which a leaving target of a direct group may get work, 0 to 600000 (control role)")
 	fs.StringVar(&s.GuestCertFile, "guest-cert-file", "", "certificate for guests")
 	fs.StringVar(&s.GuestKeyFile, "guest-key-file", "", "key of the certificate for guests")
 	fs.StringVar(&s.PeerCertFile, "peer-cert-file", "", "certificate between processes")
@@ -243,6 +249,7 @@
 	for name, v := range map[string][3]int{
 		"slots": {s.Slots, 1, 1000}, "connections": {s.Connections, 4, 1000},
 		"queue-capacity": {s.QueueCapacity, 1, 1000000}, "drain-milliseconds": {s.DrainMilliseconds, 0, 600000},
+		"leave-milliseconds": {s.LeaveMilliseconds, 0, 600000},
 	} {
 		if v[0] < v[1] || v[0] > v[2] {
 			addFault("--%s=%d is not between %d and %d", name, v[0], v[1], v[2])
--- a/event/control.go
+++ b/event/control.go
@@ -81,5 +81,5 @@
 	ControlOverloadAssessed = register(2037, "control-overload-assessed", logrus.InfoLevel,
 		"The targets of a group that hosts report as overloaded were inspected; the fields give the evidence and whether the primary changes.")
 	ControlPrimaryKept = register(2038, "control-primary-kept", logrus.WarnLevel,
-		"A primary that is leaving stays in service, because no other target of its group can take over; the fields give the states of the others.")
+		"A primary that is leaving stays in service, because no other target of its group can take over; the fields give the states of the others and for how long it stays.")
 )
