pool: refuse requests that wait for a target which begins to leave

Callers saw: with a long route timeout a request waits in the queue of a target that has begun to leave and reaches it seconds later, although other targets could run it. Cause: only the choice of a target looked at its state; what was queued before stayed queued, also at a gateway for other hosts. Change: a view that takes a target out of service drains its gate, which refuses what waits as not run; a primary that leaves counts as in service until it is suspended. The cause in logs is leaving, and the refusal does not count as overload.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -138,9 +138,15 @@
 		if !t.upToDate(spec, connections) || hostsChanged && !p.placement.SameGateways(previous, spec, connections) {
 			t.update(spec, connections, p.placement.Gateways(spec, connections))
 		}
+		t.setInService(p.inService(spec))
 	}
 }
 
+// inService reports whether the view lets the target take new work.
+func (p *Pool) inService(spec jacinthtiller.Target) bool {
+	return spec.State != jacinthtiller.StateLeaving || p.view.Databases[spec.Database].Primary == spec.Name
+}
+
 // specOf returns the target that has the key in the current view.
 func (p *Pool) specOf(k targetKey) (jacinthtiller.Target, bool) {
 	d := p.view.Databases[k.database]
@@ -187,6 +193,7 @@
 	t := p.newTarget(spec, p.warmupUntil[k])
 	connections := p.connections(spec.Database)
 	t.update(spec, connections, p.placement.Gateways(spec, connections))
+	t.setInService(p.inService(spec))
 	p.targets[k] = t
 	return t
 }
--- a/pool/target.go
+++ b/pool/target.go
@@ -47,6 +47,8 @@
 
 	mu   sync.Mutex // guards the fields below
 	spec jacinthtiller.Target
+	// inService is false for a target that is leaving, except for a primary that has not been replaced.
+	inService bool
 	// connections is the target's connection limit over all hosts; 0 until the first update.
 	connections int
 	// direct is true when this host is a gateway of the target.
@@ -82,7 +84,7 @@
 // newTarget returns a target that warms up until warmupUntil; the zero time means that it is warm.
 func (p *Pool) newTarget(spec jacinthtiller.Target, warmupUntil time.Time) *Target {
 	t := &Target{
-		p: p, database: spec.Database, name: spec.Name, spec: spec, directPath: &path{}, warmupUntil: warmupUntil,
+		p: p, database: spec.Database, name: spec.Name, spec: spec, directPath: &path{}, warmupUntil: warmupUntil, inService: true,
 		gate: admission.NewGate(
 			admission.WithCapacity(queueCapacity), admission.WithEarlyRejection(), admission.WithStatementsFirst(),
 			admission.WithTransactionOverflow(),
@@ -100,6 +102,22 @@
 	return t.connections == connections && t.spec == spec
 }
 
+// setInService starts or stops new work at the target. Requests that wait in its queue are refused when it stops, so that
+// they can run elsewhere; open transactions go on.
+func (t *Target) setInService(inService bool) {
+	t.mu.Lock()
+	changed := t.inService != inService
+	t.inService = inService
+	t.mu.Unlock()
+	switch {
+	case !changed:
+	case inService:
+		t.gate.Undrain()
+	default:
+		t.gate.Drain()
+	}
+}
+
 // update sets the spec, limits and relay paths. Gateways are those of the target.
 func (t *Target) update(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host) {
 	slots := spec.Slots
--- a/statement/attempt.go
+++ b/statement/attempt.go
@@ -35,10 +35,16 @@
 	var failure *jacinthtiller.TargetError
 	var notAdmitted *jacinthtiller.Error
 	var notSent *jacinthtiller.NotSentError
-	return errors.As(err, &failure) && failure.Code.ProvesNoEffect() || errors.As(err, &notAdmitted) ||
+	return errors.As(err, &failure) && failure.Code.ProvesNoEffect() || errors.As(err, &notAdmitted) && !isDraining(err) ||
 		errors.As(err, &notSent) && !notSent.TargetUnreachable
 }
 
+// isDraining reports whether err says that a target takes no new work because it is leaving.
+func isDraining(err error) bool {
+	var notAdmitted *jacinthtiller.Error
+	return errors.As(err, &notAdmitted) && notAdmitted.Reason == jacinthtiller.ReasonDraining
+}
+
 // isQueueFull reports whether err says that the queue of a target is too long for the request to be admitted in time.
 func isQueueFull(err error) bool {
 	var notAdmitted *jacinthtiller.Error
--- a/statement/cause.go
+++ b/statement/cause.go
@@ -17,6 +17,7 @@
 	causeNoLease     failureCause = "no-lease"     // the host has lost touch with control
 	causeNoPrimary   failureCause = "no-primary"   // the primary is being replaced
 	causeReplaced    failureCause = "replaced"     // the primary was replaced while it worked on the request
+	causeLeaving     failureCause = "leaving"      // the target takes no new work because it is leaving
 	causeUnreachable failureCause = "unreachable"  // no target could be reached
 	causeBehind      failureCause = "behind"       // the targets with capacity were behind for too long
 	causeQueueFull   failureCause = "queue-full"   // the queue was too long, so that the request was refused at once
@@ -50,6 +51,8 @@
 	switch {
 	case errors.Is(err, errReplaced):
 		o.cause = causeReplaced
+	case isDraining(err):
+		o.cause = causeLeaving
 	case o.queueFull:
 		o.cause = causeQueueFull
 	case errors.As(err, &failure) && failure.Code == jacinthtiller.ErrorCodeBehind:
