statement: read from a leaving primary while no other target can serve

Cause: the choice of a target leaves out all that are leaving, also when there is no other. Change: a read whose choice is empty goes to the leaving primary, under the host's lease, as writes do; other targets that serve still come first.

--- a/statement/destination.go
+++ b/statement/destination.go
@@ -94,7 +94,11 @@
 	r := pool.ReadRequirements{After: after.Position, AfterReachedAt: at.Add(after.At.Sub(now())), Tried: tried, PrimaryCostMicroseconds: primaryCostMicroseconds}
 	t, wait := n.s.pool.Choose(d, r, at)
 	if t == nil {
-		return destination{}, false
+		// A primary that leaves is in service until control suspends it, which only a host with a lease learns of in time.
+		if !hasPrimary || p.spec.State != jacinthtiller.StateLeaving || slices.Contains(tried, p.target) || !p.target.Usable(at) {
+			return destination{}, false
+		}
+		t = p.target
 	}
 	dst := destination{target: t, after: after.Position}
 	if wait > 0 {
