statement: refuse at once when all targets of a database have left

Callers saw: once the last target of a group was out of service, each request was held for its whole timeout, three times, and failed at the client's own deadline. Cause: requests without a destination wait for a primary or a target, also when the view shows that there is none to wait for. Change: under a lease, a request for a group without a primary whose targets have all left or are leaving is refused as not run, with a time to come back.

--- a/statement/destination.go
+++ b/statement/destination.go
@@ -110,6 +110,24 @@
 	return dst, true
 }
 
+// noTargetLeft reports whether the host knows that no target of a database can run requests: the group has no primary, and
+// all its targets have left or are leaving. A host without a lease may have missed a new target.
+func (s *Server) noTargetLeft(database string) bool {
+	d, ok := s.view.Load().Databases[database]
+	if !ok || !d.Direct || d.Primary != "" || !s.lease.Load().Valid(now()) {
+		return false
+	}
+	for _, t := range d.Targets {
+		if t.State != jacinthtiller.StateLeaving {
+			return false
+		}
+	}
+	return true
+}
+
+// outcomeNoTargetLeft is the outcome of a request for a database without targets.
+var outcomeNoTargetLeft = outcome{reason: "all targets of the database have left or are leaving", cause: causeLeaving}
+
 // positionQueryTimeout is how long reads that any target could serve wait for an answer from the primary that gives the
 // position replicas need. It is several round trips between regions and a short wait for a slot.
 const positionQueryTimeout = 150 * time.Millisecond
--- a/statement/primary.go
+++ b/statement/primary.go
@@ -65,14 +65,14 @@
 	}
 }
 
-// awaitPrimary waits for a primary until the deadline, or until the host is isolated.
+// awaitPrimary waits for a primary until the deadline, or until the host is isolated or no target is left.
 func (s *Server) awaitPrimary(database string, deadline time.Time) (primary, bool) {
 	for {
 		changed := s.changeSignal()
 		if p, ok := s.currentPrimary(database); ok {
 			return p, true
 		}
-		if s.Isolated() || !s.waitForChange(changed, deadline) {
+		if s.Isolated() || s.noTargetLeft(database) || !s.waitForChange(changed, deadline) {
 			return primary{}, false
 		}
 	}
--- a/statement/read.go
+++ b/statement/read.go
@@ -18,6 +18,10 @@
 		changed := n.s.changeSignal()
 		dst, ok := n.findDestination(q.route, arrived, tried)
 		if !ok {
+			if n.s.noTargetLeft(q.route.Database) {
+				q.last = outcomeNoTargetLeft
+				return n.failUnserved(q, mayHaveRun)
+			}
 			n.s.extendIfHeld(q)
 			// Targets that refused may accept the request a little later, and a new primary may be elected.
 			tried = nil
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -88,6 +88,10 @@
 		changed := n.s.changeSignal()
 		dst, ok := n.findBeginDestination(arrived, tried)
 		if !ok {
+			if n.s.noTargetLeft(q.route.Database) {
+				q.last = outcomeNoTargetLeft
+				return false
+			}
 			n.s.extendIfHeld(q)
 			tried = nil
 			if q.admissionExpired() || n.s.Isolated() || !n.s.waitForRetry(changed, q.deadline) {
--- a/statement/write.go
+++ b/statement/write.go
@@ -12,6 +12,9 @@
 		waitStart, hold := time.Now(), n.s.holdCause(q.route.Database)
 		p, ok := n.s.awaitPrimary(q.route.Database, q.deadline)
 		if !ok {
+			if n.s.noTargetLeft(q.route.Database) {
+				q.last = outcomeNoTargetLeft
+			}
 			return n.refuse(q)
 		}
 		if time.Since(waitStart) > minHold {
