control: keep a leaving primary until a successor answers

Callers saw: a primary that leaves went out of service at once although its only replica was lost, so that its database served nothing for as long as the primary could still have served. Cause: the decision looked at the recorded states of the other targets, not at whether one of them answers. Change: the leader inspects the other targets first and suspends the primary only if one of them can take over, or when the time to leave is over. Ruled out: putting the primary back after a failed change, which would suspend it again and again.

--- a/control/direct.go
+++ b/control/direct.go
@@ -37,6 +37,8 @@
 	// inspecting holds the databases whose primary is being inspected, and failingOver those for which a primary is
 	// being sought.
 	inspecting, failingOver map[string]bool
+	// preparing holds the databases whose leaving primary waits for a successor.
+	preparing map[string]bool
 	// incarnations and newestSequences hold the newest report of each target's incarnation.
 	incarnations    map[string]targetIncarnation
 	newestSequences map[string]uint64
@@ -60,7 +62,7 @@
 
 func newDirectState() *directState {
 	return &directState{
-		evidence: map[string]*evidence{}, inspecting: map[string]bool{}, failingOver: map[string]bool{},
+		evidence: map[string]*evidence{}, inspecting: map[string]bool{}, failingOver: map[string]bool{}, preparing: map[string]bool{},
 		incarnations: map[string]targetIncarnation{}, newestSequences: map[string]uint64{}, causes: map[string]cause{},
 		overloads: map[string]*overload{}, relieving: map[string]bool{}, relievedAt: map[string]time.Time{},
 		leaveDeadlines: map[targetIncarnation]time.Time{}, kept: map[string]targetIncarnation{}, suspendedAt: map[string]time.Time{}, changeMilliseconds: assumedChangeMilliseconds,
@@ -182,32 +184,43 @@
 	hosts := s.gatewaysWithLease(d, now)
 	x := s.direct
 	x.mu.Lock()
-	e := x.evidence[d.Name]
-	replaceCause := replacementCause(d, e, hosts, x.leaveDeadlines[incarnationOf(d.Targets[d.Primary])], now)
+	e, leaveDeadline := x.evidence[d.Name], x.leaveDeadlines[incarnationOf(d.Targets[d.Primary])]
+	replaceCause := replacementCause(d, e, hosts, leaveDeadline, now)
 	suspected := e != nil && e.target == d.Primary && e.suspectingHosts(now) > 0
-	reportsReplica := d.Targets[d.Primary].Role == jacinthtiller.RoleReplica
-	var f event.Fields
-	if replaceCause != causeNone {
-		x.causes[d.Name] = replaceCause
-		f = event.Fields{"database": d.Name, "target": d.Primary, "term": d.Term, "cause": string(replaceCause), "hosts": hosts}
-		if e != nil {
-			f["suspecting"], f["refusals"], f["silences"] = e.suspectingHosts(now), e.refusals, e.timeouts
+	x.mu.Unlock()
+	if replaceCause == causeLeaving && now.Before(leaveDeadline) {
+		if s.startTask(x.preparing, d.Name) {
+			s.runAsync(wg, "look for the successor of a leaving primary", func() { s.prepareChange(ctx, d) })
 		}
-		delete(x.evidence, d.Name)
+		return
 	}
-	x.mu.Unlock()
 	if replaceCause != causeNone {
-		s.events.Emit(event.ControlPrimaryAssessed, f)
-		s.suspendPrimary(ctx, d)
+		s.replacePrimary(ctx, d, replaceCause, hosts, now)
 		return
 	}
 	s.reportKept(d, now)
 	s.checkOverload(ctx, wg, d, now)
+	reportsReplica := d.Targets[d.Primary].Role == jacinthtiller.RoleReplica
 	if (suspected || reportsReplica) && s.startTask(x.inspecting, d.Name) {
 		s.runAsync(wg, "inspect a suspected primary", func() { s.inspectPrimary(ctx, d) })
 	}
 }
 
+// replacePrimary takes a primary out of service for the cause, so that another target is sought.
+func (s *Server) replacePrimary(ctx context.Context, d jacinthtiller.Database, c cause, hosts int, now time.Time) {
+	x := s.direct
+	x.mu.Lock()
+	f := event.Fields{"database": d.Name, "target": d.Primary, "term": d.Term, "cause": string(c), "hosts": hosts}
+	if e := x.evidence[d.Name]; e != nil {
+		f["suspecting"], f["refusals"], f["silences"] = e.suspectingHosts(now), e.refusals, e.timeouts
+	}
+	x.causes[d.Name] = c
+	delete(x.evidence, d.Name)
+	x.mu.Unlock()
+	s.events.Emit(event.ControlPrimaryAssessed, f)
+	s.suspendPrimary(ctx, d)
+}
+
 // suspendPrimary takes a primary out of service.
 func (s *Server) suspendPrimary(ctx context.Context, d jacinthtiller.Database) {
 	s.direct.mu.Lock()
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -34,6 +35,33 @@
 	delete(x.leaveDeadlines, incarnationOf(t))
 }
 
+// prepareChange inspects the other targets of a group once, and takes its leaving primary out of service if one of them can
+// take over. Until then the primary serves on.
+func (s *Server) prepareChange(ctx context.Context, d jacinthtiller.Database) {
+	defer s.finishTask(s.direct.preparing, d.Name)
+	var others []jacinthtiller.Target
+	for _, n := range d.TargetNames() {
+		if n != d.Primary {
+			others = append(others, d.Targets[n])
+		}
+	}
+	v := s.inspectTargets(ctx, d, others)
+	now := time.Now()
+	view := s.machine.state().View
+	if latest := view.Databases[d.Name]; ctx.Err() != nil || latest.Primary != d.Primary || latest.Term != d.Term {
+		return
+	}
+	suspended := d
+	suspended.FormerPrimary = d.Primary
+	e := view.Edition
+	if v.successor(suspended, nil, now) == "" || e != nil && !v.complete(suspended, e.Groups[d.Name]) {
+		s.reportKept(d, now)
+		s.sleep(suspectInspectPause)
+		return
+	}
+	s.replacePrimary(ctx, d, causeLeaving, 0, now)
+}
+
 // reportKept reports once for each incarnation that a leaving primary stays in service.
 func (s *Server) reportKept(d jacinthtiller.Database, now time.Time) {
 	t := d.Targets[d.Primary]
--- a/control/leaving_test.go
+++ b/control/leaving_test.go
@@ -90,3 +90,48 @@
 		}
 	})
 }
+
+// TestLeavingWithoutSuccessor guards against a primary that leaves and goes out of service at once although no other target
+// answers: its group then serves nothing, while it could go on to the end of its time.
+func TestLeavingWithoutSuccessor(t *testing.T) {
+	cases := map[string]struct {
+		// silent is how long the other target answers nothing.
+		silent           time.Duration
+		primary          string
+		earliest, latest time.Duration
+	}{
+		"the other target answers":            {0, "b", 0, time.Second},
+		"the other target is lost":            {time.Hour, "", minLeaveService, leaveLimit - hostReaction},
+		"the other target answers after 1 s":  {time.Second, "b", time.Second, 2 * time.Second},
+		"the other target answers after 10 s": {10 * time.Second, "b", minLeaveService, leaveLimit - hostReaction},
+	}
+	convey.Convey("The primary of a group of two reports that it leaves, in virtual time", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var served time.Duration
+				var primary string
+				synctest.Test(t, func(t *testing.T) {
+					l := &laggingPlatform{promotionMilliseconds: 300, lagMilliseconds: func(time.Time) int64 { return 0 }}
+					s := newLaggingServer(t, l, leavingGroup("a", "b"))
+					defer func() { _ = s.Close() }()
+					time.Sleep(time.Second)
+					reported := time.Now()
+					l.mu.Lock()
+					l.silentUntil = map[string]time.Time{"b": reported.Add(c.silent)}
+					l.mu.Unlock()
+					leaving := targetReport("a", "db", directGroup().Targets["a"].Address, 0, 1)
+					leaving.State = jacinthtiller.StateLeaving
+					_ = s.Report(context.Background(), leaving)
+					for at := reported; at.Sub(reported) < 20*time.Second; at = time.Now() {
+						if primary = s.machine.state().View.Databases["db"].Primary; primary == "a" {
+							served = at.Sub(reported)
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
+				})
+				convey.So(primary, convey.ShouldEqual, c.primary)
+				convey.So(served, convey.ShouldBeBetweenOrEqual, c.earliest, c.latest)
+			})
+		}
+	})
+}
--- a/control/overload_test.go
+++ b/control/overload_test.go
@@ -32,6 +32,8 @@
 	stopAtChange, goneAtChange  bool
 	stopsReceiving, primaryGone time.Time
 	received                    uint64
+	// silentUntil is until when a replica answers nothing; zero for one that answers.
+	silentUntil map[string]time.Time
 	// leadsAt is when a target with an accepted order begins to lead, promotionMilliseconds after it.
 	leadsAt               map[string]time.Time
 	promotionMilliseconds int64
@@ -73,6 +75,9 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.advance(now)
+	if now.Before(l.silentUntil[t.Name]) {
+		return jacinthtiller.TargetStatus{}, syscall.ETIMEDOUT
+	}
 	if t.Name == l.primary {
 		if !l.primaryGone.IsZero() && !now.Before(l.primaryGone) && l.term == 3 {
 			return jacinthtiller.TargetStatus{}, syscall.ETIMEDOUT
