e2e: run the tests again when a program has changed

Cause: go test caches a result by the test's binary, which holds only the parts of the product that the test calls. A control process that never reopened its log passed from the cache. Change: the tests look at all sources, which makes them inputs of the cached result. Measured: with the reopening taken out of control/reopen.go, TestFullDisks was reported as passed (cached) before and fails now.

--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"io/fs"
 	"maps"
 	"net"
 	"net/http"
@@ -87,6 +88,9 @@
 	if err != nil {
 		return "", err
 	}
+	if err := statSources(); err != nil {
+		return "", err
+	}
 	out, err := exec.Command("go", "build", "-o", dir, "../cmd/jacinthd", "../cmd/jacinth-standin").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build the programs: %w: %s", err, out)
@@ -94,6 +98,22 @@
 	return dir, nil
 })
 
+// statSources looks at all sources of the programs, so that go test does not repeat a cached result after a change of the
+// programs: the test's own binary holds only a part of them.
+func statSources() error {
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || filepath.Ext(path) != ".go" {
+			return err
+		}
+		_, err = os.Stat(path)
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("look at the sources: %w", err)
+	}
+	return nil
+}
+
 // startControlOnly starts the control processes alone and applies the document.
 func startControlOnly(t testing.TB) *installation {
 	bin, err := buildPrograms()
