control, statement: hold the new tests' times in milliseconds

Cause: TestStyle forbids durations in fields of structs. Change: fields of the two test tables; no limit changed. Measured: go test . ./statement and the tests concerned in ./control pass.

--- a/control/leaving_test.go
+++ b/control/leaving_test.go
@@ -12,13 +12,12 @@
 )
 
 const (
-	// leaveLimit is how long after the acknowledgement of its report a target may get work.
-	leaveLimit = 7 * time.Second
-	// hostReaction is how long a host may go on after the primary is out of service: it renews its lease for at most a
-	// second without a new view, and the lease lasts Lease.
-	hostReaction = time.Second + Lease + ClockRateBound
-	// minLeaveService is how long callers get answers from a group's last target at least.
-	minLeaveService = 2 * time.Second
+	// latestSuspension is when a leaving primary must be out of service, in milliseconds after its report. A target may get
+	// work for 7 s after the acknowledgement, and a host may go on for a while after the suspension: it renews its lease for at
+	// most a second without a new view, and the lease lasts Lease.
+	latestSuspension = int64((7*time.Second - time.Second - Lease - ClockRateBound) / time.Millisecond)
+	// minLeaveService is how long callers get answers from a group's last target at least, in milliseconds.
+	minLeaveService = 2000
 )
 
 // leavingGroup returns the group with only the named targets, of which a leads.
@@ -39,23 +38,23 @@
 	cases := map[string]struct {
 		// recorded is true when the report was recorded under an earlier leader.
 		recorded bool
-		// joinsAfter is when another target reports itself; zero for never.
-		joinsAfter time.Duration
+		// joinsAfterMilliseconds is when another target reports itself; zero for never.
+		joinsAfterMilliseconds int64
 		// primary is the expected primary 20 s after the report.
 		primary string
-		// earliest and latest bound when a goes out of service after the report.
-		earliest, latest time.Duration
+		// earliestMilliseconds and latestMilliseconds bound when a goes out of service after the report.
+		earliestMilliseconds, latestMilliseconds int64
 	}{
-		"the only target leaves":                   {earliest: minLeaveService, latest: leaveLimit - hostReaction},
-		"its report was acknowledged by another":   {recorded: true, latest: time.Second},
-		"another target joins 1 s later":           {joinsAfter: time.Second, primary: "b", earliest: time.Second, latest: 2 * time.Second},
-		"another target joins when it is too late": {joinsAfter: 10 * time.Second, primary: "b", earliest: minLeaveService, latest: leaveLimit - hostReaction},
+		"the only target leaves":                   {earliestMilliseconds: minLeaveService, latestMilliseconds: latestSuspension},
+		"its report was acknowledged by another":   {recorded: true, latestMilliseconds: 1000},
+		"another target joins 1 s later":           {joinsAfterMilliseconds: 1000, primary: "b", earliestMilliseconds: 1000, latestMilliseconds: 2000},
+		"another target joins when it is too late": {joinsAfterMilliseconds: 10_000, primary: "b", earliestMilliseconds: minLeaveService, latestMilliseconds: latestSuspension},
 	}
 	convey.Convey("The primary of a group reports that it leaves, in virtual time", t, func() {
 		for name, c := range cases {
 			convey.Convey(name, func() {
 				var reportErr error
-				var served time.Duration
+				var served int64
 				var primary string
 				synctest.Test(t, func(t *testing.T) {
 					d := leavingGroup("a")
@@ -74,9 +73,9 @@
 					reported := time.Now()
 					for at := reported; at.Sub(reported) < 20*time.Second; at = time.Now() {
 						if primary = s.machine.state().View.Databases["db"].Primary; primary == "a" {
-							served = at.Sub(reported)
+							served = at.Sub(reported).Milliseconds()
 						}
-						if c.joinsAfter > 0 && at.Sub(reported) == c.joinsAfter {
+						if c.joinsAfterMilliseconds > 0 && at.Sub(reported).Milliseconds() == c.joinsAfterMilliseconds {
 							b := directGroup().Targets["b"]
 							_ = s.Report(context.Background(), targetReport("b", "db", b.Address, 50, 1))
 						}
@@ -85,7 +84,7 @@
 				})
 				convey.So(reportErr, convey.ShouldBeNil)
 				convey.So(primary, convey.ShouldEqual, c.primary)
-				convey.So(served, convey.ShouldBeBetweenOrEqual, c.earliest, c.latest)
+				convey.So(served, convey.ShouldBeBetweenOrEqual, c.earliestMilliseconds, c.latestMilliseconds)
 			})
 		}
 	})
@@ -95,20 +94,21 @@
 // answers: its group then serves nothing, while it could go on to the end of its time.
 func TestLeavingWithoutSuccessor(t *testing.T) {
 	cases := map[string]struct {
-		// silent is how long the other target answers nothing.
-		silent           time.Duration
-		primary          string
-		earliest, latest time.Duration
+		// silentMilliseconds is how long the other target answers nothing.
+		silentMilliseconds int64
+		primary            string
+		// earliestMilliseconds and latestMilliseconds bound when a goes out of service after the report.
+		earliestMilliseconds, latestMilliseconds int64
 	}{
-		"the other target answers":            {0, "b", 0, time.Second},
-		"the other target is lost":            {time.Hour, "", minLeaveService, leaveLimit - hostReaction},
-		"the other target answers after 1 s":  {time.Second, "b", time.Second, 2 * time.Second},
-		"the other target answers after 10 s": {10 * time.Second, "b", minLeaveService, leaveLimit - hostReaction},
+		"the other target answers":            {0, "b", 0, 1000},
+		"the other target is lost":            {3_600_000, "", minLeaveService, latestSuspension},
+		"the other target answers after 1 s":  {1000, "b", 1000, 2000},
+		"the other target answers after 10 s": {10_000, "b", minLeaveService, latestSuspension},
 	}
 	convey.Convey("The primary of a group of two reports that it leaves, in virtual time", t, func() {
 		for name, c := range cases {
 			convey.Convey(name, func() {
-				var served time.Duration
+				var served int64
 				var primary string
 				synctest.Test(t, func(t *testing.T) {
 					l := &laggingPlatform{promotionMilliseconds: 300, lagMilliseconds: func(time.Time) int64 { return 0 }}
@@ -117,20 +117,20 @@
 					time.Sleep(time.Second)
 					reported := time.Now()
 					l.mu.Lock()
-					l.silentUntil = map[string]time.Time{"b": reported.Add(c.silent)}
+					l.silentUntil = map[string]time.Time{"b": reported.Add(time.Duration(c.silentMilliseconds) * time.Millisecond)}
 					l.mu.Unlock()
 					leaving := targetReport("a", "db", directGroup().Targets["a"].Address, 0, 1)
 					leaving.State = jacinthtiller.StateLeaving
 					_ = s.Report(context.Background(), leaving)
 					for at := reported; at.Sub(reported) < 20*time.Second; at = time.Now() {
 						if primary = s.machine.state().View.Databases["db"].Primary; primary == "a" {
-							served = at.Sub(reported)
+							served = at.Sub(reported).Milliseconds()
 						}
 						time.Sleep(10 * time.Millisecond)
 					}
 				})
 				convey.So(primary, convey.ShouldEqual, c.primary)
-				convey.So(served, convey.ShouldBeBetweenOrEqual, c.earliest, c.latest)
+				convey.So(served, convey.ShouldBeBetweenOrEqual, c.earliestMilliseconds, c.latestMilliseconds)
 			})
 		}
 	})
--- a/statement/leaving_test.go
+++ b/statement/leaving_test.go
@@ -30,18 +30,19 @@
 	cases := map[string]struct {
 		states map[string]jacinthtiller.TargetState
 		down   map[string]bool
-		lease  time.Duration
-		class  jacinthtiller.ReadClass
-		want   string
+		// leaseMilliseconds is how long the host holds its lease.
+		leaseMilliseconds int64
+		class             jacinthtiller.ReadClass
+		want              string
 		// target is the one that runs the read; empty for none.
 		target string
 	}{
-		"it is the only target, bounded read":  {map[string]jacinthtiller.TargetState{"a": leaving}, nil, time.Minute, jacinthtiller.ClassBounded, "passed I", "a"},
-		"it is the only target, session read":  {map[string]jacinthtiller.TargetState{"a": leaving}, nil, time.Minute, jacinthtiller.ClassSession, "passed I", "a"},
-		"the replicas leave, too":              {map[string]jacinthtiller.TargetState{"a": leaving, "b": leaving}, nil, time.Minute, jacinthtiller.ClassBounded, "passed I", "a"},
-		"the replica that stays is down":       {map[string]jacinthtiller.TargetState{"a": leaving, "b": serving}, map[string]bool{"b": true}, time.Minute, jacinthtiller.ClassBounded, "passed I", "a"},
-		"a replica stays":                      {map[string]jacinthtiller.TargetState{"a": leaving, "b": serving}, nil, time.Minute, jacinthtiller.ClassBounded, "passed I", "b"},
-		"it is the only target, without lease": {map[string]jacinthtiller.TargetState{"a": leaving}, nil, -time.Second, jacinthtiller.ClassBounded, "busy I", ""},
+		"it is the only target, bounded read":  {map[string]jacinthtiller.TargetState{"a": leaving}, nil, 60_000, jacinthtiller.ClassBounded, "passed I", "a"},
+		"it is the only target, session read":  {map[string]jacinthtiller.TargetState{"a": leaving}, nil, 60_000, jacinthtiller.ClassSession, "passed I", "a"},
+		"the replicas leave, too":              {map[string]jacinthtiller.TargetState{"a": leaving, "b": leaving}, nil, 60_000, jacinthtiller.ClassBounded, "passed I", "a"},
+		"the replica that stays is down":       {map[string]jacinthtiller.TargetState{"a": leaving, "b": serving}, map[string]bool{"b": true}, 60_000, jacinthtiller.ClassBounded, "passed I", "a"},
+		"a replica stays":                      {map[string]jacinthtiller.TargetState{"a": leaving, "b": serving}, nil, 60_000, jacinthtiller.ClassBounded, "passed I", "b"},
+		"it is the only target, without lease": {map[string]jacinthtiller.TargetState{"a": leaving}, nil, -1000, jacinthtiller.ClassBounded, "busy I", ""},
 	}
 	for name, c := range cases {
 		var got string
@@ -52,7 +53,7 @@
 			g.ask("READ 1") // tells the primary's position
 			ts.group.set(func() { ts.group.down = c.down })
 			ts.change(func(d jacinthtiller.Database) jacinthtiller.Database { return withStates(d, c.states) })
-			ts.lease(c.lease)
+			ts.lease(time.Duration(c.leaseMilliseconds) * time.Millisecond)
 			ts.group.log()
 			got = g.ask("READ 1")
 			log = ts.group.log()
