control, platform: refuse reports of targets with odd values

Callers saw: after one report of another writer under a target's name or at its address, with the greatest sequence or a start in the future, the target's own reports counted as older: they were acknowledged and changed nothing, also the one that it leaves, so that work went on reaching it. A port out of range put a target into the list that nobody can connect to. No process ended, and no host stopped following the list. Cause: numbers of a report were taken as they came, and later reports are ordered by two of them. Ruled out: that a host or control process fails by such an entry.

--- a/control/replacement_test.go
+++ b/control/replacement_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,9 +14,9 @@
 // directGroup returns a direct group of three serving targets led by a in term 3.
 func directGroup() jacinthtiller.Database {
 	d := jacinthtiller.Database{Name: "db", Direct: true, Term: 3, Primary: "a"}
-	for _, n := range []string{"a", "b", "c"} {
+	for i, n := range []string{"a", "b", "c"} {
 		d = d.WithTarget(jacinthtiller.Target{
-			Name: n, Database: "db", Address: "10.0.0.1:1" + n, State: jacinthtiller.StateServing, Role: jacinthtiller.RoleReplica,
+			Name: n, Database: "db", Address: fmt.Sprintf("10.0.0.1:%d", 10+i), State: jacinthtiller.StateServing, Role: jacinthtiller.RoleReplica,
 		})
 	}
 	return d
--- a/control/reports.go
+++ b/control/reports.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
 )
 
+// maxStartAhead is how far in the future the start in a report may be. The recorded start decides which reports are
+// outdated, so that one from a year to come would keep the target out of its group until then.
+const maxStartAhead = 24 * time.Hour
+
 // Report accepts the report of a target of a direct group. When it returns nil, all new information in the report is
 // durable. A follower accepts a report that repeats what is recorded, as nearly every report does; otherwise the leader
 // would receive the reports of hundreds of targets.
@@ -14,6 +19,9 @@
 	if err := r.Validate(); err != nil {
 		return &jacinthtiller.InvalidError{Err: err}
 	}
+	if start := time.UnixMilli(r.StartedMilliseconds); start.After(time.Now().Add(maxStartAhead)) {
+		return &jacinthtiller.InvalidError{Err: fmt.Errorf("report: the start %s is in the future", start.UTC())}
+	}
 	if err := s.requireLeader(); err != nil {
 		if s.follows() && s.machine.state().isRepeat(r) {
 			s.metrics.targetReports.Add(ctx, 1, outcomeRepeated)
--- a/direct.go
+++ b/direct.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -82,6 +83,18 @@
 	return nil
 }
 
+const (
+	// maxReportedSlots bounds the statements that a target runs concurrently.
+	maxReportedSlots = 100_000
+	// maxSequence is the greatest number that every JSON encoder writes exactly. A target that counts one report a
+	// millisecond gets there after 285,000 years.
+	maxSequence = 1 << 53
+	// maxStartedMilliseconds is the end of the year 9999.
+	maxStartedMilliseconds = 253_402_300_799_999
+	// maxWarmupMilliseconds bounds a warm-up; it is a day.
+	maxWarmupMilliseconds = 24 * 60 * 60 * 1000
+)
+
 // TargetReport is the state that a target of a direct group reports.
 type TargetReport struct {
 	Target   string `cbor:"target" json:"target"`
@@ -107,10 +120,22 @@
 			return fmt.Errorf("report: %s has %d bytes, not 1 to %d", name, len(value), maxNameBytes)
 		}
 	}
-	if _, _, err := net.SplitHostPort(r.Address); err != nil {
+	_, port, err := net.SplitHostPort(r.Address)
+	if err != nil {
 		return fmt.Errorf("report: address: %w", err)
 	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("report: port %q is not between 1 and 65535", port)
+	}
 	switch {
+	case r.Slots < 0 || r.Slots > maxReportedSlots:
+		return fmt.Errorf("report: %d slots are not between 0 and %d", r.Slots, maxReportedSlots)
+	case r.StartedMilliseconds < 0 || r.StartedMilliseconds > maxStartedMilliseconds:
+		return fmt.Errorf("report: start %d is not between 0 and %d", r.StartedMilliseconds, int64(maxStartedMilliseconds))
+	case r.Sequence > maxSequence:
+		return fmt.Errorf("report: sequence %d is above %d", r.Sequence, uint64(maxSequence))
+	case r.WarmupMilliseconds < 0 || r.WarmupMilliseconds > maxWarmupMilliseconds:
+		return fmt.Errorf("report: warm-up of %d ms is not between 0 and %d", r.WarmupMilliseconds, maxWarmupMilliseconds)
 	case r.Role != RolePrimary && r.Role != RoleReplica:
 		return fmt.Errorf("report: role %q is neither %s nor %s", r.Role, RolePrimary, RoleReplica)
 	case r.State != StateServing && r.State != StateLeaving:
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -288,3 +288,33 @@
 		convey.So(p.priorityClassOf("not in the view"), convey.ShouldEqual, p.priorityClassOf("least"))
 	})
 }
+
+// TestOddTarget guards against a target that gets no requests because a report recorded by an earlier version gives it a number
+// of slots or a warm-up time above all sense.
+func TestOddTarget(t *testing.T) {
+	cases := map[string]func(t *jacinthtiller.Target){
+		"2^61 slots":               func(t *jacinthtiller.Target) { t.Slots = 1 << 61 },
+		"the greatest slots":       func(t *jacinthtiller.Target) { t.Slots = 1<<63 - 1 },
+		"slots below zero":         func(t *jacinthtiller.Target) { t.Slots = -1 << 62 },
+		"a warm-up of a long time": func(t *jacinthtiller.Target) { t.WarmupMilliseconds = 1 << 62 },
+		"the greatest warm-up":     func(t *jacinthtiller.Target) { t.WarmupMilliseconds = 1<<63 - 1 },
+		"a port out of range":      func(t *jacinthtiller.Target) { t.Address = "10.0.0.1:99999" },
+	}
+	convey.Convey("A view names a target with an odd entry", t, func() {
+		for name, change := range cases {
+			convey.Convey(name, func() {
+				p := New(newFakeTargets(), fakeDialect{}, WithHost("h0"))
+				defer p.Close()
+				v := view(1, 30)
+				odd := v.Databases["db"].Targets["b"]
+				change(&odd)
+				v.Databases["db"] = v.Databases["db"].WithTarget(odd)
+				p.Apply(v)
+				for range 20 {
+					_, err := run(p.Find(odd), newJob("read"))
+					convey.So(err, convey.ShouldBeNil)
+				}
+			})
+		}
+	})
+}
