control: keep a target leaving that an operator asked to leave

Callers saw: jacinthctl target leave on a target of a direct group was accepted and undone by the target's next heartbeat, so that it went on getting work. Cause: reports of direct targets replaced the recorded state; only announcements of owned targets kept the operator's mark. Change: a report of a marked target counts as one that it leaves; the mark ends when the target departs. The time to leave counts from the request. Until all control processes run this version a member of an earlier one records such a target as serving. Measured: the new case of TestEnlist failed (serving instead of leaving) and passes; TestLastTargetLeaves with an operator's request failed without the deadline (0 ms of service) and passes; go test ./control passes.

--- a/control/leaving.go
+++ b/control/leaving.go
@@ -15,13 +15,14 @@
 // renews its lease for up to a second more and then holds it for Lease; the rest is for requests on their way.
 const leaveMargin = time.Second + Lease + 500*time.Millisecond
 
-// setLeaveDeadline sets until when a target that reports itself as leaving may get work. The first report of an incarnation
-// counts; a target that serves again has no deadline.
-func (x *directState) setLeaveDeadline(r jacinthtiller.TargetReport, deadline time.Time) {
+// setLeaveDeadline sets until when a target that begins to leave may get work. The first time of an incarnation counts; a
+// target that serves again has no deadline.
+func (s *Server) setLeaveDeadline(t jacinthtiller.Target) {
+	deadline := time.Now().Add(time.Duration(s.leaveMilliseconds)*time.Millisecond - leaveMargin)
+	x, k := s.direct, incarnationOf(t)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	k := incarnationOf(targetFromReport(r))
-	if _, ok := x.leaveDeadlines[k]; r.State != jacinthtiller.StateLeaving {
+	if _, ok := x.leaveDeadlines[k]; t.State != jacinthtiller.StateLeaving {
 		delete(x.leaveDeadlines, k)
 	} else if !ok {
 		x.leaveDeadlines[k] = deadline
--- a/control/leaving_test.go
+++ b/control/leaving_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -38,6 +39,8 @@
 	cases := map[string]struct {
 		// recorded is true when the report was recorded under an earlier leader.
 		recorded bool
+		// operator is true when an operator asks the target to leave, which goes on reporting that it serves.
+		operator bool
 		// joinsAfterMilliseconds is when another target reports itself; zero for never.
 		joinsAfterMilliseconds int64
 		// primary is the expected primary 20 s after the report.
@@ -47,6 +50,7 @@
 	}{
 		"the only target leaves":                   {earliestMilliseconds: minLeaveService, latestMilliseconds: latestSuspension},
 		"its report was acknowledged by another":   {recorded: true, latestMilliseconds: 1000},
+		"an operator asks it to leave":             {operator: true, earliestMilliseconds: minLeaveService, latestMilliseconds: latestSuspension},
 		"another target joins 1 s later":           {joinsAfterMilliseconds: 1000, primary: "b", earliestMilliseconds: 1000, latestMilliseconds: 2000},
 		"another target joins when it is too late": {joinsAfterMilliseconds: 10_000, primary: "b", earliestMilliseconds: minLeaveService, latestMilliseconds: latestSuspension},
 	}
@@ -64,11 +68,17 @@
 					l := &laggingPlatform{promotionMilliseconds: 300, lagMilliseconds: func(time.Time) int64 { return 0 }}
 					s := newLaggingServer(t, l, d)
 					defer func() { _ = s.Close() }()
-					if !c.recorded {
-						time.Sleep(time.Second)
-						leaving := targetReport("a", "db", d.Targets["a"].Address, 0, 1)
-						leaving.State = jacinthtiller.StateLeaving
-						reportErr = s.Report(context.Background(), leaving)
+					report := targetReport("a", "db", d.Targets["a"].Address, 0, 1)
+					time.Sleep(time.Second)
+					switch {
+					case c.operator:
+						s.operators = nil // any operator is accepted
+						request := connect.NewRequest(&TargetLeaveRequest{Database: "db", Target: "a"})
+						_, reportErr = s.targetLeave(context.Background(), request)
+						_ = s.Report(context.Background(), report)
+					case !c.recorded:
+						report.State = jacinthtiller.StateLeaving
+						reportErr = s.Report(context.Background(), report)
 					}
 					reported := time.Now()
 					for at := reported; at.Sub(reported) < 20*time.Second; at = time.Now() {
--- a/control/operations.go
+++ b/control/operations.go
@@ -261,6 +261,10 @@
 	if err := s.operators.allow(r.Msg.Operator, AllTeams); err != nil {
 		return nil, s.connectError(err)
 	}
+	if t, ok := s.machine.state().View.Target(r.Msg.Database, r.Msg.Target); ok {
+		t.State = jacinthtiller.StateLeaving
+		s.setLeaveDeadline(t)
+	}
 	a, err := s.proposeIfLeading(ctx, Command{Leave: &leaveCommand{Database: r.Msg.Database, Target: r.Msg.Target}})
 	if err != nil {
 		return nil, err
--- a/control/registry.go
+++ b/control/registry.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// reported returns the target that a report describes. One that an operator has asked to leave stays leaving whatever it
+// reports.
+func (s *state) reported(r jacinthtiller.TargetReport) jacinthtiller.Target {
+	t := targetFromReport(r)
+	if s.Leaving[targetKey(r.Database, r.Target)] {
+		t.State = jacinthtiller.StateLeaving
+	}
+	return t
+}
+
 // isNewReport reports whether a report changes the recorded target. The remaining warm-up time of a target counts down
 // by itself and does not count as a change.
 func (s *state) isNewReport(r jacinthtiller.TargetReport) bool {
@@ -77,7 +87,7 @@
 // isRepeat reports whether a report only repeats what is recorded of its target.
 func (s *state) isRepeat(r jacinthtiller.TargetReport) bool {
 	old, ok := s.View.Databases[r.Database].Targets[r.Target]
-	reported := targetFromReport(r)
+	reported := s.reported(r)
 	reported.WarmupMilliseconds, reported.Sequence = old.WarmupMilliseconds, old.Sequence
 	return ok && old == reported && r.Sequence >= old.Sequence
 }
@@ -103,12 +113,15 @@
 	if !d.Direct {
 		return commandResult{Code: codeStale}
 	}
-	e.setDatabase(d.WithTarget(targetFromReport(r)))
+	e.setDatabase(d.WithTarget(e.s.reported(r)))
 	return commandResult{}
 }
 
 // recordDeparture records that the target's present incarnation has left.
 func (e *editor) recordDeparture(t jacinthtiller.Target) {
+	if k := targetKey(t.Database, t.Name); e.s.Leaving[k] {
+		e.setLeaving(k, false)
+	}
 	list := append(slices.Clone(e.s.Departed), incarnationOf(t))
 	e.s.Departed = list[max(0, len(list)-maxDeparted):]
 }
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -77,6 +77,19 @@
 			convey.So(do(Command{Delist: &delistCommand{Target: "a", StartedMilliseconds: 100}}).Code, convey.ShouldEqual, codeStale)
 			convey.So(targets("db"), convey.ShouldResemble, []string{"a"})
 		})
+		convey.Convey("keeps a target leaving that an operator asked to leave, until it has departed", func() {
+			convey.So(do(Command{Leave: &leaveCommand{Database: "db", Target: "a"}}).Code, convey.ShouldEqual, codeDone)
+			index := s.View.Index
+			enlist(targetReport("a", "db", "10.0.0.1:1", 100, 8))
+			convey.So(s.View.Databases["db"].Targets["a"].State, convey.ShouldEqual, jacinthtiller.StateLeaving)
+			convey.So(s.isNewReport(targetReport("a", "db", "10.0.0.1:1", 100, 9)), convey.ShouldBeFalse)
+			convey.So(s.View.Index, convey.ShouldEqual, index)
+			enlist(targetReport("a", "db", "10.0.0.1:1", 200, 1))
+			convey.So(s.View.Databases["db"].Targets["a"].State, convey.ShouldEqual, jacinthtiller.StateLeaving)
+			do(Command{Delist: &delistCommand{Target: "a", StartedMilliseconds: 200}})
+			enlist(targetReport("a", "db", "10.0.0.1:1", 300, 1))
+			convey.So(s.View.Databases["db"].Targets["a"].State, convey.ShouldEqual, jacinthtiller.StateServing)
+		})
 		convey.Convey("does not change for a report without new information", func() {
 			index := s.View.Index
 			enlist(targetReport("a", "db", "10.0.0.1:1", 100, 8))
--- a/control/reports.go
+++ b/control/reports.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	s.metrics.targetReports.Add(ctx, 1, outcomeNew)
-	s.direct.setLeaveDeadline(r, time.Now().Add(time.Duration(s.leaveMilliseconds)*time.Millisecond-leaveMargin))
+	s.setLeaveDeadline(s.machine.state().reported(r))
 	if err := s.recorder.record(ctx, r); err != nil {
 		return s.asNotLeadingError(err)
 	}
