control: do not promote a candidate that has begun to leave

Callers saw: two changes of primary one after the other when the chosen candidate began to leave before a new leader took the choice over. Cause: a recorded candidate was taken again whatever its state. Change: a leaving candidate is passed over like one that does not answer. Measured: TestCandidateLeaves failed (b, then a promoted) and passes (c alone); TestOrderOfFormerLeader and TestRelief pass.

--- a/control/failover.go
+++ b/control/failover.go
@@ -95,7 +95,7 @@
 		return false
 	}
 	n := d.Candidate
-	if _, ok := v[n]; !ok || now.Before(p.avoidUntil[n]) {
+	if _, ok := v[n]; !ok || now.Before(p.avoidUntil[n]) || d.Targets[n].State == jacinthtiller.StateLeaving {
 		n = v.successor(d, p.avoidUntil, now)
 	}
 	e := s.machine.state().View.Edition
--- a/control/leaving_test.go
+++ b/control/leaving_test.go
@@ -145,3 +145,24 @@
 		}
 	})
 }
+
+// TestCandidateLeaves guards against the promotion of a candidate that began to leave after it was chosen: the group changes
+// its primary twice instead of once.
+func TestCandidateLeaves(t *testing.T) {
+	var promotions []string
+	var primary string
+	synctest.Test(t, func(t *testing.T) {
+		d := withState(directGroup(), "b", jacinthtiller.StateLeaving)
+		d.Primary, d.FormerPrimary, d.Candidate, d.PrimaryChangedIndex = "", "a", "b", 9
+		l := &laggingPlatform{promotionMilliseconds: 300, lagMilliseconds: func(time.Time) int64 { return 0 }}
+		s := newLaggingServer(t, l, d)
+		time.Sleep(10 * time.Second)
+		primary = s.machine.state().View.Databases["db"].Primary
+		_ = s.Close()
+		promotions = l.promotions
+	})
+	convey.Convey("A new leader finds a candidate that is leaving", t, func() {
+		convey.So(primary, convey.ShouldEqual, "c")
+		convey.So(promotions, convey.ShouldResemble, []string{"c"})
+	})
+}
