control: count the time to leave through suspensions of the machine

Cause: the deadline of a leaving primary stood on the usual monotonic clock, which stops while a machine is suspended; a leader that was suspended would end the time late. Change: the clock that leases use; replacementCause is told whether the time is over.

--- a/control/direct.go
+++ b/control/direct.go
@@ -44,7 +44,7 @@
 	newestSequences map[string]uint64
 	// causes holds why the primary of a database was taken out of service.
 	causes map[string]cause
-	// leaveDeadlines holds until when a leaving target may get work. Only targets whose reports this leader has received have
+	// leaveDeadlines holds until when a leaving target may get work, on the clock of package clock. Only targets whose reports this leader has received have
 	// one; the time of the others is taken as over, because another process may have acknowledged their reports long ago.
 	leaveDeadlines map[targetIncarnation]time.Time
 	// kept holds the leaving primary of a database that was last reported as kept.
@@ -65,7 +65,8 @@
 		evidence: map[string]*evidence{}, inspecting: map[string]bool{}, failingOver: map[string]bool{}, preparing: map[string]bool{},
 		incarnations: map[string]targetIncarnation{}, newestSequences: map[string]uint64{}, causes: map[string]cause{},
 		overloads: map[string]*overload{}, relieving: map[string]bool{}, relievedAt: map[string]time.Time{},
-		leaveDeadlines: map[targetIncarnation]time.Time{}, kept: map[string]targetIncarnation{}, suspendedAt: map[string]time.Time{}, changeMilliseconds: assumedChangeMilliseconds,
+		leaveDeadlines: map[targetIncarnation]time.Time{}, kept: map[string]targetIncarnation{},
+		suspendedAt: map[string]time.Time{}, changeMilliseconds: assumedChangeMilliseconds,
 	}
 }
 
@@ -184,11 +185,11 @@
 	hosts := s.gatewaysWithLease(d, now)
 	x := s.direct
 	x.mu.Lock()
-	e, leaveDeadline := x.evidence[d.Name], x.leaveDeadlines[incarnationOf(d.Targets[d.Primary])]
-	replaceCause := replacementCause(d, e, hosts, leaveDeadline, now)
+	e, leaveEnded := x.evidence[d.Name], x.leaveEnded(d.Targets[d.Primary])
+	replaceCause := replacementCause(d, e, hosts, leaveEnded, now)
 	suspected := e != nil && e.target == d.Primary && e.suspectingHosts(now) > 0
 	x.mu.Unlock()
-	if replaceCause == causeLeaving && now.Before(leaveDeadline) {
+	if replaceCause == causeLeaving && !leaveEnded {
 		if s.startTask(x.preparing, d.Name) {
 			s.runAsync(wg, "look for the successor of a leaving primary", func() { s.prepareChange(ctx, d) })
 		}
@@ -198,7 +199,7 @@
 		s.replacePrimary(ctx, d, replaceCause, hosts, now)
 		return
 	}
-	s.reportKept(d, now)
+	s.reportKept(d)
 	s.checkOverload(ctx, wg, d, now)
 	reportsReplica := d.Targets[d.Primary].Role == jacinthtiller.RoleReplica
 	if (suspected || reportsReplica) && s.startTask(x.inspecting, d.Name) {
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
@@ -18,7 +19,7 @@
 // setLeaveDeadline sets until when a target that begins to leave may get work. The first time of an incarnation counts; a
 // target that serves again has no deadline.
 func (s *Server) setLeaveDeadline(t jacinthtiller.Target) {
-	deadline := time.Now().Add(time.Duration(s.leaveMilliseconds)*time.Millisecond - leaveMargin)
+	deadline := clock.Now().Add(time.Duration(s.leaveMilliseconds)*time.Millisecond - leaveMargin)
 	x, k := s.direct, incarnationOf(t)
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -29,6 +30,11 @@
 	}
 }
 
+// leaveEnded reports whether the time in which a leaving target may get work is over. The caller holds x.mu.
+func (x *directState) leaveEnded(t jacinthtiller.Target) bool {
+	return t.State == jacinthtiller.StateLeaving && !clock.Now().Before(x.leaveDeadlines[incarnationOf(t)])
+}
+
 // forgetLeaveDeadline forgets the deadline of a target that departs.
 func (x *directState) forgetLeaveDeadline(t jacinthtiller.Target) {
 	x.mu.Lock()
@@ -56,7 +62,7 @@
 	suspended.FormerPrimary = d.Primary
 	e := view.Edition
 	if v.successor(suspended, nil, now) == "" || e != nil && !v.complete(suspended, e.Groups[d.Name]) {
-		s.reportKept(d, now)
+		s.reportKept(d)
 		s.sleep(suspectInspectPause)
 		return
 	}
@@ -64,7 +70,7 @@
 }
 
 // reportKept reports once for each incarnation that a leaving primary stays in service.
-func (s *Server) reportKept(d jacinthtiller.Database, now time.Time) {
+func (s *Server) reportKept(d jacinthtiller.Database) {
 	t := d.Targets[d.Primary]
 	if t.State != jacinthtiller.StateLeaving {
 		return
@@ -85,6 +91,6 @@
 	}
 	s.events.Emit(event.ControlPrimaryKept, event.Fields{
 		"database": d.Name, "target": d.Primary, "term": d.Term, "others": others,
-		"milliseconds": deadline.Sub(now).Milliseconds(), "index": s.machine.state().View.Index,
+		"milliseconds": clock.Until(deadline).Milliseconds(), "index": s.machine.state().View.Index,
 	})
 }
--- a/control/replacement.go
+++ b/control/replacement.go
@@ -75,14 +75,13 @@
 }
 
 // replacementCause decides whether the primary of a direct group has to be replaced. hosts is how many hosts hold a
-// lease and connect to the primary directly, and leaveDeadline until when the primary may stay in service although it is
-// leaving.
-func replacementCause(d jacinthtiller.Database, e *evidence, hosts int, leaveDeadline, now time.Time) cause {
+// lease and connect to the primary directly. leaveEnded is true when the primary is leaving and its time to leave is over.
+func replacementCause(d jacinthtiller.Database, e *evidence, hosts int, leaveEnded bool, now time.Time) cause {
 	t, ok := d.Targets[d.Primary]
 	if !ok {
 		return causeDeparted
 	}
-	if t.State == jacinthtiller.StateLeaving && !now.Before(leaveDeadline) {
+	if leaveEnded {
 		return causeLeaving
 	}
 	replaceable := slices.ContainsFunc(d.TargetNames(), func(n string) bool {
--- a/control/replacement_test.go
+++ b/control/replacement_test.go
@@ -82,15 +82,15 @@
 	convey.Convey("Each kind of evidence has its cause", t, func() {
 		for name, c := range cases {
 			convey.Convey(name, func() {
-				convey.So(replacementCause(c.group, c.evidence, c.hosts, now.Add(time.Millisecond), now), convey.ShouldEqual, c.want)
+				convey.So(replacementCause(c.group, c.evidence, c.hosts, false, now), convey.ShouldEqual, c.want)
 			})
 		}
 	})
 	convey.Convey("A primary that is leaving goes out of service at the end of its time, also without a successor", t, func() {
 		for name, g := range map[string]jacinthtiller.Database{"others serve": group, "others leave": alone, "there are no others": leavingGroup("a")} {
 			convey.Convey(name, func() {
-				convey.So(replacementCause(withState(g, "a", jacinthtiller.StateLeaving), nil, 7, now, now), convey.ShouldEqual, causeLeaving)
-				convey.So(replacementCause(g, nil, 7, time.Time{}, now), convey.ShouldEqual, causeNone)
+				convey.So(replacementCause(withState(g, "a", jacinthtiller.StateLeaving), nil, 7, true, now), convey.ShouldEqual, causeLeaving)
+				convey.So(newDirectState().leaveEnded(g.Targets["a"]), convey.ShouldBeFalse)
 			})
 		}
 	})
