--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -21,6 +21,9 @@
 	applyLag = 60 * time.Millisecond
 	// workTime is how long a statement takes.
 	workTime = 5 * time.Millisecond
+	// reportItem is the item whose read is answered with reportRows rows of rowBytes.
+	reportItem = "report"
+	rowBytes   = 1000
 )
 
 // commit is one entry of a log.
@@ -42,8 +45,10 @@
 	// changed is signalled when a log grows or a backend changes.
 	changed      *sync.Cond
 	syncReplicas int
-	backends     []*backend
-	completions  int
+	// reportRows is the number of rows of a report.
+	reportRows  int
+	backends    []*backend
+	completions int
 	// acked holds the data of the commits that were acknowledged to a client.
 	acked []string
 	// lost holds findings: acknowledged commits that a promoted backend lacks.
@@ -419,6 +424,9 @@
 		}
 		return x.complete(""), true
 	case "READ":
+		if rest == reportItem {
+			return x.complete(strings.Repeat("ROW "+strings.Repeat("x", rowBytes)+"\r\n", b.s.reportRows)), true
+		}
 		return x.complete("ROW " + fmt.Sprint(b.applied()) + "\r\n"), true
 	case "WRITE":
 		if !b.primary || x.read && x.state == 'T' {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 func main() { os.Exit(run()) }
 
 func run() (code int) {
-	name := flag.String("case", "", "lost, foreign or flood")
+	name := flag.String("case", "", "lost, foreign or report")
 	output := flag.String("record", "record.txt", "file to write")
 	program := flag.String("program", "", "path of jacinthd")
 	flag.Parse()
@@ -39,7 +39,7 @@
 			code = exitNoRun
 		}
 	}()
-	cases := map[string]func(*world) (bool, string){"lost": lost, "foreign": foreign, "flood": flood}
+	cases := map[string]func(*world) (bool, string){"lost": lost, "foreign": foreign, "report": report}
 	broken, text := cases[*name](w)
 	w.record("%s", text)
 	fmt.Println(text)
@@ -202,28 +202,34 @@
 
 const (
 	memoryLimitMB = 284
-	maxMessage    = 1 << 20
+	// largeRows and usualRows are the rows of a report with and without the trouble.
+	largeRows = 128 << 10
+	usualRows = 1
 )
 
-// flood: one client opens sessions and sets values of almost 1 MiB. A process over its memory is killed and restarted, as
-// the platform does.
-func flood(w *world) (bool, string) {
+// report: one client reads reports, each an answer of many rows. A process over its memory is killed and restarted, as the
+// platform does.
+func report(w *world) (bool, string) {
 	s := setUp(w, 0)
+	s.reportRows = usualRows
+	if w.trouble {
+		s.reportRows = largeRows
+	}
 	time.Sleep(2 * time.Second)
-	end := time.Now().Add(60 * time.Second)
+	end := time.Now().Add(40 * time.Second)
 	var mu sync.Mutex
 	ends := map[string]int{}
 	stop := make(chan struct{})
-	var watch sync.WaitGroup
+	var group sync.WaitGroup
 	for _, e := range w.edges {
-		watch.Go(func() {
+		group.Go(func() {
 			peak := 0
 			for {
 				select {
 				case <-stop:
 					w.record("%s used %d MB at most", e.name, peak)
 					return
-				case <-time.After(20 * time.Millisecond):
+				case <-time.After(5 * time.Millisecond):
 				}
 				mb := residentMB(e.proc)
 				peak = max(peak, mb)
@@ -241,35 +247,36 @@
 			}
 		})
 	}
-	if w.trouble {
-		watch.Go(func() {
-			value := strings.Repeat("x", maxMessage-100)
-			for n := 0; time.Now().Before(end); n++ {
-				e := w.edges[n%2]
-				c, err := connect(e.front, "orders")
-				if err != nil {
-					time.Sleep(200 * time.Millisecond)
-					continue
-				}
-				i := 0
-				for ; err == nil && i < 400 && time.Now().Before(end); i++ {
-					_, err = c.query(fmt.Sprintf("f%x%06x", n, i), fmt.Sprintf("SET v%d %s", i, value))
-				}
-				w.record("one client has set %d values at %s: %v", i, e.name, err)
-				_ = c.conn.Close()
+	var asked, answered int
+	group.Go(func() {
+		for n := 0; time.Now().Before(end); n++ {
+			time.Sleep(500 * time.Millisecond)
+			e := w.edges[n%len(w.edges)]
+			c, err := connect(e.front, "stock")
+			if err != nil {
+				continue
 			}
-		})
-	}
+			asked++
+			w.record("the report's client sends READ %s to %s", reportItem, e.name)
+			line, err := c.query(fmt.Sprintf("f%06x", n), "READ "+reportItem)
+			if err == nil && strings.HasPrefix(line, "COMPLETE ") {
+				answered++
+			}
+			w.record("the report's client is answered %s %v", line, err)
+			_ = c.conn.Close()
+		}
+	})
 	sent, served := traffic(w, s, end)
 	close(stop)
-	watch.Wait()
+	group.Wait()
 	machines := 0
 	for _, n := range ends {
 		if n >= 3 {
 			machines++
 		}
 	}
-	return machines >= 2, fmt.Sprintf("sent %d, served %d; processes that ended by themselves: %v", sent, served, ends)
+	return machines >= 2, fmt.Sprintf("sent %d, served %d; reports asked for %d, answered %d; processes that ended by themselves: %v",
+		sent, served, asked, answered, ends)
 }
 
 // residentMB returns the memory of a process; 0 when it has none.
