--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -90,12 +90,12 @@
 		}
 		s.backends = append(s.backends, b)
 		b.start()
-		go b.sendHeartbeats()
+		background.Go(b.sendHeartbeats)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	s.platform = l
-	go func() { _ = http.Serve(l, http.HandlerFunc(s.promote)) }()
+	background.Go(func() { _ = http.Serve(l, http.HandlerFunc(s.promote)) })
 	return s
 }
 
@@ -115,7 +115,7 @@
 	b.s.mu.Lock()
 	b.listener, b.running, b.born, b.sequence = l, true, time.Now().UnixMilli(), 0
 	b.s.mu.Unlock()
-	go func() {
+	background.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
@@ -124,9 +124,9 @@
 			b.s.mu.Lock()
 			b.conns[c] = true
 			b.s.mu.Unlock()
-			go b.serve(c)
+			background.Go(func() { b.serve(c) })
 		}
-	}()
+	})
 }
 
 // stop ends the backend's process; its log stays.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -145,7 +145,7 @@
 			s.backends = append(s.backends, next)
 			s.replicate()
 			s.mu.Unlock()
-			go next.sendHeartbeats()
+			background.Go(next.sendHeartbeats)
 		})
 		trouble.Go(func() {
 			at(4)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -24,6 +24,9 @@
 	exitNoRun  = 2
 )
 
+// background runs what ends with the program; nobody waits for it.
+var background sync.WaitGroup
+
 func must(err error) {
 	if err != nil {
 		panic(err)
@@ -96,11 +99,11 @@
 	p.mu.Lock()
 	p.cmd, p.done = cmd, done
 	p.mu.Unlock()
-	go func() {
+	background.Go(func() {
 		_ = cmd.Wait()
 		_ = log.Close()
 		close(done)
-	}()
+	})
 }
 
 func (p *proc) kill() {
