control: promote only holders of acknowledged commits

Cause: complete() counted the draining replica as a holder, successor() chose among serving targets only, and nothing held the choice against the holders.

Change: acknowledged() derives from the answers a position that covers every acknowledged commit; only targets at or after it are promoted. If all of them are leaving, one leads while it may still get work, so that the others receive its log. Otherwise the group waits for a holder, and asks a former primary again that had been unreachable. A successor with all that the answering former primary has is proof too, so that a leaving primary is replaced although a replica is lost. control-promote-delayed logs the positions, control-promote-ordered the state.

A member of control of an older version refuses a leaving candidate, so that its state lacks the candidate until all members run this version.

--- a/control/command.go
+++ b/control/command.go
@@ -176,6 +176,9 @@
 	Database string `cbor:"database"`
 	Term     uint64 `cbor:"term"`
 	Target   string `cbor:"target"`
+	// MayBeLeaving is true when the target was chosen although it is leaving, because no other one holds all acknowledged
+	// commits. Otherwise a target that has begun to leave is refused.
+	MayBeLeaving bool `cbor:"may-be-leaving,omitempty"`
 }
 
 // recordPrimaryCommand records the primary of a direct group.
--- a/control/failover.go
+++ b/control/failover.go
@@ -49,8 +49,11 @@
 	catchUpDeadline time.Time
 	// refuted is the target that this leader ordered to lead and that provably does not.
 	refuted string
-	// delayReported is true once a wait for hosts or targets was reported.
-	delayReported bool
+	// delayReported is the last wait that was reported; empty before the first.
+	delayReported string
+	// awaitsFormer is true once no target can be promoted without the former primary, which is then inspected even if it
+	// was unreachable.
+	awaitsFormer bool
 }
 
 // orderPending reports whether the recorded candidate may still begin to lead because of an order of this leader or of an
@@ -82,7 +85,7 @@
 	suspendCause := s.direct.causes[d.Name]
 	s.direct.mu.Unlock()
 	bootstrapping := d.Term == 0 && time.Now().Before(p.catchUpDeadline.Add(bootstrapWait))
-	v := s.inspectTargets(ctx, d, targetsToInspect(d, suspendCause, bootstrapping))
+	v := s.inspectTargets(ctx, d, targetsToInspect(d, suspendCause, bootstrapping, p.awaitsFormer))
 	if n := v.leading(d); n != "" && d.Targets[n].State == jacinthtiller.StateServing {
 		return s.recordPrimary(ctx, wg, d, n, v[n])
 	}
@@ -91,14 +94,16 @@
 	}
 	now := time.Now()
 	if !s.noHostUsesFormer(d) {
-		s.reportDelay(p, d, "hosts may still hold a lease under the former primary")
+		s.reportDelay(p, d, v, "hosts may still hold a lease under the former primary")
 		return false
 	}
+	syncReplicas := s.machine.state().View.SyncReplicas(d.Name)
+	required, known := v.acknowledged(d, syncReplicas)
 	n := d.Candidate
-	if _, ok := v[n]; !ok || now.Before(p.avoidUntil[n]) || d.Targets[n].State == jacinthtiller.StateLeaving {
-		n = v.successor(d, p.avoidUntil, now)
+	if x, ok := v[n]; !ok || now.Before(p.avoidUntil[n]) || d.Targets[n].State == jacinthtiller.StateLeaving || !known || !x.Received.Covers(required) {
+		n = v.successor(d, syncReplicas, s.mayStillLead, p.avoidUntil, now)
 	}
-	e := s.machine.state().View.Edition
+	p.awaitsFormer = n == ""
 	switch {
 	case bootstrapping:
 		return false // the first primary may still report itself
@@ -106,11 +111,14 @@
 		return s.abandonRelief(ctx, wg, d, v)
 	case suspendCause == causeBehind && !p.orderPending(d) && !v.holdsAll(d, n):
 		return !now.Before(p.catchUpDeadline) && s.abandonRelief(ctx, wg, d, v)
-	case n == "":
-		s.reportDelay(p, d, "no target is able to lead")
+	case !known:
+		s.reportDelay(p, d, v, "a target that may hold acknowledged commits does not answer")
+		return false
+	case n == "" && v.anyServing(d):
+		s.reportDelay(p, d, v, "all serving targets lack acknowledged commits")
 		return false
-	case e != nil && !v.complete(d, e.Groups[d.Name]):
-		s.reportDelay(p, d, "a target that may hold acknowledged commits does not answer")
+	case n == "":
+		s.reportDelay(p, d, v, "no target is able to lead")
 		return false
 	case suspendCause == causeLeaving && !v.caughtUp(d, n) && now.Before(p.catchUpDeadline):
 		return false
@@ -130,12 +138,15 @@
 	return false
 }
 
-// reportDelay reports once why the failover waits.
-func (s *Server) reportDelay(p *failover, d jacinthtiller.Database, reason string) {
-	if !p.delayReported {
-		p.delayReported = true
-		s.events.Emit(event.ControlPromoteDelayed, event.Fields{"database": d.Name, "term": d.Term, "reason": reason})
+// reportDelay reports why the failover waits, once until the reason changes.
+func (s *Server) reportDelay(p *failover, d jacinthtiller.Database, v targetStatuses, reason string) {
+	if p.delayReported == reason {
+		return
 	}
+	p.delayReported = reason
+	s.events.Emit(event.ControlPromoteDelayed, event.Fields{
+		"database": d.Name, "term": d.Term, "reason": reason, "received": v.received(), "targets": len(d.Targets),
+	})
 }
 
 // noHostUsesFormer reports whether no host can acknowledge work of the former primary.
@@ -148,12 +159,15 @@
 // promoteTarget records the candidate, sends the order and waits until the target leads.
 func (s *Server) promoteTarget(ctx context.Context, wg *conc.WaitGroup, p *failover, d jacinthtiller.Database, target string) bool {
 	if d.Candidate != target {
-		if !s.proposeBatch(ctx, []Command{{ChooseCandidate: &chooseCandidateCommand{Database: d.Name, Term: d.Term, Target: target}}}) {
+		c := chooseCandidateCommand{
+			Database: d.Name, Term: d.Term, Target: target, MayBeLeaving: d.Targets[target].State == jacinthtiller.StateLeaving,
+		}
+		if !s.proposeBatch(ctx, []Command{{ChooseCandidate: &c}}) {
 			return false
 		}
 	}
 	err := s.sendPromoteOrder(ctx, p, d, target)
-	f := event.Fields{"database": d.Name, "term": d.Term, "target": target, "token": p.term}
+	f := event.Fields{"database": d.Name, "term": d.Term, "target": target, "token": p.term, "state": string(d.Targets[target].State)}
 	if err != nil {
 		f["error"] = err.Error()
 		s.events.Emit(event.ControlPromoteOrdered, f)
@@ -169,6 +183,9 @@
 	for ctx.Err() == nil && time.Now().Before(end) {
 		status, err := s.inspect(ctx, d.Targets[target], inspectTimeout)
 		if err == nil && status.Role == jacinthtiller.RolePrimary && status.Term > d.Term {
+			if t := s.machine.state().View.Databases[d.Name].Targets[target]; t.State == jacinthtiller.StateLeaving && !s.mayStillLead(t) {
+				return false // others can receive its log, but it gets no more work
+			}
 			return s.recordPrimary(ctx, wg, d, target, status)
 		}
 		answered = err == nil
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -35,6 +36,13 @@
 	return t.State == jacinthtiller.StateLeaving && !clock.Now().Before(x.leaveDeadlines[incarnationOf(t)])
 }
 
+// mayStillLead reports whether a leaving target may get work for now, so that it can lead until the others have its log.
+func (s *Server) mayStillLead(t jacinthtiller.Target) bool {
+	s.direct.mu.Lock()
+	defer s.direct.mu.Unlock()
+	return t.State == jacinthtiller.StateLeaving && !s.direct.leaveEnded(t)
+}
+
 // forgetLeaveDeadline forgets the deadline of a target that departs.
 func (x *directState) forgetLeaveDeadline(t jacinthtiller.Target) {
 	x.mu.Lock()
@@ -52,7 +60,14 @@
 			others = append(others, d.Targets[n])
 		}
 	}
+	syncReplicas := s.machine.state().View.SyncReplicas(d.Name)
+	var primary targetStatuses
+	if syncReplicas > 0 {
+		// Before the others, so that a successor which covers the answer is at most a round trip behind.
+		primary = s.inspectTargets(ctx, d, []jacinthtiller.Target{d.Targets[d.Primary]})
+	}
 	v := s.inspectTargets(ctx, d, others)
+	maps.Copy(v, primary)
 	now := time.Now()
 	view := s.machine.state().View
 	if latest := view.Databases[d.Name]; ctx.Err() != nil || latest.Primary != d.Primary || latest.Term != d.Term {
@@ -60,8 +75,8 @@
 	}
 	suspended := d
 	suspended.FormerPrimary = d.Primary
-	e := view.Edition
-	if v.successor(suspended, nil, now) == "" || e != nil && !v.complete(suspended, e.Groups[d.Name]) {
+	noneLeaving := func(jacinthtiller.Target) bool { return false }
+	if v.successor(suspended, syncReplicas, noneLeaving, nil, now) == "" {
 		s.reportKept(d)
 		s.sleep(suspectInspectPause)
 		return
--- a/control/overload_test.go
+++ b/control/overload_test.go
@@ -125,7 +125,23 @@
 
 // newLaggingServer starts a control process that leads a group of a, b and c, of which a is the primary of term 3.
 func newLaggingServer(t *testing.T, l *laggingPlatform, d jacinthtiller.Database) *Server {
-	s, err := newServer(Config{Name: "c1", Members: map[string]string{"c1": "http://c1"}, Operators: &Operators{}, Inspector: l, Promoter: l})
+	s := newGroupServer(t, l, d)
+	l.inService = func() bool { return s.machine.state().View.Databases["db"].Primary != "" }
+	l.committedAt, l.term, l.primary, l.committed = time.Now(), 3, "a", 100
+	l.received, l.upToDate, l.leadsAt = 100, map[string]bool{}, map[string]time.Time{}
+	startLeader(s)
+	return s
+}
+
+// groupPlatform simulates the targets of a group.
+type groupPlatform interface {
+	jacinthtiller.Inspector
+	jacinthtiller.Promoter
+}
+
+// newGroupServer returns a control process with one group, which startLeader starts.
+func newGroupServer(t *testing.T, p groupPlatform, d jacinthtiller.Database) *Server {
+	s, err := newServer(Config{Name: "c1", Members: map[string]string{"c1": "http://c1"}, Operators: &Operators{}, Inspector: p, Promoter: p})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,13 +152,13 @@
 	}
 	v.Databases["db"], v.Index = d, 9
 	s.machine.current.View = v
-	l.inService = func() bool { return s.machine.state().View.Databases["db"].Primary != "" }
-	l.committedAt, l.term, l.primary, l.committed = time.Now(), 3, "a", 100
-	l.received, l.upToDate, l.leadsAt = 100, map[string]bool{}, map[string]time.Time{}
-	s.start(&fakeNode{machine: s.machine, leader: "c1", leads: true, changed: make(chan struct{}), index: 9})
 	return s
 }
 
+func startLeader(s *Server) {
+	s.start(&fakeNode{machine: s.machine, leader: "c1", leads: true, changed: make(chan struct{}), index: 9})
+}
+
 // overloadCase is a group of three targets whose replicas lag while hosts ask for more than one target does.
 type overloadCase struct {
 	// lag is the replicas' lag by the time since the start, in milliseconds.
--- a/control/registry.go
+++ b/control/registry.go
@@ -153,7 +153,7 @@
 
 func (e *editor) chooseCandidate(c chooseCandidateCommand) commandResult {
 	d, t, ok := e.s.target(c.Database, c.Target)
-	if !ok || !d.Direct || d.Primary != "" || d.Term != c.Term || t.State == jacinthtiller.StateLeaving {
+	if !ok || !d.Direct || d.Primary != "" || d.Term != c.Term || t.State == jacinthtiller.StateLeaving && !c.MayBeLeaving {
 		return commandResult{Code: codeStale}
 	}
 	d.Candidate = c.Target
--- a/control/replacement.go
+++ b/control/replacement.go
@@ -118,12 +118,12 @@
 type targetStatuses map[string]jacinthtiller.TargetStatus
 
 // targetsToInspect returns the targets to inspect, sorted by name. An unreachable former primary is left out, because
-// waiting for it would delay the promotion. During bootstrap only targets that report themselves as the primary are
+// waiting for it would delay the promotion, unless the group has to wait for it anyway. During bootstrap only targets that report themselves as the primary are
 // inspected: nothing is promoted yet, and at the first start there are hundreds of targets.
-func targetsToInspect(d jacinthtiller.Database, suspendCause cause, bootstrapping bool) []jacinthtiller.Target {
+func targetsToInspect(d jacinthtiller.Database, suspendCause cause, bootstrapping, awaitsFormer bool) []jacinthtiller.Target {
 	var out []jacinthtiller.Target
 	for _, n := range d.TargetNames() {
-		lost := n == d.FormerPrimary && (suspendCause == causeSilent || suspendCause == causeDown)
+		lost := n == d.FormerPrimary && !awaitsFormer && (suspendCause == causeSilent || suspendCause == causeDown)
 		if !lost && (!bootstrapping || d.Targets[n].Role == jacinthtiller.RolePrimary) {
 			out = append(out, d.Targets[n])
 		}
@@ -155,14 +155,29 @@
 }
 
 // successor returns the target to promote: the serving target with the most of the log. Targets in avoidUntil are chosen
-// only when there is no other. The former primary is never chosen.
-func (s targetStatuses) successor(d jacinthtiller.Database, avoidUntil map[string]time.Time, now time.Time) string {
-	var names []string
+// only when there is no other. The former primary is never chosen, and neither is a target that lacks a commit which was
+// acknowledged under synchronous replication. If only targets that are leaving hold all of these, one for which mayLead
+// returns true is chosen, so that the others can receive its log.
+func (s targetStatuses) successor(d jacinthtiller.Database, syncReplicas int, mayLead func(jacinthtiller.Target) bool, avoidUntil map[string]time.Time, now time.Time) string {
+	required, ok := s.acknowledged(d, syncReplicas)
+	if !ok {
+		return ""
+	}
+	var serving, leaving []string
 	for _, n := range d.TargetNames() {
-		if _, ok := s[n]; ok && n != d.FormerPrimary && d.Targets[n].State == jacinthtiller.StateServing {
-			names = append(names, n)
+		x, answered := s[n]
+		switch {
+		case !answered || n == d.FormerPrimary || !x.Received.Covers(required):
+		case d.Targets[n].State == jacinthtiller.StateServing:
+			serving = append(serving, n)
+		case syncReplicas > 0 && mayLead(d.Targets[n]):
+			leaving = append(leaving, n)
 		}
 	}
+	names := serving
+	if len(names) == 0 {
+		names = leaving
+	}
 	if len(names) == 0 {
 		return ""
 	}
@@ -182,23 +197,54 @@
 	})
 }
 
-// complete reports whether a promotion can lose no commit that a replica had before the commit was acknowledged: with
-// synchronous replicas, enough of the other targets must have answered that one of them holds every such commit.
-func (s targetStatuses) complete(d jacinthtiller.Database, g jacinthtiller.Group) bool {
-	if g.SyncReplicas == 0 {
-		return true
+// acknowledged returns a position that covers every acknowledged commit, and false when the answers do not prove one. A
+// commit was acknowledged once syncReplicas of the other targets had it, so that of n targets which did not answer at
+// most n are among its holders. Without synchronous replicas nothing is required. The answers must be from after the
+// last acknowledgement under the former primary.
+func (s targetStatuses) acknowledged(d jacinthtiller.Database, syncReplicas int) (jacinthtiller.Position, bool) {
+	if syncReplicas == 0 {
+		return jacinthtiller.Position{}, true
 	}
-	answered, others := 0, 0
+	var received []jacinthtiller.Position
+	unanswered := 0
 	for _, n := range d.TargetNames() {
 		if n == d.FormerPrimary {
 			continue
 		}
-		others++
-		if _, ok := s[n]; ok {
-			answered++
+		if x, ok := s[n]; ok {
+			received = append(received, x.Received)
+		} else {
+			unanswered++
+		}
+	}
+	if holders := syncReplicas - unanswered; holders > 0 {
+		if len(received) == 0 {
+			return jacinthtiller.Position{}, true
 		}
+		slices.SortFunc(received, func(a, b jacinthtiller.Position) int { return b.Compare(a) })
+		return received[min(holders, len(received))-1], true
+	}
+	if x, ok := s[d.FormerPrimary]; ok && x.Role == jacinthtiller.RolePrimary && x.Term == d.Term {
+		return x.Received, true
 	}
-	return answered > others-g.SyncReplicas
+	return jacinthtiller.Position{}, false
+}
+
+// anyServing reports whether a target other than the former primary serves and has answered.
+func (s targetStatuses) anyServing(d jacinthtiller.Database) bool {
+	return slices.ContainsFunc(d.TargetNames(), func(n string) bool {
+		_, answered := s[n]
+		return answered && n != d.FormerPrimary && d.Targets[n].State == jacinthtiller.StateServing
+	})
+}
+
+// received returns the positions of the targets that answered, for logs.
+func (s targetStatuses) received() map[string]string {
+	out := map[string]string{}
+	for n, x := range s {
+		out[n] = x.Received.String()
+	}
+	return out
 }
 
 // caughtUp reports whether the successor holds all commits of the former primary, which a planned change waits for.
--- a/control/replacement_test.go
+++ b/control/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -96,6 +97,10 @@
 	})
 }
 
+func noneMayLead(jacinthtiller.Target) bool { return false }
+
+func allMayLead(jacinthtiller.Target) bool { return true }
+
 func status(role jacinthtiller.Role, term, index uint64) jacinthtiller.TargetStatus {
 	return jacinthtiller.TargetStatus{Role: role, Term: term, Received: jacinthtiller.Position{Term: term, Index: index}}
 }
@@ -113,20 +118,20 @@
 			"c": status(jacinthtiller.RoleReplica, 3, 51),
 		}
 		convey.Convey("the one with the most of the log leads", func() {
-			convey.So(v.successor(d, nil, now), convey.ShouldEqual, "c")
+			convey.So(v.successor(d, 0, noneMayLead, nil, now), convey.ShouldEqual, "c")
 		})
 		convey.Convey("one that is leaving does not", func() {
-			convey.So(v.successor(withState(d, "c", jacinthtiller.StateLeaving), nil, now), convey.ShouldEqual, "b")
+			convey.So(v.successor(withState(d, "c", jacinthtiller.StateLeaving), 0, noneMayLead, nil, now), convey.ShouldEqual, "b")
 		})
 		convey.Convey("one that could not be promoted a moment ago comes last", func() {
 			avoid := map[string]time.Time{"c": now.Add(time.Second)}
-			convey.So(v.successor(d, avoid, now), convey.ShouldEqual, "b")
-			convey.So(v.successor(d, map[string]time.Time{"c": now}, now), convey.ShouldEqual, "c")
+			convey.So(v.successor(d, 0, noneMayLead, avoid, now), convey.ShouldEqual, "b")
+			convey.So(v.successor(d, 0, noneMayLead, map[string]time.Time{"c": now}, now), convey.ShouldEqual, "c")
 		})
 		convey.Convey("the former primary is never chosen, but known to lead still", func() {
 			delete(v, "b")
 			delete(v, "c")
-			convey.So(v.successor(d, nil, now), convey.ShouldEqual, "")
+			convey.So(v.successor(d, 0, noneMayLead, nil, now), convey.ShouldEqual, "")
 			convey.So(v.stillLeads(d), convey.ShouldBeTrue)
 			convey.So(v.stillLeads(withState(d, "a", jacinthtiller.StateLeaving)), convey.ShouldBeFalse)
 		})
@@ -143,17 +148,33 @@
 			convey.So(v.caughtUp(d, "b"), convey.ShouldBeTrue)
 		})
 		convey.Convey("with a synchronous replica all that may hold its commits must have answered", func() {
-			sync := jacinthtiller.Group{SyncReplicas: 1}
-			convey.So(v.complete(d, sync), convey.ShouldBeTrue)
+			delete(v, "a")
+			convey.So(v.successor(d, 1, noneMayLead, nil, now), convey.ShouldEqual, "c")
+			delete(v, "b")
+			convey.So(v.successor(d, 1, noneMayLead, nil, now), convey.ShouldEqual, "")
+			convey.So(v.successor(d, 0, noneMayLead, nil, now), convey.ShouldEqual, "c")
+		})
+		convey.Convey("with a synchronous replica one that lacks commits of another does not lead, even if the other leaves", func() {
+			leaving := withState(d, "c", jacinthtiller.StateLeaving)
+			convey.So(v.successor(leaving, 1, noneMayLead, nil, now), convey.ShouldEqual, "")
+			convey.So(v.successor(leaving, 1, allMayLead, nil, now), convey.ShouldEqual, "c")
+			convey.So(v.successor(leaving, 0, allMayLead, nil, now), convey.ShouldEqual, "b")
+			v["b"] = status(jacinthtiller.RoleReplica, 3, 51)
+			convey.So(v.successor(leaving, 1, allMayLead, nil, now), convey.ShouldEqual, "b")
+		})
+		convey.Convey("one that has all commits of the former primary leads although others do not answer", func() {
 			delete(v, "b")
-			convey.So(v.complete(d, sync), convey.ShouldBeFalse)
-			convey.So(v.complete(d, jacinthtiller.Group{}), convey.ShouldBeTrue)
+			convey.So(v.successor(d, 1, noneMayLead, nil, now), convey.ShouldEqual, "")
+			v["c"] = status(jacinthtiller.RoleReplica, 3, 99)
+			convey.So(v.successor(d, 1, noneMayLead, nil, now), convey.ShouldEqual, "c")
+			v["a"] = status(jacinthtiller.RoleReplica, 4, 99)
+			convey.So(v.successor(d, 1, noneMayLead, nil, now), convey.ShouldEqual, "")
 		})
 	})
 }
 
 // TestSuccessorKeepsSyncedCommits guards against a promotion that loses a commit which SyncReplicas replicas had when
-// it was acknowledged, over generated groups and answers.
+// it was acknowledged, over generated groups and answers. Some of the replicas are leaving.
 func TestSuccessorKeepsSyncedCommits(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		d := jacinthtiller.Database{Name: "db", Direct: true, Term: 3, FormerPrimary: "a"}
@@ -163,7 +184,8 @@
 		var received []uint64
 		for i := range n {
 			name := string(rune('a' + i))
-			d = d.WithTarget(jacinthtiller.Target{Name: name, State: jacinthtiller.StateServing})
+			state := rapid.SampledFrom([]jacinthtiller.TargetState{jacinthtiller.StateServing, jacinthtiller.StateLeaving}).Draw(r, "state")
+			d = d.WithTarget(jacinthtiller.Target{Name: name, State: state})
 			if name == d.FormerPrimary {
 				continue
 			}
@@ -173,10 +195,17 @@
 				v[name] = status(jacinthtiller.RoleReplica, 3, index)
 			}
 		}
-		if !v.complete(d, jacinthtiller.Group{SyncReplicas: sync}) {
+		mayLead := rapid.SampledFrom([]func(jacinthtiller.Target) bool{noneMayLead, allMayLead}).Draw(r, "leaving targets may lead")
+		successor := v.successor(d, sync, mayLead, nil, time.Unix(0, 0))
+		if successor == "" {
+			if serving := len(v) == n-1 && !slices.ContainsFunc(d.TargetNames(), func(t string) bool {
+				return d.Targets[t].State == jacinthtiller.StateLeaving
+			}); serving {
+				r.Fatal("all targets serve and answer, and none leads")
+			}
 			return
 		}
-		best := v[v.successor(d, nil, time.Unix(0, 0))].Received.Index
+		best := v[successor].Received.Index
 		for acknowledged := uint64(9); acknowledged > best; acknowledged-- {
 			holders := 0
 			for _, x := range received {
--- a/direct.go
+++ b/direct.go
@@ -52,6 +52,14 @@
 	SyncReplicas int `cbor:"sync-replicas,omitempty" json:"sync-replicas,omitempty"`
 }
 
+// SyncReplicas returns how many replicas of a database have a commit before its primary acknowledges it.
+func (v View) SyncReplicas(database string) int {
+	if v.Edition == nil {
+		return 0
+	}
+	return v.Edition.Groups[database].SyncReplicas
+}
+
 // Edition is a whole document with a number that its author assigns. The accepted edition
 // with the highest number is in force. The content of an edition never changes.
 type Edition struct {
--- a/event/control.go
+++ b/event/control.go
@@ -65,7 +65,7 @@
 	ControlPromoteOrdered = register(2029, "control-promote-ordered", logrus.InfoLevel,
 		"The platform was asked to promote a target; without an error it has accepted the order.")
 	ControlPromoteDelayed = register(2030, "control-promote-delayed", logrus.InfoLevel,
-		"A promotion waits: for hosts that may still hold a lease under the former primary, or for a target able to lead.")
+		"A promotion waits: for hosts that may still hold a lease under the former primary, or for a target able to lead that holds all acknowledged commits.")
 	ControlInspectFailed = register(2031, "control-inspect-failed", logrus.DebugLevel,
 		"A target did not answer the control group's question for its state.")
 	ControlUpkeep = register(2032, "control-upkeep", logrus.InfoLevel,
