control: ask for log positions only after the last acknowledgement

What callers could see: a commit that was acknowledged is gone after a change of primary in a database with a synchronous replica.

Cause: tryFailover read the positions of all targets first and then checked that no host may acknowledge work of the former primary. A host whose lease ended in between acknowledged commits that the positions lack.

Change: the check is made before the inspection.

--- a/control/failover.go
+++ b/control/failover.go
@@ -85,6 +85,8 @@
 	suspendCause := s.direct.causes[d.Name]
 	s.direct.mu.Unlock()
 	bootstrapping := d.Term == 0 && time.Now().Before(p.catchUpDeadline.Add(bootstrapWait))
+	// Checked before the inspection, so that the answers include all that was acknowledged.
+	unused := s.noHostUsesFormer(d)
 	v := s.inspectTargets(ctx, d, targetsToInspect(d, suspendCause, bootstrapping, p.awaitsFormer))
 	if n := v.leading(d); n != "" && d.Targets[n].State == jacinthtiller.StateServing {
 		return s.recordPrimary(ctx, wg, d, n, v[n])
@@ -93,7 +95,7 @@
 		return s.recordPrimary(ctx, wg, d, d.FormerPrimary, v[d.FormerPrimary])
 	}
 	now := time.Now()
-	if !s.noHostUsesFormer(d) {
+	if !unused {
 		s.reportDelay(p, d, v, "hosts may still hold a lease under the former primary")
 		return false
 	}
