statement: refuse requests in the second half of a stop

Cause: a session was closed only if a tick found it waiting for a request, which it hardly ever does with a guest that asks again at once; an interruption during a request is lost. Nothing refused requests, so these sessions went on until the end of the drain cut off what ran. Guests in transactions lost their connections when these were rolled back, and late guests got no answer to their startup.

Change: a stop has steps, StopTimes. From Refuse on, at half of the stop time, requests outside a transaction and startups are refused at once with a retry hint, and guests of rolled back transactions are told so with their next request. From CloseIdle on no transaction begins. Refusals have the cause "stopping" in logs. TestDrainEnd expected a raw close of a late guest; it expects a rejection now.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -29,11 +29,15 @@
 	// balancerNoticePeriod is how long a stopping host serves guests as before: after two readiness checks, a second
 	// apart, the load balancer sends no new guests.
 	balancerNoticePeriod = 2200 * time.Millisecond
-	// abortPercent is the share of the stop time, in percent, after which open transactions are aborted.
-	abortPercent = 50
+	// refusePercent is the share of the stop time, in percent, after which open transactions are aborted and no request is
+	// taken any more. Requests taken before it may run until answerPercent.
+	refusePercent = 50
+	// answerPercent is the share of the stop time, in percent, after which the remaining sessions are closed. The platform
+	// expects a host to wait for targets until the last sixth of the time.
+	answerPercent = 86
 	// drainPercent is the share of the stop time, in percent, after which the remaining guests are cut off, so that the
 	// process ends in time.
-	drainPercent = 88
+	drainPercent = 90
 	// leaseReleaseTimeout bounds the release of the host's lease during a stop.
 	leaseReleaseTimeout = 300 * time.Millisecond
 	// settingsPollInterval is the time between checks of the settings file, which may change without a signal.
@@ -118,8 +122,11 @@
 	}
 	drainCtx, cancel := context.WithDeadline(ctx, start.Add(budget*drainPercent/100))
 	defer cancel()
-	err := p.statementServer.Drain(drainCtx, start.Add(min(balancerNoticePeriod, budget*abortPercent/100)),
-		start.Add(budget*abortPercent/100))
+	err := p.statementServer.Drain(drainCtx, statement.StopTimes{
+		CloseIdle: start.Add(min(balancerNoticePeriod, budget*refusePercent/100)),
+		Refuse:    start.Add(budget * refusePercent / 100),
+		Answer:    start.Add(budget * answerPercent / 100),
+	})
 	releaseCtx, cancelRelease := context.WithTimeout(ctx, leaseReleaseTimeout)
 	defer cancelRelease()
 	if releaseErr := p.host.Release(releaseCtx); releaseErr != nil {
--- a/e2e/platform_standin_test.go
+++ b/e2e/platform_standin_test.go
@@ -47,6 +47,10 @@
 	lastCompletion int
 	// tokens are the fencing tokens of the promote orders, in the order of arrival.
 	tokens []string
+	// work returns how long a read or a write takes, given its text; nil for no time.
+	work func(text string) time.Duration
+	// ran holds the ids of the requests that a database has begun to run.
+	ran map[string]bool
 }
 
 // standinDatabase simulates one database.
@@ -65,7 +69,7 @@
 }
 
 func newStandinGroup(t testing.TB, control []string) *standinGroup {
-	g := &standinGroup{t: t, service: "svc", control: control, members: map[string]*standinDatabase{}}
+	g := &standinGroup{t: t, service: "svc", control: control, members: map[string]*standinDatabase{}, ran: map[string]bool{}}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	for i := range 3 {
 		d := &standinDatabase{parent: g, id: fmt.Sprintf("i-%d", i), address: freeAddress(t), conns: map[net.Conn]bool{}, primary: i == 0, term: 1}
@@ -249,7 +253,14 @@
 		}
 		line = strings.TrimRight(line, "\r\n")
 		_, rest, _ := strings.Cut(line, " ")
-		_, text, _ := strings.Cut(rest, " ")
+		id, text, _ := strings.Cut(rest, " ")
+		d.parent.mu.Lock()
+		d.parent.ran[id] = true
+		work := d.parent.work
+		d.parent.mu.Unlock()
+		if work != nil && id != "-" {
+			time.Sleep(work(text))
+		}
 		d.parent.mu.Lock()
 		response := s.run(text)
 		running, position := d.running, d.position()
@@ -365,8 +376,18 @@
 
 // queryLines sends a query and returns the lines of its response before READY, and the state that READY carries.
 func (g *lineGuest) queryLines(text string) (lines []string, state string, err error) {
+	return g.exchange(g.nextID(), text)
+}
+
+// nextID returns the id of the next query.
+func (g *lineGuest) nextID() string {
 	g.queryCount++
-	fmt.Fprintf(g.conn, "QUERY %x%d %s\r\n", time.Now().UnixNano(), g.queryCount, text)
+	return fmt.Sprintf("%x%d", time.Now().UnixNano(), g.queryCount)
+}
+
+// exchange is queryLines for a query with the id.
+func (g *lineGuest) exchange(id, text string) (lines []string, state string, err error) {
+	fmt.Fprintf(g.conn, "QUERY %s %s\r\n", id, text)
 	g.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	for {
 		line, err := g.reader.ReadString('\n')
--- a/statement/cause.go
+++ b/statement/cause.go
@@ -13,6 +13,7 @@
 // The causes, from the first to the last that a reader of the logs should rule out.
 const (
 	causeRequest     failureCause = "request"      // the request itself: unknown route or statement, malformed, too large
+	causeStopping    failureCause = "stopping"     // the host takes no new work because it stops
 	causeIsolated    failureCause = "isolated"     // the host is cut off, and other hosts can serve
 	causeNoLease     failureCause = "no-lease"     // the host has lost touch with control
 	causeNoPrimary   failureCause = "no-primary"   // the primary is being replaced
--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -266,10 +266,19 @@
 
 // guest opens a session on the route.
 func (ts *testServer) guest(route jacinthtiller.ReadClass) *fakeGuest {
+	g := ts.connect(route)
+	if a := <-g.answers; a != "welcome I" {
+		ts.t.Fatalf("startup was answered with %q", a)
+	}
+	return g
+}
+
+// connect connects a guest, whose startup has no answer yet.
+func (ts *testServer) connect(route jacinthtiller.ReadClass) *fakeGuest {
 	g := &fakeGuest{
 		route: string(route), requests: make(chan jacinthtiller.GuestRequest), answers: make(chan string, 4), interrupt: make(chan struct{}, 1),
 	}
-	n := &session{s: ts.server, conn: g, state: jacinthtiller.StateIdle}
+	n := newSession(ts.server, g)
 	if !ts.server.addSession(n) {
 		ts.t.Fatal("the server is closed")
 	}
@@ -277,9 +286,6 @@
 		defer ts.server.removeSession(n)
 		n.serve()
 	})
-	if a := <-g.answers; a != "welcome I" {
-		ts.t.Fatalf("startup was answered with %q", a)
-	}
 	return g
 }
 
--- a/statement/server.go
+++ b/statement/server.go
@@ -26,8 +26,6 @@
 	suspicionReportInterval = 300 * time.Millisecond
 	// suspicionTimeout bounds one report.
 	suspicionTimeout = 500 * time.Millisecond
-	// drainPollInterval is the time between checks for sessions that can be closed during a drain.
-	drainPollInterval = 100 * time.Millisecond
 )
 
 // NewGuestConn wraps an accepted connection in the guests' protocol.
@@ -55,6 +53,8 @@
 	isolated atomic.Bool
 	// successes counts successful requests, of which a sample is logged.
 	successes atomic.Uint64
+	// stopTimes is nil until the host stops.
+	stopTimes atomic.Pointer[StopTimes]
 
 	mu sync.Mutex // guards the fields below
 	// changed is closed and replaced when the view changes or the host gets a lease again.
@@ -67,14 +67,9 @@
 	// counts holds the requests since the last check for overloads, by database.
 	counts   map[string]requestCounts
 	sessions map[*session]struct{}
-	// stoppingSince is when the drain began; zero before.
-	stoppingSince time.Time
-	// closeIdleAt is when sessions outside a transaction begin to be closed, and abortOpenAt when open transactions are
-	// rolled back; zero before the drain.
-	closeIdleAt, abortOpenAt time.Time
-	// refusing is true once a drain has ended with no session left.
-	refusing bool
-	closed   bool
+	// drained is true once a drain has ended with no session left.
+	drained bool
+	closed  bool
 }
 
 // Option configures a Server.
@@ -188,7 +183,7 @@
 // Serve accepts guest connections until the listener closes.
 func (s *Server) Serve(l net.Listener) {
 	wire.AcceptAll(l, s.events, func(c net.Conn) {
-		n := &session{s: s, conn: s.newGuestConn(c), state: jacinthtiller.StateIdle}
+		n := newSession(s, s.newGuestConn(c))
 		if !s.addSession(n) {
 			_ = c.Close()
 			return
@@ -205,7 +200,7 @@
 func (s *Server) addSession(n *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.refusing {
+	if s.closed {
 		return false
 	}
 	s.sessions[n] = struct{}{}
@@ -236,61 +231,12 @@
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Stats{Sessions: len(s.sessions), Stopping: !s.stoppingSince.IsZero()}
-}
-
-// Drain keeps serving until closeIdle, so that the load balancer can notice that the host is not ready; then it closes
-// each session that is idle outside a transaction. Transactions still open at abortOpen are rolled back. It returns when no
-// session is left, or when ctx ends.
-func (s *Server) Drain(ctx context.Context, closeIdle, abortOpen time.Time) error {
-	s.mu.Lock()
-	s.stoppingSince, s.closeIdleAt, s.abortOpenAt = time.Now(), closeIdle, abortOpen
-	s.mu.Unlock()
-	ticks := time.NewTicker(drainPollInterval)
-	defer ticks.Stop()
-	for {
-		if s.wakeIdleSessions(time.Now()) {
-			return nil
-		}
-		select {
-		case <-ticks.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// wakeIdleSessions wakes all sessions after closeIdleAt, so that idle ones close, and reports whether none is left. From
-// then on it rejects new ones, which the end of the process would cut off.
-func (s *Server) wakeIdleSessions(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Before(s.closeIdleAt) {
-		return false
-	}
-	for n := range s.sessions {
-		n.conn.InterruptNext()
-	}
-	s.refusing = len(s.sessions) == 0
-	return s.refusing
-}
-
-// closesIdleSessions reports whether sessions that are idle outside a transaction must close.
-func (s *Server) closesIdleSessions() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed || !s.closeIdleAt.IsZero() && !time.Now().Before(s.closeIdleAt)
-}
-
-// abortsTransactions reports whether open transactions must be rolled back.
-func (s *Server) abortsTransactions() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed || !s.abortOpenAt.IsZero() && !time.Now().Before(s.abortOpenAt)
+	return Stats{Sessions: len(s.sessions), Stopping: s.stopTimes.Load() != nil}
 }
 
 // Close closes all sessions and waits for their end.
 func (s *Server) Close() {
+	s.stopTimes.Store(&StopTimes{}) // all steps have been reached
 	s.mu.Lock()
 	s.closed = true
 	for n := range s.sessions {
--- a/statement/session.go
+++ b/statement/session.go
@@ -46,10 +46,17 @@
 	// activeConn is the connection on which a single statement, or the begin or commit of a transaction, is running; else
 	// nil. It is dropped if a panic ends the session.
 	activeConn *pool.Conn
+	// refusedForStop is true once a request was refused because the host stops, after which the session closes. A guest whose
+	// request was answered may have sent the next one already, so its session closes only while it is idle.
+	refusedForStop bool
 	// waitingSince is when a guest whose startup was held began to wait; zero otherwise.
 	waitingSince time.Time
 }
 
+func newSession(s *Server, conn jacinthtiller.GuestConn) *session {
+	return &session{s: s, conn: conn, state: jacinthtiller.StateIdle}
+}
+
 // serve runs the session to its end. A panic ends only this session: the guest's connection is closed without an answer,
 // and the session's resources are released.
 func (n *session) serve() {
@@ -81,6 +88,9 @@
 		if err := n.handle(r); err != nil {
 			return
 		}
+		if n.refusedForStop {
+			return
+		}
 	}
 }
 
@@ -91,6 +101,10 @@
 		return false
 	}
 	n.routeName, n.guest = name, guest
+	if n.s.rejectsSessions() {
+		_ = n.conn.RejectStartup(jacinthtiller.ErrorCodeBusy, reasonStopping)
+		return false
+	}
 	startupAt := time.Now()
 	v, known := n.s.awaitRoute(name)
 	if !known && (v.Edition == nil || !n.s.lease.Load().Valid(now())) {
@@ -143,22 +157,26 @@
 
 // handleWake handles the end of a wait without a request and reports whether the session must close.
 func (n *session) handleWake() bool {
+	step := n.s.stopStep()
 	if n.tx == nil {
-		return n.s.closesIdleSessions()
+		return step >= stepCloseIdle
 	}
 	if end := n.idleDeadline(); !end.IsZero() && !time.Now().Before(end) {
 		n.abort("the guest rested for too long in its transaction")
 	}
-	if n.s.abortsTransactions() {
-		n.abort("the host is stopping")
+	if step >= stepRefuse {
+		n.abort(reasonStopping) // the guest is told with its next request
 	}
-	return n.s.abortsTransactions()
+	return step >= stepAnswer
 }
 
 func (n *session) handle(r jacinthtiller.GuestRequest) error {
 	if n.state == jacinthtiller.StateFailed && r.Kind != jacinthtiller.RequestCommit && r.Kind != jacinthtiller.RequestRollback {
 		return n.conn.ReplyError(jacinthtiller.ErrorCodeMalformed, "the transaction has failed; end it first", 0, n.state)
 	}
+	if n.stopRefuses(r.Kind) {
+		return n.refuseForStop(r)
+	}
 	switch r.Kind {
 	case jacinthtiller.RequestSet:
 		if n.values == nil {
--- a/statement/statement_test.go
+++ b/statement/statement_test.go
@@ -378,7 +378,9 @@
 		done := make(chan error, 1)
 		ts.server.group.Go(func() {
 			now := time.Now()
-			done <- ts.server.Drain(context.Background(), now.Add(250*time.Millisecond), now.Add(time.Second))
+			done <- ts.server.Drain(context.Background(), StopTimes{
+				CloseIdle: now.Add(250 * time.Millisecond), Refuse: now.Add(time.Second), Answer: now.Add(2 * time.Second),
+			})
 		})
 		for end := time.Now().Add(5 * time.Second); !ts.server.Stats().Stopping && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
@@ -387,7 +389,10 @@
 		convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
 		g.leave()
 		convey.So(<-done, convey.ShouldBeNil)
-		convey.So(ts.server.addSession(&session{s: ts.server}), convey.ShouldBeFalse)
+		late := ts.connect(jacinthtiller.ClassPrimary)
+		convey.So(<-late.answers, convey.ShouldEqual, "refused busy -")
+		_, more := <-late.answers
+		convey.So(more, convey.ShouldBeFalse)
 	})
 }
 
@@ -416,7 +421,9 @@
 		began := time.Now()
 		done := make(chan error, 1)
 		ts.server.group.Go(func() {
-			done <- ts.server.Drain(context.Background(), began.Add(20*time.Millisecond), began.Add(300*time.Millisecond))
+			done <- ts.server.Drain(context.Background(), StopTimes{
+				CloseIdle: began.Add(20 * time.Millisecond), Refuse: began.Add(300 * time.Millisecond), Answer: began.Add(600 * time.Millisecond),
+			})
 		})
 		_, more := <-resting.answers
 		convey.So(more, convey.ShouldBeFalse)
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -51,6 +51,13 @@
 	n.rollBackAndRelease()
 }
 
+// noteAbort sets the cause of a request whose transaction was rolled back for a stop.
+func (q *request) noteAbort(t *transaction) {
+	if t.aborted == reasonStopping {
+		q.last.cause = causeStopping
+	}
+}
+
 // rollBackAndRelease returns the connection to the pool after a rollback.
 func (n *session) rollBackAndRelease() {
 	if c := n.tx.conn; c != nil {
@@ -162,6 +169,7 @@
 func (n *session) runInTransaction(q *request) error {
 	for {
 		if n.tx.aborted != "" {
+			q.noteAbort(n.tx)
 			return n.fail(q, jacinthtiller.ErrorCodeAborted, "the transaction was rolled back: "+n.tx.aborted, 0)
 		}
 		if n.tx.conn == nil && !n.beginAtTarget(q) {
@@ -227,6 +235,7 @@
 	tx := n.tx
 	n.tx, n.state = nil, jacinthtiller.StateIdle
 	if tx.aborted != "" {
+		q.noteAbort(tx)
 		return n.fail(q, jacinthtiller.ErrorCodeAborted, "the transaction was rolled back: "+tx.aborted, n.s.retryAfter(q))
 	}
 	return n.commit(q, tx)
