jacinthd: do not end a stop at a repeated SIGTERM

What callers saw: when SIGTERM was sent again during a stop, all requests that ran ended with the close of the connection. Not reported as such.

Cause: a second signal of any kind made the process return at once.

Change: a further SIGTERM is logged and changes nothing; SIGINT ends the process as before.

--- a/cmd/jacinthd/main.go
+++ b/cmd/jacinthd/main.go
@@ -72,19 +72,25 @@
 	p.Reload(s)
 }
 
-// stop stops the process gracefully. A second signal makes it return at once.
+// stop stops the process gracefully. An interrupt makes it return at once. A further SIGTERM does not: whoever supervises the
+// process may repeat it, and has SIGKILL for the end.
 func stop(ctx context.Context, p *daemon.Process, signals <-chan os.Signal) int {
 	done := make(chan error, 1)
 	var goroutines conc.WaitGroup
 	goroutines.Go(func() { done <- p.Stop(ctx) })
-	select {
-	case err := <-done:
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				return 1
+			}
+			return 0
+		case received := <-signals:
+			p.LogRepeatedSignal(received.String())
+			if received == os.Interrupt {
+				return 1
+			}
 		}
-		return 0
-	case <-signals:
-		return 1
 	}
 }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -18,6 +18,11 @@
 	return first
 }
 
+// LogRepeatedSignal logs a signal that arrives while the process stops.
+func (p *Process) LogRepeatedSignal(name string) {
+	p.events.Emit(event.ProcessStopping, event.Fields{"signal": name, "repeated": true})
+}
+
 // markClosed reports whether this is the first call, so that resources are closed only once.
 func (p *Process) markClosed() bool {
 	p.mu.Lock()
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -107,7 +107,8 @@
 		// signals are the times of the SIGTERMs after the first one.
 		signals []time.Duration
 	}{
-		"one signal": {},
+		"one signal":       {},
+		"repeated signals": {signals: []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second}},
 	}
 	convey.Convey("A host with busy guests stops", t, func() {
 		for name, c := range cases {
