statement: do not close sessions whose next request is on its way

What callers saw: during a stop of a host, a request sent right after the startup or after an answer was reset unread.

Cause: a session counted as idle whenever it waited for a request, also in the round trip after it had told the guest that it is ready. A guest that connects for a single request was hit by each tick in that time.

Change: a session is closed after 60 ms without a request.

Evidence: TestStopKeepsActiveSessions fails in three of five cases before.

--- a/statement/session.go
+++ b/statement/session.go
@@ -46,6 +46,8 @@
 	// activeConn is the connection on which a single statement, or the begin or commit of a transaction, is running; else
 	// nil. It is dropped if a panic ends the session.
 	activeConn *pool.Conn
+	// quietSince is when the guest was last told that the session is ready for a request.
+	quietSince time.Time
 	// refusedForStop is true once a request was refused because the host stops, after which the session closes. A guest whose
 	// request was answered may have sent the next one already, so its session closes only while it is idle.
 	refusedForStop bool
@@ -73,6 +75,7 @@
 
 // serveRequests answers requests until the guest disconnects. It stores the id of the current request in logFields.
 func (n *session) serveRequests(logFields event.Fields) {
+	n.quietSince = time.Now()
 	for {
 		r, err := n.conn.Next(n.idleDeadline())
 		switch {
@@ -91,6 +94,7 @@
 		if n.refusedForStop {
 			return
 		}
+		n.quietSince = time.Now()
 	}
 }
 
@@ -159,7 +163,7 @@
 func (n *session) handleWake() bool {
 	step := n.s.stopStep()
 	if n.tx == nil {
-		return step >= stepCloseIdle
+		return step >= stepAnswer || step >= stepCloseIdle && time.Since(n.quietSince) >= minQuiet
 	}
 	if end := n.idleDeadline(); !end.IsZero() && !time.Now().Before(end) {
 		n.abort("the guest rested for too long in its transaction")
@@ -167,7 +171,7 @@
 	if step >= stepRefuse {
 		n.abort(reasonStopping) // the guest is told with its next request
 	}
-	return step >= stepAnswer
+	return step >= stepAnswer || n.s.abortNoticeEnded()
 }
 
 func (n *session) handle(r jacinthtiller.GuestRequest) error {
--- a/statement/stop.go
+++ b/statement/stop.go
@@ -14,6 +14,14 @@
 // drainPollInterval is the time between checks for sessions that can be closed during a drain.
 const drainPollInterval = 100 * time.Millisecond
 
+// minQuiet is how long a session must have had no request before it counts as idle during a drain. A guest's next request may
+// be on its way after an answer or the startup; round trips between regions take 25 ms.
+const minQuiet = 60 * time.Millisecond
+
+// abortNotice is how long after StopTimes.Refuse a guest in a transaction that was rolled back has to send its next request,
+// which tells it so. Then its session closes, so that the host is not away for longer than it has to be.
+const abortNotice = 300 * time.Millisecond
+
 // stopAnswerMargin is how long before StopTimes.Answer the deadline of a request ends at the latest, so that its session can
 // still say what has become of it.
 const stopAnswerMargin = 50 * time.Millisecond
@@ -23,7 +31,7 @@
 
 // StopTimes holds when the steps of a planned stop begin, in this order.
 type StopTimes struct {
-	// CloseIdle is when sessions that are idle outside a transaction begin to be closed. From then on no transaction begins.
+	// CloseIdle is when sessions that have been idle outside a transaction for a moment begin to be closed. From then on no transaction begins.
 	CloseIdle time.Time
 	// Refuse is when open transactions are rolled back. From then on no request outside a transaction and no session begins.
 	Refuse time.Time
@@ -55,6 +63,12 @@
 	return stepAnswer
 }
 
+// abortNoticeEnded reports whether sessions whose transactions were rolled back for the stop are closed.
+func (s *Server) abortNoticeEnded() bool {
+	t := s.stopTimes.Load()
+	return t != nil && !time.Now().Before(t.Refuse.Add(abortNotice))
+}
+
 // Drain keeps serving until t.CloseIdle, so that the load balancer can notice that the host is not ready, and then takes the
 // steps of t. It returns when no session is left, or when ctx ends.
 func (s *Server) Drain(ctx context.Context, t StopTimes) error {
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -153,3 +153,55 @@
 		}
 	})
 }
+
+// TestStopKeepsActiveSessions guards against requests that reach a session in the moment in which the stop closes it: a guest
+// sends its first request as soon as it is accepted, and the next one soon after an answer.
+func TestStopKeepsActiveSessions(t *testing.T) {
+	// onTheWay is how long a request is on its way after the guest got READY: a round trip to a distant guest.
+	const onTheWay = 30 * time.Millisecond
+	cases := map[string]struct {
+		before []string
+		// rest is how long the guest pauses before the stop looks at its session.
+		rest   time.Duration
+		closed bool
+	}{
+		"a guest that was just accepted":       {},
+		"a guest that has just been answered":  {before: []string{"READ 1"}},
+		"a guest that has just set a value":    {before: []string{"SET a 1"}},
+		"a guest that has been quiet":          {rest: time.Second, closed: true},
+		"a guest that was answered and rested": {before: []string{"READ 1"}, rest: time.Second, closed: true},
+	}
+	convey.Convey("A stop that closes idle sessions, in virtual time", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var closed bool
+				synctest.Test(t, func(t *testing.T) {
+					ts := newTestServer(t)
+					defer ts.close()
+					g := ts.guest(jacinthtiller.ClassPrimary)
+					for _, x := range c.before {
+						g.ask(x)
+					}
+					time.Sleep(c.rest)
+					now := time.Now()
+					ctx, cancel := context.WithCancel(context.Background())
+					var group conc.WaitGroup
+					group.Go(func() {
+						_ = ts.server.Drain(ctx, StopTimes{CloseIdle: now, Refuse: now.Add(time.Minute), Answer: now.Add(time.Minute)})
+					})
+					time.Sleep(onTheWay)
+					synctest.Wait()
+					select {
+					case _, open := <-g.answers:
+						closed = !open
+					default:
+						g.leave()
+					}
+					cancel()
+					group.Wait()
+				})
+				convey.So(closed, convey.ShouldEqual, c.closed)
+			})
+		}
+	})
+}
