relay, daemon: wait for other hosts' statements at a stop

What callers saw: unknown outcomes and rollbacks at other hosts when the host that relayed their statements stopped. Not reported; found by reading.

Cause: a stop waited for the host's own guests only; the end of the process cut off what it relayed.

Change: after the release of the lease, relay.Server.Drain refuses new work as not run and waits up to 1 s, within the stop time, for statements and transactions.

Evidence: TestRelayDrain; it fails when new work is still taken, and when Drain does not wait. Not shown with real processes.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -38,6 +39,10 @@
 	// drainPercent is the share of the stop time, in percent, after which the remaining guests are cut off, so that the
 	// process ends in time.
 	drainPercent = 90
+	// relayDrainTimeout and relayDrainPercent, a share of the stop time, bound the wait for statements and transactions of other
+	// hosts, which learn from the release of the lease to go elsewhere.
+	relayDrainTimeout = time.Second
+	relayDrainPercent = 96
 	// leaseReleaseTimeout bounds the release of the host's lease during a stop.
 	leaseReleaseTimeout = 300 * time.Millisecond
 	// settingsPollInterval is the time between checks of the settings file, which may change without a signal.
@@ -132,10 +137,16 @@
 	if releaseErr := p.host.Release(releaseCtx); releaseErr != nil {
 		p.events.Emit(event.ControlLost, event.Fields{"fault": releaseErr.Error()})
 	}
+	relayDeadline := time.Now().Add(relayDrainTimeout)
+	if end := start.Add(budget * relayDrainPercent / 100); end.Before(relayDeadline) {
+		relayDeadline = end
+	}
+	relayCtx, cancelRelay := context.WithDeadline(ctx, relayDeadline)
+	defer cancelRelay()
 	if err != nil {
-		return fmt.Errorf("drain guests: %w", err)
+		err = fmt.Errorf("drain guests: %w", err)
 	}
-	return nil
+	return errors.Join(err, p.relayServer.Drain(relayCtx))
 }
 
 // Reload applies the settings that may change while the process runs: the seeds.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -25,6 +25,8 @@
 	errorCode      jacinthtiller.ErrorCode
 	resetOnReceive bool
 	requests       []string
+	// held, if set, delays all answers until it is closed.
+	held chan struct{}
 }
 
 func (f *fakeTargets) Dial(context.Context, jacinthtiller.Target) (jacinthtiller.TargetConn, error) {
@@ -59,6 +61,12 @@
 }
 
 func (c *fakeTargetConn) Receive(time.Time) (jacinthtiller.Reply, error) {
+	c.f.mu.Lock()
+	held := c.f.held
+	c.f.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	o := c.pending[0]
@@ -252,6 +260,73 @@
 	})
 }
 
+// TestRelayDrain guards against statements of other hosts that are cut off by the stop of the host which relays them, and against
+// a stop that leaves those hosts in doubt about work that it did not begin.
+func TestRelayDrain(t *testing.T) {
+	convey.Convey("A host that relays for others stops", t, func() {
+		f := &fakeTargets{held: make(chan struct{})}
+		release := sync.OnceFunc(func() { close(f.held) })
+		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		defer p.Close()
+		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
+		p.Apply(jacinthtiller.View{
+			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
+			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		s := NewServer(p, "rollback", nil)
+		var group conc.WaitGroup
+		group.Go(func() { s.Serve(l) })
+		defer func() {
+			release()
+			l.Close()
+			s.Close()
+			group.Wait()
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		dial := func() jacinthtiller.RelayConn {
+			c, err := Dialer{}.DialRelay(ctx, l.Addr().String(), target, false)
+			convey.So(err, convey.ShouldBeNil)
+			return c
+		}
+		job := func(text string) jacinthtiller.Job {
+			return jacinthtiller.Job{TargetRequest: jacinthtiller.TargetRequest{ID: "x", Text: text}, Deadline: time.Now().Add(5 * time.Second)}
+		}
+		busy, resting := dial(), dial()
+		defer busy.Close()
+		defer resting.Close()
+		convey.So(busy.Start(job("write")), convey.ShouldBeNil)
+		for len(f.log()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		done := make(chan error, 1)
+		group.Go(func() { done <- s.Drain(ctx) })
+		for !s.isDraining() {
+			time.Sleep(time.Millisecond)
+		}
+		convey.Convey("a statement that runs is answered before the drain ends, and a new one is refused as not run", func() {
+			convey.So(resting.Start(job("late")), convey.ShouldBeNil)
+			_, err := resting.Receive(time.Now().Add(5 * time.Second))
+			var notSent *jacinthtiller.NotSentError
+			convey.So(errors.As(err, &notSent), convey.ShouldBeTrue)
+			convey.So(notSent.TargetUnreachable, convey.ShouldBeTrue)
+			convey.So(len(done), convey.ShouldEqual, 0)
+			release()
+			r, err := busy.Receive(time.Now().Add(5 * time.Second))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(string(r.Body), convey.ShouldEqual, "body of write")
+			convey.So(<-done, convey.ShouldBeNil)
+			convey.So(f.log(), convey.ShouldResemble, []string{"write"})
+		})
+		convey.Convey("the drain ends with its time", func() {
+			cancel()
+			convey.So(<-done, convey.ShouldNotBeNil)
+		})
+	})
+}
+
 // FuzzFrames guards against panics on malicious input.
 func FuzzFrames(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 1, 0xf6})
--- a/relay/server.go
+++ b/relay/server.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -14,6 +16,8 @@
 )
 
 const (
+	// drainPollInterval is the time between checks whether a drain is over.
+	drainPollInterval = 20 * time.Millisecond
 	// helloTimeout bounds the wait for the hello of a connection.
 	helloTimeout = 5 * time.Second
 	// replyTimeout bounds the write of a reply.
@@ -36,6 +40,9 @@
 	// conns holds the open connections from other hosts.
 	conns  map[net.Conn]struct{}
 	closed bool
+	// draining is true once no job begins any more, and working counts the connections with a job or an open transaction.
+	draining bool
+	working  int
 }
 
 // Option configures a Server.
@@ -86,6 +93,51 @@
 	delete(s.conns, c)
 }
 
+// Drain refuses new jobs as not run, and returns when no job runs and no transaction is open, or when ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	ticks := time.NewTicker(drainPollInterval)
+	defer ticks.Stop()
+	for {
+		s.mu.Lock()
+		working := s.working
+		s.mu.Unlock()
+		if working == 0 {
+			return nil
+		}
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return fmt.Errorf("drain %d connections of other hosts: %w", working, ctx.Err())
+		}
+	}
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// beginWork reports whether a job may begin on a connection without one; if so, endWork must follow.
+func (s *Server) beginWork() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.working++
+	return true
+}
+
+func (s *Server) endWork() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.working--
+}
+
 // Close closes all connections, which rolls back their open transactions.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -121,10 +173,14 @@
 		return
 	}
 	var conn *pool.Conn
+	working := false
 	defer func() {
 		if conn != nil {
 			conn.RollBack(s.rollback)
 		}
+		if working {
+			s.endWork()
+		}
 	}()
 	for {
 		var idleDeadline time.Time
@@ -136,6 +192,12 @@
 		if err := f.read(&in); err != nil {
 			return
 		}
+		if !working {
+			if working = s.beginWork(); !working {
+				_ = f.write(time.Now().Add(replyTimeout), jobReply{Outcome: outcomeUnreachable, Text: "the host is stopping"})
+				return
+			}
+		}
 		var reply jobReply
 		if in.Flags&flagPositionQuery != 0 {
 			reply = s.queryPosition(h, in)
@@ -148,6 +210,10 @@
 		if err := f.write(time.Now().Add(replyTimeout), reply); err != nil {
 			return
 		}
+		if conn == nil {
+			s.endWork()
+			working = false
+		}
 	}
 }
 
