--- a/control/replacement.go
+++ b/control/replacement.go
@@ -118,8 +118,9 @@
 type targetStatuses map[string]jacinthtiller.TargetStatus
 
 // targetsToInspect returns the targets to inspect, sorted by name. An unreachable former primary is left out, because
-// waiting for it would delay the promotion, unless the group has to wait for it anyway. During bootstrap only targets that report themselves as the primary are
-// inspected: nothing is promoted yet, and at the first start there are hundreds of targets.
+// waiting for it would delay the promotion, unless the group has to wait for it anyway. During bootstrap only targets that
+// report themselves as the primary are inspected: nothing is promoted yet, and at the first start there are hundreds of
+// targets.
 func targetsToInspect(d jacinthtiller.Database, suspendCause cause, bootstrapping, awaitsFormer bool) []jacinthtiller.Target {
 	var out []jacinthtiller.Target
 	for _, n := range d.TargetNames() {
@@ -198,8 +199,8 @@
 }
 
 // acknowledged returns a position that covers every acknowledged commit, and false when the answers do not prove one. A
-// commit was acknowledged once syncReplicas of the other targets had it, so that of n targets which did not answer at
-// most n are among its holders. Without synchronous replicas nothing is required. The answers must be from after the
+// commit was acknowledged once syncReplicas of the other targets had it, so that at least syncReplicas less the number of
+// silent ones are among those that answered. A former primary that still leads has all of them. Without synchronous replicas nothing is required. The answers must be from after the
 // last acknowledgement under the former primary.
 func (s targetStatuses) acknowledged(d jacinthtiller.Database, syncReplicas int) (jacinthtiller.Position, bool) {
 	if syncReplicas == 0 {
--- a/statement/stop.go
+++ b/statement/stop.go
@@ -31,7 +31,8 @@
 
 // StopTimes holds when the steps of a planned stop begin, in this order.
 type StopTimes struct {
-	// CloseIdle is when sessions that have been idle outside a transaction for a moment begin to be closed. From then on no transaction begins.
+	// CloseIdle is when sessions that have been idle outside a transaction for minQuiet begin to be closed. From then on no
+	// transaction begins.
 	CloseIdle time.Time
 	// Refuse is when open transactions are rolled back. From then on no request outside a transaction and no session begins.
 	Refuse time.Time
