--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -19,8 +19,8 @@
 // stopClient is a guest that stays at one host until the host closes its session or refuses a request.
 type stopClient struct {
 	database string
-	// pause is the time between two requests.
-	pause time.Duration
+	// pauseMilliseconds is the time between two requests.
+	pauseMilliseconds int64
 	// texts are sent in turn; a transaction is sent as several texts.
 	texts []string
 	// perSession is the number of requests after which the client leaves and connects again; zero for never.
@@ -70,7 +70,7 @@
 		if r.recordAnswer(lines[len(lines)-1]) {
 			return true // a guest gives its operation up and leaves
 		}
-		time.Sleep(c.pause)
+		time.Sleep(time.Duration(c.pauseMilliseconds) * time.Millisecond)
 	}
 	return true
 }
@@ -104,11 +104,11 @@
 // ask again at once were not closed while the host stopped, and the end of the process cut off what they had asked for; and a request that was taken shortly before was given up because its target answered too late.
 func TestStopWhileBusy(t *testing.T) {
 	cases := map[string]struct {
-		// signals are the times of the SIGTERMs after the first one.
-		signals []time.Duration
+		// signalsMilliseconds are the times of the SIGTERMs after the first one.
+		signalsMilliseconds []int64
 	}{
 		"one signal":       {},
-		"repeated signals": {signals: []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second}},
+		"repeated signals": {signalsMilliseconds: []int64{300, 1000, 2000}},
 	}
 	convey.Convey("A host with busy guests stops", t, func() {
 		for name, c := range cases {
@@ -127,14 +127,14 @@
 				n.databases.mu.Unlock()
 				clients := []stopClient{
 					{database: "own", texts: []string{"READ 1"}},
-					{database: "own", texts: []string{"READ 1"}, pause: 3 * time.Millisecond},
+					{database: "own", texts: []string{"READ 1"}, pauseMilliseconds: 3},
 					{database: "own", texts: []string{"SET a 1", "READ 2"}},
-					{database: "own", texts: []string{"READ slow", "READ 1"}, pause: 20 * time.Millisecond},
-					{database: "strict", texts: []string{"READ 7", "READ 7", "WRITE 7 stuck"}, pause: 450 * time.Millisecond},
-					{database: "bounded", texts: []string{"READ 3"}, perSession: 1, pause: time.Millisecond},
+					{database: "own", texts: []string{"READ slow", "READ 1"}, pauseMilliseconds: 20},
+					{database: "strict", texts: []string{"READ 7", "READ 7", "WRITE 7 stuck"}, pauseMilliseconds: 450},
+					{database: "bounded", texts: []string{"READ 3"}, perSession: 1, pauseMilliseconds: 1},
 					{database: "strict", texts: []string{"WRITE 4 x"}},
-					{database: "strict", texts: []string{"BEGIN", "READ 5", "WRITE 5 y", "COMMIT"}, pause: 5 * time.Millisecond},
-					{database: "strict", texts: []string{"BEGIN", "READ 6", "READ 6", "READ 6", "READ 6", "WRITE 6 z", "COMMIT"}, pause: 150 * time.Millisecond},
+					{database: "strict", texts: []string{"BEGIN", "READ 5", "WRITE 5 y", "COMMIT"}, pauseMilliseconds: 5},
+					{database: "strict", texts: []string{"BEGIN", "READ 6", "READ 6", "READ 6", "READ 6", "WRITE 6 z", "COMMIT"}, pauseMilliseconds: 150},
 				}
 				host := n.hosts["edge-0"]
 				r := &stopRecord{refused: map[string]int{}}
@@ -152,8 +152,8 @@
 				time.Sleep(500 * time.Millisecond)
 				began := time.Now()
 				convey.So(host.cmd.Process.Signal(syscall.SIGTERM), convey.ShouldBeNil)
-				for _, at := range c.signals {
-					time.Sleep(time.Until(began.Add(at)))
+				for _, at := range c.signalsMilliseconds {
+					time.Sleep(time.Until(began.Add(time.Duration(at) * time.Millisecond)))
 					_ = host.cmd.Process.Signal(syscall.SIGTERM)
 				}
 				select {
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -161,15 +161,15 @@
 	const onTheWay = 30 * time.Millisecond
 	cases := map[string]struct {
 		before []string
-		// rest is how long the guest pauses before the stop looks at its session.
-		rest   time.Duration
-		closed bool
+		// restMilliseconds is how long the guest pauses before the stop looks at its session.
+		restMilliseconds int64
+		closed           bool
 	}{
 		"a guest that was just accepted":       {},
 		"a guest that has just been answered":  {before: []string{"READ 1"}},
 		"a guest that has just set a value":    {before: []string{"SET a 1"}},
-		"a guest that has been quiet":          {rest: time.Second, closed: true},
-		"a guest that was answered and rested": {before: []string{"READ 1"}, rest: time.Second, closed: true},
+		"a guest that has been quiet":          {restMilliseconds: 1000, closed: true},
+		"a guest that was answered and rested": {before: []string{"READ 1"}, restMilliseconds: 1000, closed: true},
 	}
 	convey.Convey("A stop that closes idle sessions, in virtual time", t, func() {
 		for name, c := range cases {
@@ -182,7 +182,7 @@
 					for _, x := range c.before {
 						g.ask(x)
 					}
-					time.Sleep(c.rest)
+					time.Sleep(time.Duration(c.restMilliseconds) * time.Millisecond)
 					now := time.Now()
 					ctx, cancel := context.WithCancel(context.Background())
 					var group conc.WaitGroup
