--- a/relay/server.go
+++ b/relay/server.go
@@ -115,12 +115,6 @@
 	}
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 // beginWork reports whether a job may begin on a connection without one; if so, endWork must follow.
 func (s *Server) beginWork() bool {
 	s.mu.Lock()
