statement: failing tests of two ways in which a stop cuts off sessions

Cause: (1) no step of a stop refuses what the host answers without a target, so that a session whose guest asks for that again at once is open until the last step, and its next request is cut off. (2) Drain waits for the last step and for its end with one select, which takes either if both are overdue. The fake guest's Next forgets an earlier interruption now, as a connection does whose read deadline is set anew; before, busy sessions were always found by a tick, which is why the tests of the stop missed this.

--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -145,7 +145,12 @@
 	}
 }
 
+// Next forgets an interruption that came before it, as a connection does whose read deadline is set anew.
 func (g *fakeGuest) Next(deadline time.Time) (jacinthtiller.GuestRequest, error) {
+	select {
+	case <-g.interrupt:
+	default:
+	}
 	var timeout <-chan time.Time
 	if !deadline.IsZero() {
 		t := time.NewTimer(time.Until(deadline))
@@ -193,6 +198,21 @@
 
 // ask sends a request, given as its text, and returns the answer.
 func (g *fakeGuest) ask(text string) string {
+	g.requests <- requestOf(text)
+	return <-g.answers
+}
+
+// askIfOpen is ask for a session that the server may close. It reports false if it was closed before the request was taken.
+func (g *fakeGuest) askIfOpen(text string) (answer string, open bool) {
+	select {
+	case g.requests <- requestOf(text):
+		return <-g.answers, true
+	case <-g.answers:
+		return "", false
+	}
+}
+
+func requestOf(text string) jacinthtiller.GuestRequest {
 	word, rest, _ := strings.Cut(text, " ")
 	r := jacinthtiller.GuestRequest{ID: "x", Text: text}
 	switch word {
@@ -218,9 +238,10 @@
 	case "PREPARE":
 		r.Kind, r.Access = jacinthtiller.RequestPrepare, jacinthtiller.AccessWrite
 		r.Name, r.Arguments, _ = strings.Cut(rest, " ")
+	case "DEALLOCATE":
+		r.Kind, r.Name = jacinthtiller.RequestDeallocate, rest
 	}
-	g.requests <- r
-	return <-g.answers
+	return r
 }
 
 // testServer is a server with one direct group of targets a (primary), b and c.
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -205,3 +205,113 @@
 		}
 	})
 }
+
+// testStop is a stop of 6 s that begins now, and the end of its drain.
+func testStop() (t StopTimes, end time.Time) {
+	now := time.Now()
+	return StopTimes{
+		CloseIdle: now.Add(2200 * time.Millisecond), Refuse: now.Add(3 * time.Second), Answer: now.Add(5160 * time.Millisecond),
+	}, now.Add(5400 * time.Millisecond)
+}
+
+// TestStopEndsBusySessions guards against sessions that last to the end of a stop, which cuts off what they ask for then, because their guests
+// ask again at once for something that the host answers without a target.
+func TestStopEndsBusySessions(t *testing.T) {
+	// onTheWay is how long a request is on its way after the guest got the answer before it.
+	const onTheWay = time.Millisecond
+	cases := map[string]struct {
+		before []string
+		// texts are sent in turn until one is answered with busy or aborted.
+		texts []string
+		// cut is the number of requests that may be on their way when the session closes.
+		cut int
+	}{
+		"values":                            {texts: []string{"SET a 1"}},
+		"prepared statements":               {texts: []string{"PREPARE s w", "DEALLOCATE s"}},
+		"malformed requests":                {texts: []string{"NONSENSE"}},
+		"values in a transaction":           {before: []string{"BEGIN", "WRITE 1 x"}, texts: []string{"SET a 1"}},
+		"a second begin in a transaction":   {before: []string{"BEGIN", "WRITE 1 x"}, texts: []string{"BEGIN"}},
+		"transactions, one after the other": {texts: []string{"BEGIN", "SET a 1", "WRITE 1 x", "ROLLBACK"}},
+		// A guest that does not end a failed transaction gets no other answer until it is disconnected.
+		"statements in a failed one": {before: []string{"BEGIN", "EXECUTE missing 1"}, texts: []string{"READ 1"}, cut: 1},
+	}
+	convey.Convey("Guests that ask again at once while their host stops, in virtual time", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var unanswered, cut int
+				var drainErr error
+				synctest.Test(t, func(t *testing.T) {
+					ts := newTestServer(t)
+					defer ts.close()
+					ts.lease(time.Hour)
+					g := ts.guest(jacinthtiller.ClassPrimary)
+					for _, x := range c.before {
+						g.ask(x)
+					}
+					var group conc.WaitGroup
+					group.Go(func() {
+						for i := 0; ; i++ {
+							time.Sleep(onTheWay)
+							switch answer, open := g.askIfOpen(c.texts[i%len(c.texts)]); {
+							case !open:
+								cut++
+								return
+							case answer == "":
+								unanswered++
+								return
+							case strings.HasPrefix(answer, "busy"), strings.HasPrefix(answer, "aborted"):
+								g.leave()
+								return
+							}
+						}
+					})
+					times, end := testStop()
+					ctx, cancel := context.WithDeadline(context.Background(), end)
+					drainErr = ts.server.Drain(ctx, times)
+					cancel()
+					ts.server.Close()
+					group.Wait()
+				})
+				convey.So(drainErr, convey.ShouldBeNil)
+				convey.So(unanswered, convey.ShouldEqual, 0)
+				convey.So(cut, convey.ShouldBeLessThanOrEqualTo, c.cut)
+			})
+		}
+	})
+}
+
+// TestLateStopAnswersAll guards against requests that a stop cuts off because its last step begins late, on a busy or suspended machine: when both
+// that step and the end of the drain were overdue, the end could come first.
+func TestLateStopAnswersAll(t *testing.T) {
+	convey.Convey("A stop whose last step and end are both overdue, in virtual time", t, func() {
+		for range 30 {
+			var answer string
+			synctest.Test(t, func(t *testing.T) {
+				ts := newTestServer(t)
+				defer ts.close()
+				ts.lease(time.Hour)
+				for n, r := range ts.view.Edition.Routes {
+					r.StatementMilliseconds = 60_000
+					ts.view.Edition.Routes[n] = r
+				}
+				ts.group.set(func() {
+					ts.group.receive = func(_ jacinthtiller.TargetRequest, deadline time.Time) error {
+						time.Sleep(time.Until(deadline))
+						return os.ErrDeadlineExceeded
+					}
+				})
+				g := ts.guest(jacinthtiller.ClassPrimary)
+				var group conc.WaitGroup
+				group.Go(func() { answer = g.ask("READ 1") })
+				synctest.Wait()
+				past := time.Now().Add(-time.Second)
+				ctx, cancel := context.WithDeadline(context.Background(), past)
+				_ = ts.server.Drain(ctx, StopTimes{CloseIdle: past, Refuse: past, Answer: past})
+				cancel()
+				ts.server.Close()
+				group.Wait()
+			})
+			convey.So(answer, convey.ShouldEqual, "timeout I")
+		}
+	})
+}
