statement: refuse every kind of request in the second half of a stop

Cause: the step that refuses requests listed the kinds that need a target. Values, prepared statements and malformed requests were answered until the last step, and in an open transaction they kept it open, so that their sessions lasted to the end of the stop, which cut off the request on its way. Change: from Refuse on a request outside a transaction is refused whatever its kind, and the first request of any kind but a commit or a rollback in an open transaction is told that it was rolled back. The session of a guest that goes on in a rolled back transaction closes after the notice, with an answer. The answer of TestStopSteps to SET in that step changes from done to busy, which is stricter: the test held the fault. Ruled out: answering such requests and closing afterwards; the guest may have sent the next one by then.

--- a/statement/session.go
+++ b/statement/session.go
@@ -48,9 +48,6 @@
 	activeConn *pool.Conn
 	// quietSince is when the guest was last told that the session is ready for a request.
 	quietSince time.Time
-	// refusedForStop is true once a request was refused because the host stops, after which the session closes. A guest whose
-	// request was answered may have sent the next one already, so its session closes only while it is idle.
-	refusedForStop bool
 	// waitingSince is when a guest whose startup was held began to wait; zero otherwise.
 	waitingSince time.Time
 }
@@ -89,10 +86,9 @@
 			return
 		}
 		logFields["request"] = r.ID
-		if err := n.handle(r); err != nil {
-			return
-		}
-		if n.refusedForStop {
+		// A guest whose request is served may send the next one at once, so its session closes only while it is idle.
+		ends := n.endsAfterAnswer()
+		if err := n.handle(r); err != nil || ends {
 			return
 		}
 		n.quietSince = time.Now()
@@ -177,11 +173,17 @@
 }
 
 func (n *session) handle(r jacinthtiller.GuestRequest) error {
-	if n.state == jacinthtiller.StateFailed && r.Kind != jacinthtiller.RequestCommit && r.Kind != jacinthtiller.RequestRollback {
+	endsTransaction := r.Kind == jacinthtiller.RequestCommit || r.Kind == jacinthtiller.RequestRollback
+	if n.state == jacinthtiller.StateFailed && !endsTransaction {
 		return n.conn.ReplyError(jacinthtiller.ErrorCodeMalformed, "the transaction has failed; end it first", 0, n.state)
 	}
-	if n.stopRefuses(r.Kind) {
+	switch {
+	case n.tx == nil && n.stopRefuses(r.Kind):
 		return n.refuseForStop(r)
+	case n.tx != nil && n.s.stopStep() >= stepRefuse && !endsTransaction:
+		n.abort(reasonStopping)
+		q, _ := n.newRequest(r, n.tx.route)
+		return n.failAborted(q)
 	}
 	switch r.Kind {
 	case jacinthtiller.RequestSet:
--- a/statement/stop.go
+++ b/statement/stop.go
@@ -148,20 +148,11 @@
 	return s.drained
 }
 
-// stopRefuses reports whether a request of the kind is refused because the host stops. A statement of an open transaction
-// is not refused here, but finds its transaction rolled back; a commit that comes before that is carried out.
+// stopRefuses reports whether a request of the kind, which must not be one of an open transaction, is refused because the host
+// stops: from stepRefuse on whatever it is, also what the host could answer itself, since the next request would be cut off.
 func (n *session) stopRefuses(k jacinthtiller.RequestKind) bool {
 	step := n.s.stopStep()
-	switch k {
-	case jacinthtiller.RequestBegin, jacinthtiller.RequestBeginRead:
-		return n.tx == nil && step >= stepCloseIdle
-	case jacinthtiller.RequestRead, jacinthtiller.RequestWrite, jacinthtiller.RequestExecute:
-		if n.tx != nil && step >= stepRefuse {
-			n.abort(reasonStopping)
-		}
-		return n.tx == nil && step >= stepRefuse
-	}
-	return false
+	return step >= stepRefuse || step >= stepCloseIdle && (k == jacinthtiller.RequestBegin || k == jacinthtiller.RequestBeginRead)
 }
 
 // refuseForStop refuses a request outside a transaction. Other hosts can serve the guest at once.
@@ -172,10 +163,17 @@
 	}
 	q, _ := n.newRequest(r, route)
 	q.last = outcome{reason: reasonStopping, cause: causeStopping}
-	n.refusedForStop = n.s.stopStep() >= stepRefuse
 	return n.fail(q, jacinthtiller.ErrorCodeBusy, "not run: "+reasonStopping, rand.Int64N(retryAfterBusyMilliseconds))
 }
 
+// endsAfterAnswer reports whether the session closes after the answer to the request that it takes now, because the host stops.
+func (n *session) endsAfterAnswer() bool {
+	if n.tx == nil {
+		return n.s.stopStep() >= stepRefuse
+	}
+	return n.tx.aborted != "" && n.s.abortNoticeEnded()
+}
+
 // beforeStop returns the deadline of a request, which ends before the last step of a stop that has begun.
 func (s *Server) beforeStop(deadline time.Time) time.Time {
 	t := s.stopTimes.Load()
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -43,7 +43,27 @@
 		},
 		"a value": {
 			text:  "SET a 1",
-			want:  map[string]string{"notice": "done I", "close idle": "done I", "refuse": "done I"},
+			want:  map[string]string{"notice": "done I", "close idle": "done I", "refuse": "busy I"},
+			stays: map[string]bool{"notice": true, "close idle": true},
+		},
+		"a prepared statement": {
+			text:  "PREPARE s w",
+			want:  map[string]string{"notice": "done I", "close idle": "done I", "refuse": "busy I"},
+			stays: map[string]bool{"notice": true, "close idle": true},
+		},
+		"the end of a prepared statement": {
+			text:  "DEALLOCATE s",
+			want:  map[string]string{"notice": "done I", "close idle": "done I", "refuse": "busy I"},
+			stays: map[string]bool{"notice": true, "close idle": true},
+		},
+		"a malformed request": {
+			text:  "NONSENSE",
+			want:  map[string]string{"notice": "malformed I", "close idle": "malformed I", "refuse": "busy I"},
+			stays: map[string]bool{"notice": true, "close idle": true},
+		},
+		"a value in an open transaction": {
+			before: "BEGIN", text: "SET a 1",
+			want:  map[string]string{"notice": "done T", "close idle": "done T", "refuse": "aborted E"},
 			stays: map[string]bool{"notice": true, "close idle": true, "refuse": true},
 		},
 		"the begin of a transaction": {
--- a/statement/transaction.go
+++ b/statement/transaction.go
@@ -58,6 +58,12 @@
 	}
 }
 
+// failAborted tells the guest that its transaction was rolled back before the request.
+func (n *session) failAborted(q *request) error {
+	q.noteAbort(n.tx)
+	return n.fail(q, jacinthtiller.ErrorCodeAborted, "the transaction was rolled back: "+n.tx.aborted, 0)
+}
+
 // rollBackAndRelease returns the connection to the pool after a rollback.
 func (n *session) rollBackAndRelease() {
 	if c := n.tx.conn; c != nil {
@@ -169,8 +175,7 @@
 func (n *session) runInTransaction(q *request) error {
 	for {
 		if n.tx.aborted != "" {
-			q.noteAbort(n.tx)
-			return n.fail(q, jacinthtiller.ErrorCodeAborted, "the transaction was rolled back: "+n.tx.aborted, 0)
+			return n.failAborted(q)
 		}
 		if n.tx.conn == nil && !n.beginAtTarget(q) {
 			n.tx.aborted = "it could not be begun"
