statement, daemon: finish the answers that are left when the drain of a stop ends

Cause: the end of a drain closed all connections. What ran was answered only if the last step came first: Drain waited for that step and for the end with one select, which takes either when a busy or suspended process is late. What was being written to a guest that reads slowly was cut in the middle, although the process had a tenth of its time left. Change: the end of the drain answers what still runs too; then FinishAnswers waits, within the time for other hosts' statements and for 0.1 s at least, until each request that was taken has a whole answer. The fake guest's Next returns when its connection closes, as a real one does.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -43,6 +43,8 @@
 	// hosts, which learn from the release of the lease to go elsewhere.
 	relayDrainTimeout = time.Second
 	relayDrainPercent = 96
+	// minFinishTimeout is how long a stop that is late waits for answers that are being written.
+	minFinishTimeout = 100 * time.Millisecond
 	// leaseReleaseTimeout bounds the release of the host's lease during a stop.
 	leaseReleaseTimeout = 300 * time.Millisecond
 	// settingsPollInterval is the time between checks of the settings file, which may change without a signal.
@@ -146,7 +148,14 @@
 	if err != nil {
 		err = fmt.Errorf("drain guests: %w", err)
 	}
-	return errors.Join(err, p.relayServer.Drain(relayCtx))
+	err = errors.Join(err, p.relayServer.Drain(relayCtx))
+	finishDeadline := start.Add(budget * relayDrainPercent / 100)
+	if end := time.Now().Add(minFinishTimeout); end.After(finishDeadline) {
+		finishDeadline = end
+	}
+	finishCtx, cancelFinish := context.WithDeadline(context.WithoutCancel(ctx), finishDeadline)
+	defer cancelFinish()
+	return errors.Join(err, p.statementServer.FinishAnswers(finishCtx))
 }
 
 // Reload applies the settings that may change while the process runs: the seeds.
--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -133,6 +134,7 @@
 	requests  chan jacinthtiller.GuestRequest
 	answers   chan string
 	interrupt chan struct{}
+	closed    chan struct{}
 	once      sync.Once
 }
 
@@ -163,6 +165,8 @@
 			return r, io.EOF
 		}
 		return r, nil
+	case <-g.closed:
+		return jacinthtiller.GuestRequest{}, net.ErrClosed
 	case <-g.interrupt:
 		return jacinthtiller.GuestRequest{}, jacinthtiller.ErrWaitInterrupted
 	case <-timeout:
@@ -192,7 +196,10 @@
 }
 
 func (g *fakeGuest) Close() error {
-	g.once.Do(func() { close(g.answers) })
+	g.once.Do(func() {
+		close(g.closed)
+		close(g.answers)
+	})
 	return nil
 }
 
@@ -303,13 +310,18 @@
 
 // connect connects a guest, whose startup has no answer yet.
 func (ts *testServer) connect(route jacinthtiller.ReadClass) *fakeGuest {
-	g := &fakeGuest{
-		route: string(route), requests: make(chan jacinthtiller.GuestRequest), answers: make(chan string, 4), interrupt: make(chan struct{}, 1),
-	}
+	g := newFakeGuest(route)
 	ts.serve(g)
 	return g
 }
 
+func newFakeGuest(route jacinthtiller.ReadClass) *fakeGuest {
+	return &fakeGuest{
+		route: string(route), requests: make(chan jacinthtiller.GuestRequest), answers: make(chan string, 4), interrupt: make(chan struct{}, 1),
+		closed: make(chan struct{}),
+	}
+}
+
 // serve runs a session of the guest.
 func (ts *testServer) serve(g jacinthtiller.GuestConn) {
 	n := newSession(ts.server, g)
--- a/statement/stop.go
+++ b/statement/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -14,6 +15,9 @@
 // drainPollInterval is the time between checks for sessions that can be closed during a drain.
 const drainPollInterval = 100 * time.Millisecond
 
+// answerPollInterval is the time between checks whether all requests have been answered.
+const answerPollInterval = 20 * time.Millisecond
+
 // minQuiet is how long a session must have had no request before it counts as idle during a drain. A guest's next request may
 // be on its way after an answer or the startup; round trips between regions take 25 ms.
 const minQuiet = 60 * time.Millisecond
@@ -102,16 +106,34 @@
 		case <-answer.C:
 			s.cutOffRequests()
 		case <-ctx.Done():
+			s.cutOffRequests() // the last step may be overdue too
 			return ctx.Err()
 		}
 	}
 }
 
-// logStopStep logs that a step has begun, and how late.
-func (s *Server) logStopStep(p stopStep, late time.Duration) {
-	var running, writing int
+// FinishAnswers waits until each request that was taken has a whole answer, or until ctx ends. A guest that reads slowly may
+// need longer than the drain for a long one.
+func (s *Server) FinishAnswers(ctx context.Context) error {
+	ticks := time.NewTicker(answerPollInterval)
+	defer ticks.Stop()
+	for {
+		running, writing := s.progress()
+		if running+writing == 0 {
+			return nil
+		}
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return fmt.Errorf("finish %d answers, of which %d were begun: %w", running+writing, writing, ctx.Err())
+		}
+	}
+}
+
+// progress returns the numbers of sessions whose request has no answer yet and of those that are writing one.
+func (s *Server) progress() (running, writing int) {
 	s.mu.Lock()
-	sessions := len(s.sessions)
+	defer s.mu.Unlock()
 	for n := range s.sessions {
 		switch pending, busy := n.conn.progress(); {
 		case busy:
@@ -120,9 +142,14 @@
 			running++
 		}
 	}
-	s.mu.Unlock()
+	return running, writing
+}
+
+// logStopStep logs that a step has begun, and how late.
+func (s *Server) logStopStep(p stopStep, late time.Duration) {
+	running, writing := s.progress()
 	s.events.Emit(event.StopStepReached, event.Fields{
-		"step": p.String(), "late-milliseconds": late.Milliseconds(), "sessions": sessions, "running": running, "writing": writing,
+		"step": p.String(), "late-milliseconds": late.Milliseconds(), "sessions": s.Stats().Sessions, "running": running, "writing": writing,
 	})
 }
 
@@ -285,7 +312,7 @@
 	if !c.pending || c.closed {
 		return r, "", false
 	}
-	c.closed = true
+	c.pending, c.closed = false, true
 	state := jacinthtiller.StateIdle
 	switch {
 	case c.request.Kind == jacinthtiller.RequestCommit:
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -306,6 +307,7 @@
 	convey.Convey("A stop whose last step and end are both overdue, in virtual time", t, func() {
 		for range 30 {
 			var answer string
+			var finishErr error
 			synctest.Test(t, func(t *testing.T) {
 				ts := newTestServer(t)
 				defer ts.close()
@@ -328,10 +330,75 @@
 				ctx, cancel := context.WithDeadline(context.Background(), past)
 				_ = ts.server.Drain(ctx, StopTimes{CloseIdle: past, Refuse: past, Answer: past})
 				cancel()
+				ctx, cancel = context.WithTimeout(context.Background(), 100*time.Millisecond)
+				finishErr = ts.server.FinishAnswers(ctx)
+				cancel()
 				ts.server.Close()
 				group.Wait()
 			})
 			convey.So(answer, convey.ShouldEqual, "timeout I")
+			convey.So(finishErr, convey.ShouldBeNil)
+		}
+	})
+}
+
+// slowGuest is a guest that has not taken a target's answer before a time.
+type slowGuest struct {
+	*fakeGuest
+	until time.Time
+}
+
+func (g *slowGuest) ForwardReply(r jacinthtiller.Reply, state byte) error {
+	select {
+	case <-time.After(time.Until(g.until)):
+		return g.fakeGuest.ForwardReply(r, state)
+	case <-g.closed:
+		return net.ErrClosed
+	}
+}
+
+// TestStopFinishesAnswers guards against answers that are cut off in the middle because their guests still read them when the drain ends,
+// although the process has time left; and against a stop that waits without limit for a guest that does not read.
+func TestStopFinishesAnswers(t *testing.T) {
+	cases := map[string]struct {
+		// readMilliseconds is when the guest has read its answer, after the stop has begun.
+		readMilliseconds int64
+		want             string
+	}{
+		"read before the end of the drain":    {readMilliseconds: 5300, want: "passed I"},
+		"read after the end of the drain":     {readMilliseconds: 5600, want: "passed I"},
+		"not read before the end of the stop": {readMilliseconds: 60_000},
+	}
+	convey.Convey("A guest that reads its answer slowly while the host stops, in virtual time", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var answer string
+				var finishErr error
+				synctest.Test(t, func(t *testing.T) {
+					ts := newTestServer(t)
+					defer ts.close()
+					ts.lease(time.Hour)
+					times, end := testStop()
+					limit := end.Add(360 * time.Millisecond)
+					g := &slowGuest{
+						fakeGuest: newFakeGuest(jacinthtiller.ClassPrimary), until: time.Now().Add(time.Duration(c.readMilliseconds) * time.Millisecond),
+					}
+					ts.serve(g)
+					<-g.answers
+					var group conc.WaitGroup
+					group.Go(func() { answer = g.ask("READ 1") })
+					ctx, cancel := context.WithDeadline(context.Background(), end)
+					_ = ts.server.Drain(ctx, times)
+					cancel()
+					ctx, cancel = context.WithDeadline(context.Background(), limit)
+					finishErr = ts.server.FinishAnswers(ctx)
+					cancel()
+					ts.server.Close()
+					group.Wait()
+				})
+				convey.So(answer, convey.ShouldEqual, c.want)
+				convey.So(finishErr == nil, convey.ShouldEqual, c.want != "")
+			})
 		}
 	})
 }
--- a/statement/unanswered_test.go
+++ b/statement/unanswered_test.go
@@ -46,10 +46,7 @@
 			ts := newTestServer(t)
 			ts.server.events = event.New("h0", nil, event.WithTrace(&trace))
 			ts.lease(time.Hour)
-			g := &fakeGuest{
-				route: string(jacinthtiller.ClassPrimary), requests: make(chan jacinthtiller.GuestRequest), answers: make(chan string, 4),
-				interrupt: make(chan struct{}, 1),
-			}
+			g := newFakeGuest(jacinthtiller.ClassPrimary)
 			ts.serve(brokenGuest{g})
 			<-g.answers
 			g.ask("SET a 1")
