cmd/jacinthd, daemon: do not let a reload delay a stop

One goroutine carried out SIGHUP and SIGTERM. A reload reads the settings file, and while that read took its time the process did not begin to stop: it stayed ready, took requests as before, and was killed with them at the end of its time.

The goroutine that watches the settings file carries out all reloads now, one after another, and is restarted after a panic. The main goroutine waits for SIGTERM and SIGINT only.

Ruled out: Process.Reload itself. SetSeeds and AddURLs hold a lock for a copy of the seeds, and close nothing.

Measured: go test ./e2e -run TestStopDuringReload, a settings file that cannot be read to its end, SIGHUP and SIGTERM 100 ms later.

--- a/cmd/jacinthd/main.go
+++ b/cmd/jacinthd/main.go
@@ -48,15 +48,8 @@
 	watchCtx, cancelWatch := context.WithCancel(context.Background())
 	defer cancelWatch()
 	var goroutines conc.WaitGroup
-	goroutines.Go(func() { p.WatchSettings(watchCtx, func() { reload(p, args) }) })
-	for running := true; running; {
-		select {
-		case <-reloads:
-			reload(p, args)
-		case <-signals:
-			running = false
-		}
-	}
+	goroutines.Go(func() { p.WatchSettings(watchCtx, reloads, func() { reload(p, args) }) })
+	<-signals
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.DrainMilliseconds)*time.Millisecond)
 	defer cancel()
 	return stop(ctx, p, signals)
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -178,12 +178,14 @@
 	p.events.Emit(event.SettingsRefused, event.Fields{"fault": err.Error()})
 }
 
-// WatchSettings calls onChange whenever the settings file has changed, until ctx ends.
-func (p *Process) WatchSettings(ctx context.Context, onChange func()) {
+// WatchSettings calls onChange for each signal in reloads and whenever the settings file has changed, until ctx ends. Calls do
+// not overlap. The file may be slow to read; nothing else waits for it.
+func (p *Process) WatchSettings(ctx context.Context, reloads <-chan os.Signal, onChange func()) {
+	duty.RunWithRestart(ctx, p.events, "watch the settings", func() { p.watchSettings(ctx, reloads, onChange) })
+}
+
+func (p *Process) watchSettings(ctx context.Context, reloads <-chan os.Signal, onChange func()) {
 	path := p.settings.SettingsFile
-	if path == "" {
-		return
-	}
 	last, _ := os.ReadFile(path) // a file that cannot be read now counts as changed once it can be read
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -191,6 +193,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-reloads:
+			onChange()
+			continue
 		case <-ticker.C:
 		}
 		current, err := os.ReadFile(path)
