cmd/jacinthd: count the time of a stop from its signal

The time of a stop began when the main goroutine took the signal, which it does after the start of the process. Whoever sent the signal counts from it: a process whose start was slow, for want of a disk for instance, had its later steps after its end.

A goroutine of its own notes when the signal arrives, and the stop has what is left from then on.

Left: a process that does not run when the signal is sent learns of it only when it runs again.

--- a/cmd/jacinthd/main.go
+++ b/cmd/jacinthd/main.go
@@ -40,6 +40,12 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
+	var goroutines conc.WaitGroup
+	signaledAt := make(chan time.Time, 1)
+	goroutines.Go(func() {
+		<-signals
+		signaledAt <- time.Now()
+	})
 	p, err := daemon.Start(s, daemon.WithAdapter("platform", platform.Adapter{}))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -47,10 +53,9 @@
 	}
 	watchCtx, cancelWatch := context.WithCancel(context.Background())
 	defer cancelWatch()
-	var goroutines conc.WaitGroup
 	goroutines.Go(func() { p.WatchSettings(watchCtx, reloads, func() { reload(p, args) }) })
-	<-signals
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.DrainMilliseconds)*time.Millisecond)
+	// Whoever sent the signal counts the time from it, also while the process starts.
+	ctx, cancel := context.WithDeadline(context.Background(), (<-signaledAt).Add(time.Duration(s.DrainMilliseconds)*time.Millisecond))
 	defer cancel()
 	return stop(ctx, p, signals)
 }
