relay: keep connections open whose jobs a stop refuses

A host that relays and stops refused a job as not run and closed the connection. The sending host kept the connection for its next job, and within 10 ms uses it without a check; that job met end of file, so a write that had not run was answered as of unknown outcome. New connections were accepted during the drain, which made the path count as usable, so that the sending host came back to it every 100 ms.

The relaying host now refuses each job on an open connection until its end, and refuses new connections.

Ruled out: the sending host's check of each connection before its use, which leaves the time between check and answer.

TestRelayStopRefusals fails before on both cases: the second job on a refused connection had no proof that it was not run, and a new connection was accepted. It passes now.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -260,12 +260,6 @@
 	})
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 // TestRelayDrain guards against statements of other hosts that are cut off by the stop of the host which relays them, and against
 // a stop that leaves those hosts in doubt about work that it did not begin.
 func TestRelayDrain(t *testing.T) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -27,6 +27,12 @@
 	idleTransactionTimeout = 15 * time.Second
 )
 
+// reasonStopping is what other hosts are told whose connections or jobs are refused because of a stop.
+const reasonStopping = "the host is stopping"
+
+// refusal is the reply to a job that is not run because of a stop.
+var refusal = jobReply{Outcome: outcomeUnreachable, Text: reasonStopping}
+
 // Server runs jobs of other hosts on this host's direct connections to targets.
 type Server struct {
 	pool     *pool.Pool
@@ -115,6 +121,12 @@
 	}
 }
 
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // beginWork reports whether a job may begin on a connection without one; if so, endWork must follow.
 func (s *Server) beginWork() bool {
 	s.mu.Lock()
@@ -158,6 +170,8 @@
 	}
 	var reply helloReply
 	switch t := s.pool.FindNamed(h.Database, h.Target); {
+	case s.isDraining():
+		reply.Error = reasonStopping
 	case t == nil:
 		reply.Error = "the host does not know the target " + h.Target
 	case !t.CanRelay(time.Now()):
@@ -188,8 +202,10 @@
 		}
 		if !working {
 			if working = s.beginWork(); !working {
-				_ = f.write(time.Now().Add(replyTimeout), jobReply{Outcome: outcomeUnreachable, Text: "the host is stopping"})
-				return
+				if err := f.write(time.Now().Add(replyTimeout), refusal); err != nil {
+					return
+				}
+				continue // the other host may use the connection again, and would be in doubt if it were closed
 			}
 		}
 		var reply jobReply
--- /dev/null
+++ b/relay/stop_test.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/pool"
+)
+
+// TestRelayStopRefusals guards against a host that is in doubt about a write, or goes on sending work, although the relaying
+// host has refused everything since its stop began.
+func TestRelayStopRefusals(t *testing.T) {
+	convey.Convey("A host sends statements through another one, which stops", t, func() {
+		f := &fakeTargets{}
+		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
+		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		defer p.Close()
+		p.Apply(jacinthtiller.View{
+			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
+			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		s := NewServer(p, "rollback", nil)
+		var group conc.WaitGroup
+		group.Go(func() { s.Serve(l) })
+		defer func() {
+			l.Close()
+			s.Close()
+			group.Wait()
+		}()
+		sender := pool.New(f, dialect{}, pool.WithHost("h1"), pool.WithRelays(Dialer{}))
+		defer sender.Close()
+		sender.Apply(jacinthtiller.View{
+			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0", Link: l.Addr().String()}},
+			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
+		})
+		remote := sender.Find(target)
+		job := func() jacinthtiller.Job {
+			return jacinthtiller.Job{TargetRequest: jacinthtiller.TargetRequest{ID: "x", Text: "write"}, Deadline: time.Now().Add(5 * time.Second)}
+		}
+		open := func() *pool.Conn {
+			c, err := remote.Open(job())
+			convey.So(err, convey.ShouldBeNil)
+			return c
+		}
+		first, second := open(), open()
+		_, err = first.Run(job())
+		convey.So(err, convey.ShouldBeNil)
+		_, err = second.Run(job())
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(s.Drain(context.Background()), convey.ShouldBeNil)
+		var notSent *jacinthtiller.NotSentError
+
+		convey.Convey("each further job is refused as not run, also on a connection that was refused before", func() {
+			for range 20 {
+				_, err := first.Run(job())
+				convey.So(errors.As(err, &notSent), convey.ShouldBeTrue)
+			}
+		})
+		convey.Convey("a new connection is refused", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err := Dialer{}.DialRelay(ctx, l.Addr().String(), target, false)
+			convey.So(err, convey.ShouldNotBeNil)
+		})
+	})
+}
