pool: record a path as failing when it refuses a position query

A position query through another host that answered 'the target is unreachable' or 'the host is stopping' marked the path as working. Jobs that the same host had just refused made it unusable, and the next query usable again, so that statements kept going to a host that was stopping. They were refused as not run and sent again, so callers saw a delay only.

Such a refusal now counts as a failure of the path, as it does for a job.

TestRelayStopRefusals, 'a query for the position doesn't make the path usable', fails before and passes now.

--- a/pool/target.go
+++ b/pool/target.go
@@ -314,10 +314,14 @@
 		r, err = c.Receive(deadline)
 	}
 	var notSent *jacinthtiller.NotSentError
-	if err != nil && !errors.As(err, &notSent) {
+	switch {
+	case err != nil && !errors.As(err, &notSent):
 		_ = c.Close() // a late answer would be taken for that of the next job
 		t.startProbe(p)
-	} else {
+	case notSent != nil && notSent.TargetUnreachable:
+		p.putIdle(c)
+		t.recordUnreachable(p, err)
+	default:
 		p.putIdle(c)
 		t.recordReachable(p)
 	}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -65,6 +65,12 @@
 				convey.So(errors.As(err, &notSent), convey.ShouldBeTrue)
 			}
 		})
+		convey.Convey("a query for the position doesn't make the path usable", func() {
+			second.Put()
+			_, err := remote.QueryPosition(time.Now().Add(time.Second))
+			convey.So(errors.As(err, &notSent), convey.ShouldBeTrue)
+			convey.So(remote.Usable(time.Now()), convey.ShouldBeFalse)
+		})
 		convey.Convey("a new connection is refused", func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
