relay: refuse what is on its way when a stop closes a connection

A job that another host had sent on an idle connection while the relaying host ended its stop met a closed connection. The sender could not tell it from one that ran: a write was answered as of unknown outcome.

After a drain, Close first writes a refusal to each connection on which no job runs. No job begins on it any more, so the sender may take it as the reply to whatever it has sent.

--- a/relay/server.go
+++ b/relay/server.go
@@ -22,6 +22,8 @@
 	helloTimeout = 5 * time.Second
 	// replyTimeout bounds the write of a reply.
 	replyTimeout = 5 * time.Second
+	// refusalTimeout bounds the write of a refusal to a connection that is about to be closed.
+	refusalTimeout = 10 * time.Millisecond
 	// idleTransactionTimeout is how long a transaction may be idle before it is rolled back, in case the other host failed
 	// without closing the connection. Hosts roll back their guests' transactions earlier.
 	idleTransactionTimeout = 15 * time.Second
@@ -44,8 +46,10 @@
 
 	mu sync.Mutex // guards the fields below
 	// conns holds the open connections from other hosts.
-	conns  map[net.Conn]struct{}
-	closed bool
+	conns map[net.Conn]struct{}
+	// resting holds those of them that are for jobs and have neither a job nor an open transaction.
+	resting map[net.Conn]struct{}
+	closed  bool
 	// draining is true once no job begins any more, and working counts the connections with a job or an open transaction.
 	draining bool
 	working  int
@@ -59,7 +63,7 @@
 
 // NewServer returns a server that uses the pool. Rollback is the text of the request that rolls a transaction back.
 func NewServer(p *pool.Pool, rollback string, events *event.Log, opts ...Option) *Server {
-	s := &Server{pool: p, rollback: rollback, events: events, conns: map[net.Conn]struct{}{}}
+	s := &Server{pool: p, rollback: rollback, events: events, conns: map[net.Conn]struct{}{}, resting: map[net.Conn]struct{}{}}
 	for _, o := range opts {
 		o(s)
 	}
@@ -97,6 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	delete(s.resting, c)
 }
 
 // Drain refuses new jobs as not run, and returns when no job runs and no transaction is open, or when ctx ends.
@@ -127,27 +132,41 @@
 	return s.draining
 }
 
-// beginWork reports whether a job may begin on a connection without one; if so, endWork must follow.
-func (s *Server) beginWork() bool {
+// beginWork reports whether a job may begin on a resting connection; if so, endWork must follow.
+func (s *Server) beginWork(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
 		return false
 	}
+	delete(s.resting, c)
 	s.working++
 	return true
 }
 
-func (s *Server) endWork() {
+func (s *Server) endWork(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.resting[c] = struct{}{}
 	s.working--
 }
 
-// Close closes all connections, which rolls back their open transactions.
+func (s *Server) addResting(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resting[c] = struct{}{}
+}
+
+// Close closes all connections, which rolls back their open transactions. After a drain, a resting connection first carries
+// a refusal, which the other host takes as the reply to a job that is on its way.
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
+	if s.draining {
+		for c := range s.resting {
+			_ = newFramer(c).write(time.Now().Add(refusalTimeout), refusal)
+		}
+	}
 	for c := range s.conns {
 		_ = c.Close()
 	}
@@ -180,6 +199,7 @@
 	if err := f.write(time.Now().Add(replyTimeout), reply); err != nil || reply.Error != "" {
 		return
 	}
+	s.addResting(nc)
 	var conn *pool.Conn
 	working := false
 	defer func() {
@@ -187,7 +207,7 @@
 			conn.RollBack(s.rollback)
 		}
 		if working {
-			s.endWork()
+			s.endWork(nc)
 		}
 	}()
 	for {
@@ -201,7 +221,7 @@
 			return
 		}
 		if !working {
-			if working = s.beginWork(); !working {
+			if working = s.beginWork(nc); !working {
 				if err := f.write(time.Now().Add(replyTimeout), refusal); err != nil {
 					return
 				}
@@ -221,7 +241,7 @@
 			return
 		}
 		if conn == nil {
-			s.endWork()
+			s.endWork(nc)
 			working = false
 		}
 	}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -77,5 +77,10 @@
 			_, err := Dialer{}.DialRelay(ctx, l.Addr().String(), target, false)
 			convey.So(err, convey.ShouldNotBeNil)
 		})
+		convey.Convey("a job that crosses with the end of the host is refused as not run", func() {
+			s.Close()
+			_, err := second.Run(job())
+			convey.So(errors.As(err, &notSent), convey.ShouldBeTrue)
+		})
 	})
 }
