session: a planned stop ends guests that keep the host busy

A stopping host closed a session only when it was about to wait for input outside a transaction. A guest whose next request had always arrived was never found there, a transaction whose guest asked again at once or stayed away was never ended, and neither was a request without Sync or a message that arrived in part. All of them went on until the end of the process cut their connections, without an answer.

The guest is told with FATAL 57P01, and what was not read has not run.

Ruled out: refusing single requests, as the platform's path does. PostgreSQL's clients take a FATAL error at any time, so that the session's end is the answer.

TestDrain passes the times, its checks are the same.

--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/jacinthtiller/jacinthtiller/event"
+	"github.com/jacinthtiller/jacinthtiller/session"
 )
 
 // markStopping makes the process not ready and reports whether this is the first call.
@@ -66,6 +68,11 @@
 // stopEntry first hands the owned targets over to other hosts, so that the host's own guests
 // find new owners for their remaining statements.
 func (p *Process) stopEntry(ctx context.Context) error {
+	start := time.Now()
+	budget := time.Duration(p.settings.DrainMilliseconds) * time.Millisecond
+	if end, ok := ctx.Deadline(); ok {
+		budget = min(budget, time.Until(end))
+	}
 	var errs []error
 	if err := p.owner.Drain(ctx); err != nil {
 		errs = append(errs, fmt.Errorf("drain owned targets: %w", err))
@@ -73,7 +80,8 @@
 	if err := p.host.Release(ctx); err != nil {
 		errs = append(errs, err)
 	}
-	if err := p.sessionServer.Drain(ctx); err != nil {
+	times := session.StopTimes{CloseIdle: time.Now(), Refuse: start.Add(budget * refusePercent / 100)}
+	if err := p.sessionServer.Drain(ctx, times); err != nil {
 		errs = append(errs, fmt.Errorf("drain guests: %w", err))
 	}
 	if err := p.linkServer.Drain(ctx); err != nil {
--- a/session/server.go
+++ b/session/server.go
@@ -43,6 +43,8 @@
 	group     duty.Group
 	// loginSlots bounds the connections that have not logged in; when it is full, no connection is accepted.
 	loginSlots chan struct{}
+	// drained is closed when no session is left during a drain.
+	drained chan struct{}
 
 	mu sync.Mutex // guards the fields below
 	// sessions maps the process identifiers of sessions, for CancelRequest.
@@ -53,8 +55,6 @@
 	// loginConns are the connections that have not logged in.
 	loginConns map[net.Conn]struct{}
 	draining   bool
-	// drained is closed when the last session has ended during a drain; nil before the drain.
-	drained chan struct{}
 }
 
 // Stats is a snapshot of a server.
@@ -78,6 +78,7 @@
 		},
 		sessions: map[uint32]*session{}, guests: map[string]int{},
 		listeners: map[net.Listener]struct{}{}, loginConns: map[net.Conn]struct{}{},
+		drained: make(chan struct{}),
 	}
 	_, _ = rand.Read(s.decoySeed[:]) // never fails, see crypto/rand
 	for _, o := range opts {
@@ -172,39 +173,6 @@
 	}
 }
 
-// Drain stops accepting guests, closes idle guests with 57P01 and returns when the others have finished what is in
-// flight. When ctx ends first, Drain returns its error, and the remaining guests stay connected until Close.
-func (s *Server) Drain(ctx context.Context) error {
-	s.events.Emit(event.GuestsDraining, event.Fields{"guests": s.Stats().Guests})
-	s.mu.Lock()
-	s.draining = true
-	if s.drained == nil {
-		s.drained = make(chan struct{})
-		s.checkDrained()
-	}
-	for l := range s.listeners {
-		_ = l.Close() // Serve returns
-	}
-	for c := range s.loginConns {
-		_ = c.SetDeadline(time.Unix(1, 0)) // the login fails
-	}
-	all := make([]*session, 0, len(s.sessions))
-	for _, g := range s.sessions {
-		all = append(all, g)
-	}
-	drained := s.drained
-	s.mu.Unlock()
-	for _, g := range all {
-		g.drain()
-	}
-	select {
-	case <-drained:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("drain %d guests: %w", s.Stats().Guests, ctx.Err())
-	}
-}
-
 // Close ends all sessions at once and waits for their goroutines.
 func (s *Server) Close() {
 	s.stop()
@@ -306,15 +274,3 @@
 	countGuest(g.team, -1)
 	s.checkDrained()
 }
-
-// checkDrained ends a drain when no session is left.
-func (s *Server) checkDrained() {
-	if s.drained == nil || len(s.sessions) > 0 {
-		return
-	}
-	select {
-	case <-s.drained:
-	default:
-		close(s.drained)
-	}
-}
--- a/session/session.go
+++ b/session/session.go
@@ -54,9 +54,12 @@
 	canceled      bool
 	// runningChannel is the channel on which a unit runs.
 	runningChannel jacinthtiller.Channel
-	// idle is true while the guest waits outside a request and a transaction.
-	idle     bool
-	draining bool
+	// reading is true while the session waits for a message or reads one.
+	reading bool
+	// idle is true while the session waits for a request outside a transaction.
+	idle bool
+	// draining and refusing are true from the steps of StopTimes on.
+	draining, refusing bool
 }
 
 // errTerminated means that the guest has sent Terminate.
@@ -96,7 +99,7 @@
 			return err
 		}
 		kind, body, err := s.reader.next()
-		if err != nil {
+		if err = s.endRead(err); err != nil {
 			return err
 		}
 		if err := s.handleMessage(kind, body); err != nil {
@@ -116,10 +119,7 @@
 			return err
 		}
 	}
-	if err := s.conn.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
-		return fmt.Errorf("set the deadline of a message: %w", err)
-	}
-	return nil
+	return s.startRead(false, time.Now().Add(messageTimeout))
 }
 
 // flushAndRelease writes the output and returns the buffers to the pool.
@@ -133,21 +133,20 @@
 	return nil
 }
 
-// waitFirstByte waits for the first byte of a message. Only this wait can be ended by a drain or by
-// the limit on idle transactions.
+// waitFirstByte waits for the first byte of a message. Only this wait can be ended by the limit on idle transactions.
 func (s *session) waitFirstByte() error {
-	if err := s.startWait(); err != nil {
+	var deadline time.Time
+	if s.txn != nil {
+		deadline = s.server.limits.idleTransactionDeadline(time.Now())
+	}
+	if err := s.startRead(s.quiescent(), deadline); err != nil {
 		return err
 	}
 	_, err := s.reader.input.Peek(1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.idle = false
+	err = s.endRead(err)
 	switch {
 	case err == nil:
 		return nil
-	case s.draining && s.quiescent():
-		return newFatalError(codeAdminShutdown, "the host is shutting down")
 	case errors.Is(err, os.ErrDeadlineExceeded) && s.txn != nil:
 		return newFatalError(codeIdleTransaction, "terminating connection due to idle-in-transaction timeout")
 	}
@@ -157,32 +156,30 @@
 // quiescent reports whether the guest has neither a transaction nor an unfinished request.
 func (s *session) quiescent() bool { return s.txn == nil && s.pending == nil }
 
-// startWait sets the read deadline, and lets a drain interrupt the wait when nothing is in flight.
-func (s *session) startWait() error {
+// startRead sets the deadline of a read from the guest, and lets the stop of the host interrupt it. It fails when the stop
+// ends the session.
+func (s *session) startRead(idle bool, deadline time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining && s.quiescent() {
-		return newFatalError(codeAdminShutdown, "the host is shutting down")
-	}
-	s.idle = s.quiescent()
-	var deadline time.Time
-	if s.txn != nil {
-		deadline = s.server.limits.idleTransactionDeadline(time.Now())
+	if s.endsForStop() {
+		return s.stopError()
 	}
+	s.reading, s.idle = true, idle
 	if err := s.conn.SetReadDeadline(deadline); err != nil {
-		return fmt.Errorf("set the deadline of a wait: %w", err)
+		return fmt.Errorf("set the deadline of a read: %w", err)
 	}
 	return nil
 }
 
-// drain closes the session as soon as nothing is in flight.
-func (s *session) drain() {
+// endRead ends a read and returns its error, or the reason for which the stop of the host has interrupted it.
+func (s *session) endRead(err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
-	if s.idle {
-		_ = s.conn.SetReadDeadline(time.Unix(1, 0)) // fails only when the connection is closed
+	s.reading, s.idle = false, false
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.endsForStop() {
+		return s.stopError()
 	}
+	return err
 }
 
 // handleMessage handles one message of the guest.
