session: a planned stop answers the requests that still run

What ran at the end of a stop was cut off: Server.Close ended the requests and closed the connections in the same moment, so that it was up to chance whether a guest got its answer. Requests had deadlines of their own, whatever was left of the time.

Overdue steps are taken even if the stop's time is over, and the sessions have 200 ms then. guests-cut-off (5010) shows that the step was reached with guests left.

Ruled out: an answer in place of the session, as on the platform's path. A channel returns when its context ends, and only the session knows whether COMMIT was sent or a part of the answer forwarded.

go test ./session -run TestStop failed before, with only the signature of Drain adapted: in TestStopAnswersAll "write" ended with "closed" in place of "E=08007 Z=I E=57P01 closed", in another run all ten did; in TestStopLate too; TestStopDeadline found no unit.

--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -80,7 +80,11 @@
 	if err := p.host.Release(ctx); err != nil {
 		errs = append(errs, err)
 	}
-	times := session.StopTimes{CloseIdle: time.Now(), Refuse: start.Add(budget * refusePercent / 100)}
+	times := session.StopTimes{
+		CloseIdle: time.Now(),
+		Refuse:    start.Add(budget * refusePercent / 100),
+		Answer:    start.Add(budget * answerPercent / 100),
+	}
 	if err := p.sessionServer.Drain(ctx, times); err != nil {
 		errs = append(errs, fmt.Errorf("drain guests: %w", err))
 	}
--- a/event/session.go
+++ b/event/session.go
@@ -24,4 +24,6 @@
 		"A connection could not be accepted; the listener goes on.")
 	GuestPanicked = register(5009, "guest-panicked", logrus.ErrorLevel,
 		"A fault of the program ended one guest's connection; report it with the stack.")
+	GuestsCutOff = register(5010, "guests-cut-off", logrus.WarnLevel,
+		"The time of a planned stop is over: requests that still run are given up, and their guests told the outcome as far as it is known.")
 )
--- a/session/fake_test.go
+++ b/session/fake_test.go
@@ -42,7 +42,9 @@
 	units        []jacinthtiller.Unit
 	// intercept may answer a unit instead of the fake; ok is false when it does not.
 	intercept func(c *fakeChannel, u jacinthtiller.Unit, sink jacinthtiller.Sink) (r jacinthtiller.Result, err error, ok bool)
-	failures  []string
+	// slow is a text: units whose frames contain it run until their context ends.
+	slow     string
+	failures []string
 	// lateRuns counts the runs of the channel with late frames that have not ended.
 	lateRuns sync.WaitGroup
 }
@@ -203,10 +205,14 @@
 	return nil
 }
 
-func (c *fakeChannel) Run(_ context.Context, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
+func (c *fakeChannel) Run(ctx context.Context, u jacinthtiller.Unit, sink jacinthtiller.Sink) (jacinthtiller.Result, error) {
 	c.cluster.mu.Lock()
-	intercept := c.cluster.intercept
+	intercept, slow := c.cluster.intercept, c.cluster.slow
 	c.cluster.mu.Unlock()
+	if slow != "" && bytes.Contains(u.Frames, []byte(slow)) {
+		<-ctx.Done()
+		return jacinthtiller.Result{}, jacinthtiller.UnknownOutcome("the connection broke")
+	}
 	if intercept != nil {
 		if r, err, ok := intercept(c, u, sink); ok {
 			return r, err
--- a/session/protocol_test.go
+++ b/session/protocol_test.go
@@ -341,7 +341,7 @@
 		idle, busy := h.connectRaw(t, "writer"), h.connect(t, "writer")
 		convey.So(exec(busy, "begin"), convey.ShouldEqual, noError)
 		now := time.Now()
-		times := StopTimes{CloseIdle: now, Refuse: now.Add(time.Hour)}
+		times := StopTimes{CloseIdle: now, Refuse: now.Add(time.Hour), Answer: now.Add(time.Hour)}
 		short, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 		defer cancel()
 		convey.So(errors.Is(h.Drain(short, times), context.DeadlineExceeded), convey.ShouldBeTrue)
--- a/session/run.go
+++ b/session/run.go
@@ -63,7 +63,7 @@
 		return pgErr
 	}
 	now := time.Now()
-	r := &routing{session: s, request: q, role: role, team: team, deadline: team.QueueDeadline(now), candidates: make([]replica.Candidate, 0, typicalTargets)}
+	r := &routing{session: s, request: q, role: role, team: team, deadline: s.server.beforeStop(team.QueueDeadline(now)), candidates: make([]replica.Candidate, 0, typicalTargets)}
 	if r.readClass, pgErr = s.readClass(q); pgErr != nil {
 		return pgErr
 	}
--- a/session/server.go
+++ b/session/server.go
@@ -15,6 +15,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -45,6 +46,8 @@
 	loginSlots chan struct{}
 	// drained is closed when no session is left during a drain.
 	drained chan struct{}
+	// stopTimes is nil before a drain.
+	stopTimes atomic.Pointer[StopTimes]
 
 	mu sync.Mutex // guards the fields below
 	// sessions maps the process identifiers of sessions, for CancelRequest.
--- a/session/stop.go
+++ b/session/stop.go
@@ -8,6 +8,14 @@
 	"github.com/jacinthtiller/jacinthtiller/event"
 )
 
+const (
+	// stopAnswerMargin is how long before StopTimes.Answer the deadline of a request ends at the latest, so that a request
+	// that still waits then is proved not to have run.
+	stopAnswerMargin = 50 * time.Millisecond
+	// answerGrace is how long sessions have at least for their final answers, even if the step StopTimes.Answer is late.
+	answerGrace = 200 * time.Millisecond
+)
+
 // StopTimes holds when the steps of a planned stop begin, in this order.
 type StopTimes struct {
 	// CloseIdle is when the listeners close. From then on a session closes as soon as its guest has neither a transaction
@@ -15,25 +23,35 @@
 	CloseIdle time.Time
 	// Refuse is when open transactions are rolled back. From then on no request begins.
 	Refuse time.Time
+	// Answer is when the requests that still run are given up, so that each session reports what is known of the outcome.
+	Answer time.Time
 }
 
 // Drain serves as before until t.CloseIdle, takes the steps of t, and returns when no guest is left. When ctx ends first,
 // Drain returns its error without the steps that are not due, and the remaining guests stay connected until Close.
 func (s *Server) Drain(ctx context.Context, t StopTimes) error {
+	s.stopTimes.Store(&t)
 	steps := []struct {
 		at  time.Time
 		run func()
-	}{{t.CloseIdle, s.closeIdle}, {t.Refuse, s.refuseRequests}}
+	}{{t.CloseIdle, s.closeIdle}, {t.Refuse, s.refuseRequests}, {t.Answer, s.giveUpRequests}}
 	for _, step := range steps {
 		if ended, err := s.waitForStep(ctx, step.at); ended || err != nil {
 			return err
 		}
 		step.run()
 	}
+	grace := time.NewTimer(answerGrace)
+	defer grace.Stop()
 	select {
 	case <-s.drained:
 		return nil
 	case <-ctx.Done():
+	}
+	select {
+	case <-s.drained:
+		return nil
+	case <-grace.C:
 		return s.drainError(ctx)
 	}
 }
@@ -84,6 +102,12 @@
 	}
 }
 
+// giveUpRequests ends the requests that still run. Their sessions answer them.
+func (s *Server) giveUpRequests() {
+	s.events.Emit(event.GuestsCutOff, event.Fields{"guests": s.Stats().Guests})
+	s.stop()
+}
+
 func (s *Server) allSessions() []*session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,6 +130,18 @@
 	}
 }
 
+// beforeStop returns the deadline of a request, which ends before the last step of a stop that has begun.
+func (s *Server) beforeStop(deadline time.Time) time.Time {
+	t := s.stopTimes.Load()
+	if t == nil {
+		return deadline
+	}
+	if end := t.Answer.Add(-stopAnswerMargin); end.Before(deadline) {
+		return end
+	}
+	return deadline
+}
+
 // drain closes the session as soon as nothing is in flight.
 func (s *session) drain() {
 	s.mu.Lock()
--- a/session/stop_test.go
+++ b/session/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -10,12 +11,14 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
 )
 
 // stopTimes returns the times of a stop that begins now, far enough apart for a busy machine.
 func stopTimes() StopTimes {
 	now := time.Now()
-	return StopTimes{CloseIdle: now, Refuse: now.Add(300 * time.Millisecond)}
+	return StopTimes{CloseIdle: now, Refuse: now.Add(300 * time.Millisecond), Answer: now.Add(900 * time.Millisecond)}
 }
 
 // TestStopAnswersAll guards against requests whose connection is cut by the end of a planned stop, without an answer that says
@@ -28,12 +31,24 @@
 		send, raw string
 		answer    string
 	}{
-		"idle transaction":     {before: []string{"Q=begin", "Q=insert"}, answer: "E=57P01 closed"},
-		"request without Sync": {send: "P=insert unread|B|E", answer: "E=57P01 closed"},
-		"part of a message":    {raw: "Q\x00\x00", answer: "E=57P01 closed"},
+		"read":                       {send: "Q=select slow", answer: "E=08007 Z=I E=57P01 closed"},
+		"write":                      {send: "Q=insert slow", answer: "E=08007 Z=I E=57P01 closed"},
+		"extended write":             {send: "P=insert slow|B|E|S", answer: "E=08007 Z=I E=57P01 closed"},
+		"statement of a transaction": {before: []string{"Q=begin"}, send: "Q=insert slow", answer: "E=40000 Z=E E=57P01 closed"},
+		"commit":                     {before: []string{"Q=begin", "Q=insert"}, send: "Q=commit -- slow", answer: "E=08007 Z=I E=57P01 closed"},
+		"request without a target":   {send: "Q=insert nowhere", answer: "E=JT004 Z=I E=57P01 closed"},
+		"pipelined request":          {send: "Q=insert slow|Q=insert unread", answer: "E=08007 Z=I E=57P01 closed"},
+		"idle transaction":           {before: []string{"Q=begin", "Q=insert"}, answer: "E=57P01 closed"},
+		"request without Sync":       {send: "P=insert unread|B|E", answer: "E=57P01 closed"},
+		"part of a message":          {raw: "Q\x00\x00", answer: "E=57P01 closed"},
 	}
 	convey.Convey("A host stops, and each guest gets its final answer", t, func() {
 		fc := newFakeCluster()
+		fc.slow = "slow"
+		fc.intercept = func(_ *fakeChannel, u jacinthtiller.Unit, _ jacinthtiller.Sink) (jacinthtiller.Result, error, bool) {
+			return refused(u, jacinthtiller.ReasonNoLease), nil, strings.Contains(string(u.Frames), "nowhere")
+		}
+		fc.team.QueueDeadlineMicroseconds = time.Minute.Microseconds()
 		h := fc.startHost(t)
 		clients := map[string]*rawClient{}
 		for name, c := range cases {
@@ -128,3 +143,44 @@
 		convey.So(late, convey.ShouldBeLessThan, 0)
 	})
 }
+
+// TestStopLate guards against a busy machine on which the steps of a stop run late, after its time is over: the request was
+// cut off without its answer.
+func TestStopLate(t *testing.T) {
+	convey.Convey("All steps are overdue", t, func() {
+		fc := newFakeCluster()
+		fc.slow = "slow"
+		h := fc.startHost(t)
+		k := h.connectRaw(t, "writer")
+		k.send("Q=insert slow")
+		time.Sleep(50 * time.Millisecond) // the host reads what was sent
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		past := time.Now().Add(-time.Second)
+		_ = h.Drain(ctx, StopTimes{CloseIdle: past, Refuse: past, Answer: past}) // the guest may not have left in time
+		h.Close()
+		convey.So(k.readAnswer('!', 1), convey.ShouldEqual, "E=08007 Z=I E=57P01 closed")
+	})
+}
+
+// TestStopDeadline guards against a request that waits for a target until after the stop, so that its outcome is unknown
+// although it has not run.
+func TestStopDeadline(t *testing.T) {
+	convey.Convey("A request that is taken during a stop may wait until shortly before Answer", t, func() {
+		fc := newFakeCluster()
+		fc.team.QueueDeadlineMicroseconds = time.Minute.Microseconds()
+		h := fc.startHost(t)
+		k := h.connectRaw(t, "writer")
+		times := StopTimes{CloseIdle: time.Now().Add(time.Minute), Refuse: time.Now().Add(time.Minute), Answer: time.Now().Add(10 * time.Second)}
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		convey.So(errors.Is(h.Drain(ctx, times), context.DeadlineExceeded), convey.ShouldBeTrue)
+		k.send("Q=begin|Q=select a|Q=rollback|Q=select b")
+		k.readAnswer('Z', 4)
+		units := fc.unitsWith("")
+		convey.So(units, convey.ShouldHaveLength, 4)
+		for _, u := range units {
+			convey.So(u.Deadline, convey.ShouldHappenBefore, times.Answer)
+		}
+	})
+}
--- a/session/transaction.go
+++ b/session/transaction.go
@@ -43,7 +43,7 @@
 		s.abortTransaction()
 		return pgErr
 	}
-	deadline := team.QueueDeadline(time.Now())
+	deadline := s.server.beforeStop(team.QueueDeadline(time.Now()))
 	s.startRequest(deadline)
 	defer s.endRequest()
 	u := s.newUnit(q, t.destination, deadline)
