daemon, owner: open transactions do not take all of an owner's stop

A stopping owner waited for transactions without a bound, before anything else and within the one time of the stop. One that its guest had left open, on any host, kept the targets at an owner that refuses new work, until the time was over; then the lease could not be released, so that other hosts waited for its end, and the guests of the host itself were cut off.

The parts of a stop have times of their own. The host's guests are drained while its targets are handed over.

Ruled out: to close other hosts' connections with the rollback, which would turn a refused COMMIT into an unknown outcome.

TestTransaction has two cases of the rollback.

--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/jacinthtiller/jacinthtiller/event"
 	"github.com/jacinthtiller/jacinthtiller/session"
 )
@@ -65,35 +67,47 @@
 	return err
 }
 
-// stopEntry first hands the owned targets over to other hosts, so that the host's own guests
-// find new owners for their remaining statements.
+// stopEntry hands the owned targets over to other hosts, so that the remaining requests find new owners, while it drains
+// the host's own guests. Transactions of all hosts end at the same time.
 func (p *Process) stopEntry(ctx context.Context) error {
 	start := time.Now()
 	budget := time.Duration(p.settings.DrainMilliseconds) * time.Millisecond
 	if end, ok := ctx.Deadline(); ok {
 		budget = min(budget, time.Until(end))
 	}
-	var errs []error
-	if err := p.owner.Drain(ctx); err != nil {
-		errs = append(errs, fmt.Errorf("drain owned targets: %w", err))
-	}
-	if err := p.host.Release(ctx); err != nil {
-		errs = append(errs, err)
-	}
 	times := session.StopTimes{
-		CloseIdle: time.Now(),
-		Refuse:    start.Add(budget * refusePercent / 100),
-		Answer:    start.Add(budget * answerPercent / 100),
-	}
-	if err := p.sessionServer.Drain(ctx, times); err != nil {
-		errs = append(errs, fmt.Errorf("drain guests: %w", err))
-	}
-	if err := p.linkServer.Drain(ctx); err != nil {
+		CloseIdle: start, Refuse: start.Add(budget * refusePercent / 100), Answer: start.Add(budget * answerPercent / 100),
+	}
+	var guestsErr error
+	var guests conc.WaitGroup
+	guests.Go(func() { guestsErr = p.sessionServer.Drain(ctx, times) })
+	handOverErr := p.handOver(ctx, times, start.Add(budget*drainPercent/100))
+	guests.Wait()
+	errs := []error{handOverErr}
+	if guestsErr != nil {
+		errs = append(errs, fmt.Errorf("drain guests: %w", guestsErr))
+	}
+	linkCtx, cancel := context.WithDeadline(ctx, start.Add(budget*relayDrainPercent/100))
+	defer cancel()
+	if err := p.linkServer.Drain(linkCtx); err != nil {
 		errs = append(errs, fmt.Errorf("drain statements from other hosts: %w", err))
 	}
 	return errors.Join(errs...)
 }
 
+// handOver ends the work on the owned targets and releases the host's lease before the given time.
+func (p *Process) handOver(ctx context.Context, t session.StopTimes, end time.Time) error {
+	drainCtx, cancelDrain := context.WithDeadline(ctx, t.Answer)
+	defer cancelDrain()
+	releaseCtx, cancelRelease := context.WithDeadline(ctx, end)
+	defer cancelRelease()
+	err := p.owner.Drain(drainCtx, t.Refuse)
+	if err != nil {
+		err = fmt.Errorf("drain owned targets: %w", err)
+	}
+	return errors.Join(err, p.host.Release(releaseCtx))
+}
+
 // Kill stops the process without draining, as a crash would, except that it waits for its goroutines.
 func (p *Process) Kill() {
 	p.markStopping()
--- a/owner/channel.go
+++ b/owner/channel.go
@@ -89,13 +89,13 @@
 	return res, nil
 }
 
-// endRun ends the busy state and rolls back a transaction whose target's ownership ended meanwhile.
+// endRun ends the busy state and rolls back a transaction if its target's ownership or the time of a drain ended meanwhile.
 func (h *channel) endRun() {
 	h.mu.Lock()
 	h.busy = false
 	t := h.target
 	h.mu.Unlock()
-	if t != nil && t.ctx.Err() != nil {
+	if t != nil && (t.ctx.Err() != nil || h.owner.endsTransactions.Load()) {
 		h.rollBackIdle(t)
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -37,7 +37,9 @@
 	// goroutines run after their target was removed, such as the report that it is lost.
 	goroutines conc.WaitGroup
 	draining   atomic.Bool
-	lease      atomic.Pointer[jacinthtiller.Lease]
+	// endsTransactions is true once a drain rolls back the transactions that run no unit.
+	endsTransactions atomic.Bool
+	lease            atomic.Pointer[jacinthtiller.Lease]
 
 	mu sync.Mutex // guards the fields below
 	// view is the newest view; it is never replaced by one with a lower index.
@@ -265,15 +267,17 @@
 	o.drainProgress = make(chan struct{})
 }
 
-// Drain refuses new work on all targets and waits until running units and open
-// transactions have ended or ctx ends.
-func (o *Owner) Drain(ctx context.Context) error {
+// Drain refuses new work on all targets and waits until running units and open transactions have ended or ctx ends. From
+// the given time on, it rolls back each transaction that runs no unit.
+func (o *Owner) Drain(ctx context.Context, endTransactions time.Time) error {
 	o.draining.Store(true)
 	o.mu.Lock()
 	for _, t := range o.targets {
 		t.gate.Drain()
 	}
 	o.mu.Unlock()
+	end := time.NewTimer(time.Until(endTransactions))
+	defer end.Stop()
 	for {
 		o.mu.Lock()
 		drained, progress := o.drained(), o.drainProgress
@@ -283,12 +287,33 @@
 		}
 		select {
 		case <-progress:
+		case <-end.C:
+			o.rollBackTransactions()
 		case <-ctx.Done():
 			return fmt.Errorf("drain owner: %w", ctx.Err())
 		}
 	}
 }
 
+// rollBackTransactions rolls back the open transactions, those that run a unit after it.
+func (o *Owner) rollBackTransactions() {
+	o.endsTransactions.Store(true)
+	o.mu.Lock()
+	open := make([]*channel, 0, len(o.channels))
+	for h := range o.channels {
+		open = append(open, h)
+	}
+	o.mu.Unlock()
+	for _, h := range open {
+		h.mu.Lock()
+		t := h.target
+		h.mu.Unlock()
+		if t != nil {
+			h.rollBackIdle(t)
+		}
+	}
+}
+
 // drained reports whether no unit runs and no transaction is open. It is called with mu held.
 func (o *Owner) drained() bool {
 	if o.units > 0 {
--- a/owner/run_test.go
+++ b/owner/run_test.go
@@ -302,7 +302,7 @@
 			var g conc.WaitGroup
 			drained := errors.New("still draining")
 			g.Go(func() {
-				err := c.owner.Drain(background)
+				err := c.owner.Drain(background, time.Now().Add(time.Hour))
 				_ = other.channel.Close() // fails the query below if Drain returns before the commit
 				drained = err
 			})
@@ -312,6 +312,28 @@
 			g.Wait()
 			convey.So(drained, convey.ShouldBeNil)
 		})
+		convey.Convey("a drain rolls it back when the time of transactions is over", func() {
+			ctx, cancel := context.WithTimeout(background, 10*time.Second)
+			defer cancel()
+			convey.So(c.owner.Drain(ctx, time.Now().Add(50*time.Millisecond)), convey.ShouldBeNil)
+			convey.So(s.query("COMMIT").summary(), convey.ShouldEqual, "not-run 40000")
+		})
+		convey.Convey("a drain whose time of transactions is over rolls it back after its unit", func() {
+			c.targets[0].SetServiceTime(200 * time.Millisecond)
+			var g conc.WaitGroup
+			g.Go(func() {
+				eventually(t, func() bool { h := s.channel.(*channel); h.mu.Lock(); defer h.mu.Unlock(); return h.busy })
+				ctx, cancel := context.WithTimeout(background, 10*time.Second)
+				defer cancel()
+				if err := c.owner.Drain(ctx, time.Now()); err != nil {
+					t.Error(err)
+				}
+			})
+			convey.So(s.query("INSERT INTO a VALUES (2, 'x')").summary(), convey.ShouldEqual, "done C:INSERT 0 1 Z:T")
+			g.Wait()
+			c.targets[0].SetServiceTime(0)
+			convey.So(s.query("COMMIT").summary(), convey.ShouldEqual, "not-run 40000")
+		})
 	})
 }
 
