session: a stopping host tells guests that log in why they are rejected

The start of a stop interrupted the reads of connections that had not logged in, and a read that fails ends a login without a word, so that guests saw a closed connection. A login that began at the same moment replaced the interruption by its own deadline and held on for up to 10 s.

Such a login ends with FATAL 57P03 now, as one does that arrives at its last step during a stop; only the read side is interrupted, and the deadline is set before the connection is known to the stop.

go test ./session -run TestStopRejectsLogins failed before: "closed" in place of "E=57P03 closed".

--- a/session/server.go
+++ b/session/server.go
@@ -232,7 +232,7 @@
 func (s *Server) addConn(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.draining || c.SetDeadline(s.limits.loginDeadline(time.Now())) != nil {
 		return false
 	}
 	s.loginConns[c] = struct{}{}
--- a/session/startup.go
+++ b/session/startup.go
@@ -38,10 +38,6 @@
 
 // login runs the handshake of a connection and returns its session, nil when there is none.
 func (s *Server) login(conn net.Conn) *session {
-	if err := conn.SetDeadline(s.limits.loginDeadline(time.Now())); err != nil {
-		_ = conn.Close()
-		return nil
-	}
 	h := &handshake{server: s, decoderInput: bytes.NewReader(nil)}
 	h.setConn(conn)
 	g, err := h.run()
@@ -49,6 +45,9 @@
 		return g
 	}
 	pgErr, ok := asPgError(err)
+	if !ok && s.isDraining() {
+		pgErr, ok = newFatalError(codeCannotConnect, "the host is shutting down"), true
+	}
 	if ok {
 		pgErr.fatal = true
 		h.backend.Send(pgErr.response())
--- a/session/stop.go
+++ b/session/stop.go
@@ -86,13 +86,15 @@
 	for l := range s.listeners {
 		_ = l.Close() // Serve returns
 	}
-	for c := range s.loginConns {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // the login fails
-	}
 	s.mu.Unlock()
 	for _, g := range s.allSessions() {
 		g.drain()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.loginConns {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // the login fails
+	}
 }
 
 // refuseRequests ends all sessions that run no request.
--- a/session/stop_test.go
+++ b/session/stop_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -184,3 +185,42 @@
 		}
 	})
 }
+
+// TestStopRejectsLogins guards against a guest whose login is cut off by the stop of the host without a reason.
+func TestStopRejectsLogins(t *testing.T) {
+	cases := map[string]struct {
+		// sent is what the guest has sent before the stop, and received the types of the answers to it.
+		sent     []byte
+		received string
+	}{
+		"nothing sent":      {},
+		"part of a startup": {sent: []byte{0, 0, 0}},
+		"no password yet": {
+			sent:     encode(nil, &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "writer", "database": "db"}}),
+			received: "R",
+		},
+	}
+	convey.Convey("A host stops while guests log in", t, func() {
+		h := newFakeCluster().startHost(t)
+		clients := map[string]*rawClient{}
+		for name, c := range cases {
+			conn, err := net.Dial("tcp", h.address)
+			convey.So(err, convey.ShouldBeNil)
+			defer conn.Close()
+			convey.So(conn.SetDeadline(time.Now().Add(5*time.Second)), convey.ShouldBeNil)
+			_, err = conn.Write(c.sent)
+			convey.So(err, convey.ShouldBeNil)
+			clients[name] = &rawClient{conn: conn, frontend: pgproto3.NewFrontend(conn, conn)}
+			if c.received != "" {
+				convey.So(clients[name].readAnswer(c.received[0], 1), convey.ShouldEqual, c.received)
+			}
+		}
+		time.Sleep(50 * time.Millisecond) // the host accepts all
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		convey.So(h.Drain(ctx, stopTimes()), convey.ShouldBeNil)
+		for _, k := range clients {
+			convey.So(k.readAnswer('!', 1), convey.ShouldEqual, "E=57P03 closed")
+		}
+	})
+}
