pool, daemon: end what waits for a target when the process ends

Callers saw: a host that relays for others exited 3.01 to 3.40 s after SIGTERM with a time to stop of 3 s (the platform kills it then), or with exit code 1 ("drain 1 connections of other hosts"). Cause: relay.Server.Close and statement.Server.Close wait for goroutines that wait for a target's answer until the statement's deadline, whatever is left of the time to stop; pool.Close, which came after them, closed idle connections only. Evidence: goroutine dumps of hosts of TestStopSoak at 3.0 s: closeResources, relay.Server.Close, duty.Group.Close; relay.Server.run, pool.Conn.Run, Receive. Change: connections, direct or relayed, close with their pool; the pool closes before the servers, and at the end of the relay's drain, so that the other hosts are told that their statements have no answer.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -148,14 +148,18 @@
 	if err != nil {
 		err = fmt.Errorf("drain guests: %w", err)
 	}
-	err = errors.Join(err, p.relayServer.Drain(relayCtx))
+	relayErr := p.relayServer.Drain(relayCtx)
 	finishDeadline := start.Add(budget * relayDrainPercent / 100)
 	if end := time.Now().Add(minFinishTimeout); end.After(finishDeadline) {
 		finishDeadline = end
 	}
 	finishCtx, cancelFinish := context.WithDeadline(context.WithoutCancel(ctx), finishDeadline)
 	defer cancelFinish()
-	return errors.Join(err, p.statementServer.FinishAnswers(finishCtx))
+	if relayErr != nil {
+		p.pool.Close() // the other hosts are told that their statements have no answer
+		relayErr = p.relayServer.Drain(finishCtx)
+	}
+	return errors.Join(err, relayErr, p.statementServer.FinishAnswers(finishCtx))
 }
 
 // Reload applies the settings that may change while the process runs: the seeds.
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -135,6 +135,9 @@
 		}
 	}
 	p.closeExtraServers()
+	if p.pool != nil {
+		p.pool.Close() // first, since the servers wait for what runs on its connections
+	}
 	if p.statementServer != nil {
 		p.statementServer.Close()
 	}
@@ -142,9 +145,6 @@
 		p.relayServer.Close()
 		p.freshnessClient.Close()
 	}
-	if p.pool != nil {
-		p.pool.Close()
-	}
 	if p.sessionServer != nil {
 		p.sessionServer.Close()
 	}
--- a/pool/fake_test.go
+++ b/pool/fake_test.go
@@ -91,6 +91,8 @@
 }
 
 func (c *fakeConn) Close() error {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
 	c.closed = true
 	return nil
 }
--- a/pool/path.go
+++ b/pool/path.go
@@ -212,7 +212,7 @@
 		return nil, err
 	}
 	t.recordReachable(p)
-	return c, nil
+	return &relayConn{RelayConn: c, forget: context.AfterFunc(t.p.ctx, func() { _ = c.Close() })}, nil
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -294,7 +294,8 @@
 	}
 }
 
-// Close retires all targets and closes their idle connections.
+// Close retires all targets and closes their connections, also those with a request under way, whose answer would come after
+// the end of the process.
 func (p *Pool) Close() {
 	p.stop()
 	p.mu.Lock()
@@ -310,5 +311,33 @@
 func (p *Pool) dial(spec jacinthtiller.Target, deadline time.Time) (jacinthtiller.TargetConn, error) {
 	ctx, cancel := context.WithDeadline(p.ctx, earlier(deadline, time.Now().Add(dialTimeout)))
 	defer cancel()
-	return p.dialer.Dial(ctx, spec)
+	c, err := p.dialer.Dial(ctx, spec)
+	if err != nil {
+		return nil, err
+	}
+	return &targetConn{TargetConn: c, forget: context.AfterFunc(p.ctx, func() { _ = c.Close() })}, nil
+}
+
+// targetConn is a connection to a target that closes with the pool.
+type targetConn struct {
+	jacinthtiller.TargetConn
+	forget func() bool
+}
+
+// Close closes the connection.
+func (c *targetConn) Close() error {
+	c.forget()
+	return c.TargetConn.Close()
+}
+
+// relayConn is a connection through another host that closes with the pool.
+type relayConn struct {
+	jacinthtiller.RelayConn
+	forget func() bool
+}
+
+// Close closes the connection.
+func (c *relayConn) Close() error {
+	c.forget()
+	return c.RelayConn.Close()
 }
