statement: a drain does not wait for sessions that it has cut off

Callers saw: a host with a silent target exited with code 1 ("drain guests: context deadline exceeded") after all its guests had been answered. Cause: a session that cutOffRequests has answered still waits for its target, until the statement's deadline, and counted as left. Change: the drain counts only sessions that are not cut off.

--- a/statement/stop.go
+++ b/statement/stop.go
@@ -158,10 +158,13 @@
 func (s *Server) wakeIdleSessions() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.drained = true
 	for n := range s.sessions {
-		n.conn.InterruptNext()
+		if !n.conn.isCutOff() {
+			s.drained = false
+			n.conn.InterruptNext()
+		}
 	}
-	s.drained = len(s.sessions) == 0
 	return s.drained
 }
 
@@ -302,6 +305,15 @@
 	return c.pending, false
 }
 
+// isCutOff reports whether cutOff has answered. Its session may still wait for a target, but sends nothing any more.
+func (c *sessionConn) isCutOff() bool {
+	if !c.mu.TryLock() {
+		return false
+	}
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // cutOff answers the pending request and closes the connection. It reports false if there is none, or if an answer is being
 // written. Since the session can't commit any more, a statement of an open transaction has no effect.
 func (c *sessionConn) cutOff() (r jacinthtiller.GuestRequest, code jacinthtiller.ErrorCode, cut bool) {
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -169,7 +169,7 @@
 				})
 				convey.So(answer, convey.ShouldEqual, c.want)
 				convey.So(answeredMilliseconds, convey.ShouldBeLessThanOrEqualTo, 5200)
-				convey.So(drainErr == nil || c.timeoutMilliseconds == 60_000, convey.ShouldBeTrue)
+				convey.So(drainErr, convey.ShouldBeNil)
 			})
 		}
 	})
