--- a/event/sink_test.go
+++ b/event/sink_test.go
@@ -72,3 +72,22 @@
 		convey.So(b.String(), convey.ShouldContainSubstring, "lines-dropped")
 	})
 }
+
+// TestStopIsLogged guards against a log that does not tell when a host was stopped, because the requests it refused for the
+// stop had used up the lines of that second.
+func TestStopIsLogged(t *testing.T) {
+	convey.Convey("A stop is logged at any rate of other lines", t, func() {
+		var b bytes.Buffer
+		logger := logrus.New()
+		logger.SetOutput(&b)
+		l := event.New("h1", logger, event.WithRateLimit())
+		for range 3000 {
+			l.Emit(event.StatementFailed, event.Fields{"request": "x"})
+		}
+		l.Emit(event.ProcessStopping, nil)
+		l.Emit(event.ProcessStopped, nil)
+		for _, name := range []string{"process-stopping", "process-stopped"} {
+			convey.So(b.String(), convey.ShouldContainSubstring, name)
+		}
+	})
+}
