event: log the steps of a stop at any rate of other lines

Cause: stop-step-reached (12015) is bounded like other lines, and a stopping host logs many refusals in the same second. Change: it is never left out, like the start and the end of a stop. Measured: go test ./event -run TestStopIsLogged fails without it (no stop-step-reached in the output).

--- a/event/event.go
+++ b/event/event.go
@@ -126,14 +126,14 @@
 	}
 }
 
-// withinRateLimit reports whether a line of the kind may be logged now. Warnings, errors, and the start and the stop of the
-// process are never limited.
+// withinRateLimit reports whether a line of the kind may be logged now. Warnings, errors, and the start and the steps of the stop of
+// the process are never limited.
 func (l *Log) withinRateLimit(k Kind) bool {
 	if l.limiter == nil || k.Level <= logrus.WarnLevel {
 		return true
 	}
 	switch k {
-	case ProcessStarted, ProcessStopping, ProcessStopped:
+	case ProcessStarted, ProcessStopping, StopStepReached, ProcessStopped:
 		return true
 	}
 	ok, dropped := l.limiter.allow(time.Now())
--- a/event/sink_test.go
+++ b/event/sink_test.go
@@ -85,8 +85,9 @@
 			l.Emit(event.StatementFailed, event.Fields{"request": "x"})
 		}
 		l.Emit(event.ProcessStopping, nil)
+		l.Emit(event.StopStepReached, nil)
 		l.Emit(event.ProcessStopped, nil)
-		for _, name := range []string{"process-stopping", "process-stopped"} {
+		for _, name := range []string{"process-stopping", "stop-step-reached", "process-stopped"} {
 			convey.So(b.String(), convey.ShouldContainSubstring, name)
 		}
 	})
