statement: reject startups that wait for a route when a stop refuses requests

Cause: a host that has just started holds startups for up to 1.7 s until it knows its routes. Change: the step that rejects new sessions also wakes and rejects those that wait.

--- a/statement/session.go
+++ b/statement/session.go
@@ -103,12 +103,13 @@
 	}
 	n.routeName, n.guest = name, guest
 	if n.s.rejectsSessions() {
-		n.s.events.Emit(event.SessionRejected, event.Fields{"guest": guest, "route": name, "reason": reasonStopping})
-		_ = n.conn.RejectStartup(jacinthtiller.ErrorCodeBusy, reasonStopping)
-		return false
+		return n.rejectForStop()
 	}
 	startupAt := time.Now()
 	v, known := n.s.awaitRoute(name)
+	if !known && n.s.stopStep() >= stepRefuse {
+		return n.rejectForStop()
+	}
 	if !known && (v.Edition == nil || !n.s.lease.Load().Valid(now())) {
 		_ = n.conn.RejectStartup(jacinthtiller.ErrorCodeBusy, "the host has no configuration that is up to date")
 		return false
@@ -124,8 +125,15 @@
 	return n.conn.AcceptSession() == nil
 }
 
-// awaitRoute waits up to routeWaitTimeout until the route is known, or the host is sure that there is none: after its start
-// it has no view, and without a lease its view may be outdated.
+// rejectForStop rejects the guest because the host stops, and returns false.
+func (n *session) rejectForStop() bool {
+	n.s.events.Emit(event.SessionRejected, event.Fields{"guest": n.guest, "route": n.routeName, "reason": reasonStopping})
+	_ = n.conn.RejectStartup(jacinthtiller.ErrorCodeBusy, reasonStopping)
+	return false
+}
+
+// awaitRoute waits up to routeWaitTimeout until the route is known, or the host is sure that there is none, or rejects guests
+// for its stop: after its start it has no view, and without a lease its view may be outdated.
 func (s *Server) awaitRoute(name string) (*jacinthtiller.View, bool) {
 	deadline := time.Now().Add(routeWaitTimeout)
 	for {
@@ -139,7 +147,7 @@
 				return v, false
 			}
 		}
-		if !s.waitForChange(changed, deadline) {
+		if s.stopStep() >= stepRefuse || !s.waitForChange(changed, deadline) {
 			return v, false
 		}
 	}
--- a/statement/stop.go
+++ b/statement/stop.go
@@ -97,6 +97,7 @@
 		for step := s.stopStep(); logged < step; {
 			logged++
 			s.logStopStep(logged, time.Since(t.beginsAt(logged)))
+			s.notifyChange() // wakes startups that wait for a route
 		}
 		if s.stopStep() >= stepCloseIdle && s.wakeIdleSessions() {
 			return nil
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -402,3 +402,32 @@
 		}
 	})
 }
+
+// TestStopRejectsWaitingStartups guards against startups that are cut off without an answer because they wait for a route, which a host that has just
+// started does not know yet, for longer than its stop takes.
+func TestStopRejectsWaitingStartups(t *testing.T) {
+	convey.Convey("A guest waits for a route while its host, which has a short time to stop, stops, in virtual time", t, func() {
+		var answer string
+		var took time.Duration
+		synctest.Test(t, func(t *testing.T) {
+			ts := newTestServer(t)
+			defer ts.close()
+			ts.lease(-time.Second)
+			ts.guest(jacinthtiller.ClassPrimary).ask("BEGIN") // without a session the drain ends at once
+			began := time.Now()
+			var group conc.WaitGroup
+			group.Go(func() {
+				_ = ts.server.Drain(context.Background(), StopTimes{
+					CloseIdle: began.Add(500 * time.Millisecond), Refuse: began.Add(time.Second), Answer: began.Add(1720 * time.Millisecond),
+				})
+			})
+			time.Sleep(900 * time.Millisecond)
+			g := ts.connect("a route that the host does not know yet")
+			answer = <-g.answers
+			took = time.Since(began)
+			group.Wait()
+		})
+		convey.So(answer, convey.ShouldEqual, "refused busy -")
+		convey.So(took, convey.ShouldBeLessThan, 1200*time.Millisecond)
+	})
+}
