statement: a drain does not wait for guests to close their connections

Cause: since a connection waits for its guest after the last answer, a session that had ended, or whose request was cut off, counted as left for up to 200 ms. On a time to stop of 3 s the drain has 120 ms after its last step, so that a host could report a failed stop, and guests whose startups are rejected could prolong it. Close closed one connection after the other. Change: sessions that have told their guest everything do not count; a cut off request's connection closes without the session's lock; Close closes all at once. Measured: go test ./statement -run TestStopIgnoresEndedSessions does not end within 20 s before (virtual time stands still behind the lock), and passes.

--- a/statement/server.go
+++ b/statement/server.go
@@ -240,7 +240,7 @@
 	s.mu.Lock()
 	s.closed = true
 	for n := range s.sessions {
-		_ = n.conn.Close()
+		s.runInBackground("close a session", func() { _ = n.conn.Close() }) // may wait for the guest
 	}
 	s.mu.Unlock()
 	s.stop()
--- a/statement/session.go
+++ b/statement/session.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,8 @@
 	activeConn *pool.Conn
 	// quietSince is when the guest was last told that the session is ready for a request.
 	quietSince time.Time
+	// ended is true once the guest has been told all that it will be told.
+	ended atomic.Bool
 	// waitingSince is when a guest whose startup was held began to wait; zero otherwise.
 	waitingSince time.Time
 }
@@ -59,7 +62,10 @@
 // serve runs the session to its end. A panic ends only this session: the guest's connection is closed without an answer,
 // and the session's resources are released.
 func (n *session) serve() {
-	defer func() { _ = n.conn.Close() }()
+	defer func() {
+		n.ended.Store(true)
+		_ = n.conn.Close() // may wait for the guest
+	}()
 	accepted := false
 	duty.Run(n.s.events, "accept a session", nil, func() { accepted = n.acceptSession() })
 	if !accepted {
--- a/statement/stop.go
+++ b/statement/stop.go
@@ -161,10 +161,11 @@
 	defer s.mu.Unlock()
 	s.drained = true
 	for n := range s.sessions {
-		if !n.conn.isCutOff() {
-			s.drained = false
-			n.conn.InterruptNext()
+		if n.ended.Load() || n.conn.isCutOff() {
+			continue
 		}
+		s.drained = false
+		n.conn.InterruptNext()
 	}
 	return s.drained
 }
@@ -318,6 +319,14 @@
 // cutOff answers the pending request and closes the connection. It reports false if there is none, or if an answer is being
 // written. Since the session can't commit any more, a statement of an open transaction has no effect.
 func (c *sessionConn) cutOff() (r jacinthtiller.GuestRequest, code jacinthtiller.ErrorCode, cut bool) {
+	if r, code, cut = c.answerCutOff(); cut {
+		_ = c.Close()
+	}
+	return r, code, cut
+}
+
+// answerCutOff is cutOff without the close, which may wait for the guest.
+func (c *sessionConn) answerCutOff() (r jacinthtiller.GuestRequest, code jacinthtiller.ErrorCode, cut bool) {
 	if !c.mu.TryLock() {
 		return r, "", false
 	}
@@ -338,7 +347,6 @@
 		code = jacinthtiller.ErrorCodeUnknown
 	}
 	_ = c.recordWrite(c.GuestConn.ReplyError(code, reasonStopping+" and the request has no result yet", 0, state))
-	_ = c.Close()
 	return c.request, code, true
 }
 
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -431,3 +431,73 @@
 		convey.So(took, convey.ShouldBeLessThan, 1200*time.Millisecond)
 	})
 }
+
+// waitingGuest is a guest that is slow to close its connection.
+type waitingGuest struct{ *fakeGuest }
+
+func (g waitingGuest) Close() error {
+	time.Sleep(400 * time.Millisecond)
+	return g.fakeGuest.Close()
+}
+
+// TestStopIgnoresEndedSessions guards against a host that reports a failed stop although everybody has an answer, because guests are slow to close
+// their connections after the last one, also those that connect again and again and whose startups are rejected.
+func TestStopIgnoresEndedSessions(t *testing.T) {
+	cases := map[string]struct {
+		// askAtMilliseconds is when the guest's request, which its target does not answer, is sent after the stop has begun.
+		askAtMilliseconds int64
+		reconnects        bool
+	}{
+		"a request taken before the stop": {askAtMilliseconds: -100},
+		"a request taken during the stop": {askAtMilliseconds: 1000},
+		"guests that are rejected again":  {askAtMilliseconds: 1000, reconnects: true},
+	}
+	convey.Convey("A stop with guests that are slow to close their connections, in virtual time", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				var answer string
+				var drainErr error
+				synctest.Test(t, func(t *testing.T) {
+					ts := newTestServer(t)
+					defer ts.close()
+					ts.lease(time.Hour)
+					for n, r := range ts.view.Edition.Routes {
+						r.StatementMilliseconds = 60_000
+						ts.view.Edition.Routes[n] = r
+					}
+					ts.group.set(func() {
+						ts.group.receive = func(_ jacinthtiller.TargetRequest, deadline time.Time) error {
+							time.Sleep(time.Until(deadline))
+							return os.ErrDeadlineExceeded
+						}
+					})
+					first := waitingGuest{newFakeGuest(jacinthtiller.ClassPrimary)}
+					ts.serve(first)
+					<-first.answers
+					began := time.Now().Add(time.Second)
+					var group conc.WaitGroup
+					group.Go(func() {
+						time.Sleep(time.Until(began.Add(time.Duration(c.askAtMilliseconds) * time.Millisecond)))
+						answer = first.ask("READ 1")
+					})
+					time.Sleep(time.Until(began))
+					times, end := testStop()
+					group.Go(func() {
+						time.Sleep(time.Until(times.Refuse))
+						for c.reconnects && time.Now().Before(end) {
+							time.Sleep(70 * time.Millisecond)
+							ts.serve(waitingGuest{newFakeGuest(jacinthtiller.ClassPrimary)})
+						}
+					})
+					ctx, cancel := context.WithDeadline(context.Background(), end)
+					drainErr = ts.server.Drain(ctx, times)
+					cancel()
+					group.Wait()
+					ts.server.Close()
+				})
+				convey.So(answer, convey.ShouldEqual, "timeout I")
+				convey.So(drainErr, convey.ShouldBeNil)
+			})
+		}
+	})
+}
