daemon, relay: give relayed work its share of a stop

A host that stops drained its own guests first, for up to 90 percent of its time, took new work of other hosts until then, and waited at most 1 s for it after that. Work that ran longer was cut off: for the other host a write of unknown outcome, a transaction that was rolled back, or a read to be sent again.

From the middle of the stop on, the host takes from other hosts no transactions, and only jobs whose deadline lies before 96 percent of the time; up to that point it waits for them. Refused jobs have proof that they were not run, so the others use other gateways. Ruled out: to refuse everything from the middle on, since hosts without another gateway of the target would wait until the lease is released; and an earlier release of the lease, which the host's own reads and writes need.

TestRelayStopTimes has the rule by itself.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -39,9 +39,8 @@
 	// drainPercent is the share of the stop time, in percent, after which the remaining guests are cut off, so that the
 	// process ends in time.
 	drainPercent = 90
-	// relayDrainTimeout and relayDrainPercent, a share of the stop time, bound the wait for statements and transactions of other
-	// hosts, which learn from the release of the lease to go elsewhere.
-	relayDrainTimeout = time.Second
+	// relayDrainPercent is the share of the stop time, in percent, after which statements and transactions of other hosts are cut
+	// off.
 	relayDrainPercent = 96
 	// minFinishTimeout is how long a stop that is late waits for answers that are being written.
 	minFinishTimeout = 100 * time.Millisecond
@@ -120,13 +119,16 @@
 	}
 }
 
-// stopDirect drains the guests of direct groups and releases the lease within the time of ctx.
+// stopDirect drains the guests of direct groups and releases the lease within the time of ctx. Other hosts, which learn from the
+// release to go elsewhere, are served until then with what ends in time.
 func (p *Process) stopDirect(ctx context.Context) error {
 	start := time.Now()
 	budget := time.Duration(p.settings.DrainMilliseconds) * time.Millisecond
 	if end, ok := ctx.Deadline(); ok {
 		budget = min(budget, time.Until(end))
 	}
+	relayEnd := start.Add(budget * relayDrainPercent / 100)
+	p.relayServer.BeginStop(relay.StopTimes{Refuse: start.Add(budget * refusePercent / 100), End: relayEnd})
 	drainCtx, cancel := context.WithDeadline(ctx, start.Add(budget*drainPercent/100))
 	defer cancel()
 	err := p.statementServer.Drain(drainCtx, statement.StopTimes{
@@ -139,11 +141,7 @@
 	if releaseErr := p.host.Release(releaseCtx); releaseErr != nil {
 		p.events.Emit(event.ControlLost, event.Fields{"fault": releaseErr.Error()})
 	}
-	relayDeadline := time.Now().Add(relayDrainTimeout)
-	if end := start.Add(budget * relayDrainPercent / 100); end.Before(relayDeadline) {
-		relayDeadline = end
-	}
-	relayCtx, cancelRelay := context.WithDeadline(ctx, relayDeadline)
+	relayCtx, cancelRelay := context.WithDeadline(ctx, relayEnd)
 	defer cancelRelay()
 	if err != nil {
 		err = fmt.Errorf("drain guests: %w", err)
--- a/e2e/platform_standin_test.go
+++ b/e2e/platform_standin_test.go
@@ -64,8 +64,10 @@
 	startedAtMilliseconds int64
 	sequence              int
 	primary               bool
-	term                  int
-	log                   []standinCommit
+	// draining is true when it reports that it leaves. It serves all the same.
+	draining bool
+	term     int
+	log      []standinCommit
 }
 
 func newStandinGroup(t testing.TB, control []string) *standinGroup {
@@ -132,6 +134,13 @@
 	clear(d.conns)
 }
 
+// drain makes a database report that it leaves.
+func (g *standinGroup) drain(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].draining = true
+}
+
 // restart starts a killed database again, as a replica if another one has become primary.
 func (g *standinGroup) restart(id string) {
 	g.mu.Lock()
@@ -206,12 +215,15 @@
 	for g.ctx.Err() == nil {
 		g.mu.Lock()
 		d.sequence++
-		role := "replica"
+		role, state := "replica", "ready"
 		if d.primary {
 			role = "primary"
 		}
+		if d.draining {
+			state = "draining"
+		}
 		body, _ := json.Marshal(map[string]any{
-			"service": g.service, "address": d.address, "zone": "zone-1", "version": "v1", "slots": 4, "state": "ready",
+			"service": g.service, "address": d.address, "zone": "zone-1", "version": "v1", "slots": 4, "state": state,
 			"db_role": role, "sequence": d.sequence, "born": d.startedAtMilliseconds,
 		})
 		running := d.running
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,6 +50,8 @@
 	// resting holds those of them that are for jobs and have neither a job nor an open transaction.
 	resting map[net.Conn]struct{}
 	closed  bool
+	// stopTimes is zero until the host stops.
+	stopTimes StopTimes
 	// draining is true once no job begins any more, and working counts the connections with a job or an open transaction.
 	draining bool
 	working  int
@@ -104,6 +106,29 @@
 	delete(s.resting, c)
 }
 
+// StopTimes holds the times of a planned stop.
+type StopTimes struct {
+	// Refuse is from when on jobs that might not end before End, and those that begin transactions, are refused as not run.
+	Refuse time.Time
+	// End is when connections with jobs are cut off.
+	End time.Time
+}
+
+// BeginStop sets the times of the stop. Other jobs go on until Drain.
+func (s *Server) BeginStop(t StopTimes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopTimes = t
+}
+
+// stopRefuses reports whether a job may not begin because of a stop. The caller holds s.mu.
+func (s *Server) stopRefuses(j jacinthtiller.Job) bool {
+	if t := s.stopTimes; !t.Refuse.IsZero() && !time.Now().Before(t.Refuse) && (j.BeginsTransaction || j.Deadline.After(t.End)) {
+		return true
+	}
+	return s.draining
+}
+
 // Drain refuses new jobs as not run, and returns when no job runs and no transaction is open, or when ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
@@ -133,10 +158,10 @@
 }
 
 // beginWork reports whether a job may begin on a resting connection; if so, endWork must follow.
-func (s *Server) beginWork(c net.Conn) bool {
+func (s *Server) beginWork(c net.Conn, j jacinthtiller.Job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.stopRefuses(j) {
 		return false
 	}
 	delete(s.resting, c)
@@ -221,7 +246,7 @@
 			return
 		}
 		if !working {
-			if working = s.beginWork(nc); !working {
+			if working = s.beginWork(nc, in.decode(time.Now())); !working {
 				if err := f.write(time.Now().Add(replyTimeout), refusal); err != nil {
 					return
 				}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -84,3 +84,33 @@
 		})
 	})
 }
+
+// TestRelayStopTimes guards against statements and transactions of other hosts that a stopping host takes and then cuts off,
+// because its own guests used up the time, and against refusals of what would have ended in time.
+func TestRelayStopTimes(t *testing.T) {
+	now := time.Now()
+	deadline := func(milliseconds int64) jacinthtiller.Job {
+		return jacinthtiller.Job{Deadline: now.Add(time.Duration(milliseconds) * time.Millisecond)}
+	}
+	cases := map[string]struct {
+		job jacinthtiller.Job
+		// refuseMilliseconds is when the host begins to refuse work.
+		refuseMilliseconds int64
+		want               bool
+	}{
+		"a job that ends in time":                  {deadline(2000), 0, false},
+		"a job that may end too late":              {deadline(4000), 0, true},
+		"a transaction":                            {jacinthtiller.Job{BeginsTransaction: true, Deadline: now.Add(time.Second)}, 0, true},
+		"a job that may end too late, before that": {deadline(4000), 60_000, false},
+		"a transaction, before that":               {jacinthtiller.Job{BeginsTransaction: true, Deadline: now.Add(time.Second)}, 60_000, false},
+	}
+	convey.Convey("A stopping host gets", t, func() {
+		for name, c := range cases {
+			convey.Convey(name, func() {
+				s := NewServer(nil, "rollback", nil)
+				s.BeginStop(StopTimes{Refuse: now.Add(time.Duration(c.refuseMilliseconds) * time.Millisecond), End: now.Add(3 * time.Second)})
+				convey.So(s.stopRefuses(c.job), convey.ShouldEqual, c.want)
+			})
+		}
+	})
+}
