daemon: a stopping host does not wait for other hosts' resting transactions

Callers saw: a host that relays for others had not exited when its time to stop was over, or exited with code 1 ("drain 1 connections of other hosts"). Cause: after the relay's drain the stop closed the pool and drained once more. A transaction that rests has no statement under way that the close of the pool could end, so the second drain waited until the end. Change: after the drain the stop closes the pool and the connections of the other hosts, and logs relay-cut-off (110). That is no failure of the stop: the other hosts answer their guests.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -146,18 +146,20 @@
 	if err != nil {
 		err = fmt.Errorf("drain guests: %w", err)
 	}
-	relayErr := p.relayServer.Drain(relayCtx)
+	if relayErr := p.relayServer.Drain(relayCtx); relayErr != nil {
+		// What is left waits for a silent target or for a resting guest. The other hosts answer their guests once their
+		// connections end.
+		p.events.Emit(event.RelayCutOff, event.Fields{"fault": relayErr.Error()})
+		p.pool.Close()
+		p.relayServer.Close()
+	}
 	finishDeadline := start.Add(budget * relayDrainPercent / 100)
 	if end := time.Now().Add(minFinishTimeout); end.After(finishDeadline) {
 		finishDeadline = end
 	}
 	finishCtx, cancelFinish := context.WithDeadline(context.WithoutCancel(ctx), finishDeadline)
 	defer cancelFinish()
-	if relayErr != nil {
-		p.pool.Close() // the other hosts are told that their statements have no answer
-		relayErr = p.relayServer.Drain(finishCtx)
-	}
-	return errors.Join(err, relayErr, p.statementServer.FinishAnswers(finishCtx))
+	return errors.Join(err, p.statementServer.FinishAnswers(finishCtx))
 }
 
 // Reload applies the settings that may change while the process runs: the seeds.
--- a/event/process.go
+++ b/event/process.go
@@ -24,4 +24,6 @@
 		"A fault of the program ended one piece of work, which the field work names; report it with the stack.")
 	DutyGivenUp = register(109, "duty-given-up", logrus.ErrorLevel,
 		"A duty of the process failed again and again; the process ends, so that it is started anew.")
+	RelayCutOff = register(110, "relay-cut-off", logrus.WarnLevel,
+		"A stopping host closed the connections of other hosts while work of theirs had not ended.")
 )
