pool: end the wait for an answer when the pool closes

Change: each step of the wait ends once the pool has closed, besides the close of the connections themselves.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -29,6 +29,9 @@
 // ErrUnreachable means that the target neither answers nor accepts connections.
 var ErrUnreachable = errors.New("the target does not answer")
 
+// errClosed ends the wait for an answer when the pool is closed.
+var errClosed = errors.New("the host has stopped")
+
 var errRecentlyUnreachable = errors.New("it could not be reached a moment ago")
 
 // Conn carries one guest's single statement or transaction to a target. It is used by one goroutine at a time.
@@ -137,6 +140,8 @@
 			// One broken connection does not prove that the target is unreachable; a probe does.
 			c.t.startProbe(c.path)
 			return r, fmt.Errorf("receive from %s: %w", c.t.name, err)
+		case c.t.p.ctx.Err() != nil:
+			return r, fmt.Errorf("receive from %s: %w", c.t.name, errClosed)
 		case !waitUntil.Before(j.Deadline):
 			return r, fmt.Errorf("receive from %s: %w", c.t.name, err)
 		case !c.path.failureStart().IsZero() && j.Repeatable:
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -60,12 +61,16 @@
 	return nil
 }
 
-func (c *fakeTargetConn) Receive(time.Time) (jacinthtiller.Reply, error) {
+func (c *fakeTargetConn) Receive(until time.Time) (jacinthtiller.Reply, error) {
 	c.f.mu.Lock()
 	held := c.f.held
 	c.f.mu.Unlock()
 	if held != nil {
-		<-held
+		select {
+		case <-held:
+		case <-time.After(time.Until(until)):
+			return jacinthtiller.Reply{}, os.ErrDeadlineExceeded
+		}
 	}
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
@@ -327,6 +332,43 @@
 	})
 }
 
+// TestRelayClose guards against a process that outlives its time to stop by seconds, because a target is silent to the job of
+// another host.
+func TestRelayClose(t *testing.T) {
+	convey.Convey("A host closes while a target works on a job of another host", t, func() {
+		f := &fakeTargets{held: make(chan struct{})}
+		defer close(f.held)
+		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
+		p.Apply(jacinthtiller.View{
+			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
+			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		s := NewServer(p, "rollback", nil)
+		var group conc.WaitGroup
+		group.Go(func() { s.Serve(l) })
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		c, err := Dialer{}.DialRelay(ctx, l.Addr().String(), target, false)
+		convey.So(err, convey.ShouldBeNil)
+		defer c.Close()
+		convey.So(c.Start(jacinthtiller.Job{
+			TargetRequest: jacinthtiller.TargetRequest{ID: "x", Text: "write"}, Deadline: time.Now().Add(5 * time.Second),
+		}), convey.ShouldBeNil)
+		for len(f.log()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		began := time.Now()
+		l.Close()
+		p.Close()
+		s.Close()
+		group.Wait()
+		convey.So(time.Since(began), convey.ShouldBeLessThan, time.Second)
+	})
+}
+
 // FuzzFrames guards against panics on malicious input.
 func FuzzFrames(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 1, 0xf6})
