pool: let transactions end at a target that has left the view

When a view without a target, or with a new incarnation of it, came into force, the gate of the old one was closed. The next statement of each transaction that was open there got 'the target takes no new work', and its guest a rollback, although the connection worked. The same happened to transactions that other hosts ran through this one.

A retired target now takes no new work, as a leaving one does, and its open transactions go on. If it is gone, their connections break. Whether a commit at a former primary counts is decided by the check of the primary, as before. The gates close with the pool.

TestTransactionOnRemovedTarget fails before in 'is removed' and 'is replaced' and passes now; 'leaves' passes in both.

--- a/pool/leaving_test.go
+++ b/pool/leaving_test.go
@@ -90,3 +90,47 @@
 		})
 	}
 }
+
+// TestTransactionOnRemovedTarget guards against transactions that are rolled back because their target leaves the view while it
+// still answers.
+func TestTransactionOnRemovedTarget(t *testing.T) {
+	cases := map[string]func(v jacinthtiller.View) jacinthtiller.Database{
+		"leaves": func(v jacinthtiller.View) jacinthtiller.Database {
+			s := v.Databases["db"].Targets["b"]
+			s.State = jacinthtiller.StateLeaving
+			return v.Databases["db"].WithTarget(s)
+		},
+		"is removed": func(v jacinthtiller.View) jacinthtiller.Database { return v.Databases["db"].WithoutTarget("b") },
+		"is replaced": func(v jacinthtiller.View) jacinthtiller.Database {
+			s := v.Databases["db"].Targets["b"]
+			s.StartedMilliseconds++
+			return v.Databases["db"].WithTarget(s)
+		},
+	}
+	convey.Convey("A target with an open transaction", t, func() {
+		for name, change := range cases {
+			convey.Convey(name, func() {
+				f := newFakeTargets()
+				p := New(f, fakeDialect{}, WithHost("h0"))
+				defer p.Close()
+				v := view(1, 30)
+				p.Apply(v)
+				j := newJob("begin")
+				j.BeginsTransaction = true
+				c, err := p.Find(v.Databases["db"].Targets["b"]).Open(j)
+				convey.So(err, convey.ShouldBeNil)
+				_, err = c.Run(j)
+				convey.So(err, convey.ShouldBeNil)
+				v.Index++
+				v.Databases = map[string]jacinthtiller.Database{"db": change(v)}
+				p.Apply(v)
+				for _, text := range []string{"write", "commit"} {
+					_, err = c.Run(newJob(text))
+					convey.So(err, convey.ShouldBeNil)
+				}
+				c.Put()
+				convey.So(f.sent("b"), convey.ShouldResemble, []string{"begin", "write", "commit"})
+			})
+		}
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -302,6 +302,7 @@
 	for k, t := range p.targets {
 		delete(p.targets, k)
 		t.retire()
+		t.gate.Close()
 	}
 	p.mu.Unlock()
 	p.group.Close()
--- a/pool/target.go
+++ b/pool/target.go
@@ -168,7 +168,7 @@
 	return t.spec
 }
 
-// retire closes idle connections; those in use are closed when they are returned.
+// retire ends new work and closes idle connections; those in use are closed when they are returned. Open transactions go on.
 func (t *Target) retire() {
 	t.mu.Lock()
 	t.retired = true
@@ -182,7 +182,7 @@
 	for _, p := range paths {
 		p.closeIdle(time.Time{})
 	}
-	t.gate.Close()
+	t.gate.Drain()
 }
 
 // sweep closes connections that have exceeded their idle timeout.
