--- a/e2e/platform_standin_test.go
+++ b/e2e/platform_standin_test.go
@@ -20,6 +20,9 @@
 // standinLag is how far replicas of the stand-in are behind their primary.
 const standinLag = 30 * time.Millisecond
 
+// standinLongRow is the size of the rows of items whose names begin with "long".
+const standinLongRow = 900_000
+
 // standinCommit is one committed write in the log of a stand-in.
 type standinCommit struct {
 	item, data  string
@@ -61,6 +64,7 @@
 	address               string
 	conns                 map[net.Conn]bool
 	running               bool
+	busy                  int // requests that run
 	startedAtMilliseconds int64
 	sequence              int
 	primary               bool
@@ -102,7 +106,7 @@
 		g.t.Fatal(err)
 	}
 	g.mu.Lock()
-	d.listener, d.running, d.startedAtMilliseconds, d.sequence = l, true, time.Now().UnixMilli(), 0
+	d.listener, d.running, d.draining, d.startedAtMilliseconds, d.sequence = l, true, false, time.Now().UnixMilli(), 0
 	g.mu.Unlock()
 	g.group.Go(func() {
 		for {
@@ -141,6 +145,29 @@
 	g.members[id].draining = true
 }
 
+// leave reports that a database is draining, serves on for the time and until it has no request, and removes it.
+func (g *standinGroup) leave(id string, drain time.Duration) {
+	g.drain(id)
+	time.Sleep(drain)
+	for range 1000 { // at most 5 s
+		g.mu.Lock()
+		done := g.members[id].busy == 0 && !g.members[id].primary
+		g.mu.Unlock()
+		if done {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	g.kill(id)
+	for _, a := range g.control {
+		if r, err := http.NewRequest(http.MethodDelete, "http://"+a+"/jacinthtiller/instances/"+id, http.NoBody); err == nil {
+			if response, err := (&http.Client{Timeout: time.Second}).Do(r); err == nil {
+				response.Body.Close()
+			}
+		}
+	}
+}
+
 // restart starts a killed database again, as a replica if another one has become primary.
 func (g *standinGroup) restart(id string) {
 	g.mu.Lock()
@@ -202,6 +229,9 @@
 	}
 	d.appliedLog()
 	p := g.currentPrimary()
+	if p.running {
+		d.log = append([]standinCommit(nil), p.log...) // replicas receive commits at once and apply them later
+	}
 	d.primary, d.term = true, p.term+1
 	if p != d {
 		p.primary = false
@@ -215,10 +245,11 @@
 	for g.ctx.Err() == nil {
 		g.mu.Lock()
 		d.sequence++
-		role, state := "replica", "ready"
+		role := "replica"
 		if d.primary {
 			role = "primary"
 		}
+		state := "ready"
 		if d.draining {
 			state = "draining"
 		}
@@ -257,7 +288,7 @@
 		return
 	}
 	fmt.Fprintf(c, "READY I -\r\n")
-	s := &standinSession{database: d, state: 'I'}
+	s := &standinSession{database: d, state: 'I', prepared: map[string]string{}}
 	for {
 		line, err := r.ReadString('\n')
 		if err != nil {
@@ -268,6 +299,7 @@
 		id, text, _ := strings.Cut(rest, " ")
 		d.parent.mu.Lock()
 		d.parent.ran[id] = true
+		d.busy++
 		work := d.parent.work
 		d.parent.mu.Unlock()
 		if work != nil && id != "-" {
@@ -276,6 +308,7 @@
 		d.parent.mu.Lock()
 		response := s.run(text)
 		running, position := d.running, d.position()
+		d.busy--
 		d.parent.mu.Unlock()
 		if !running {
 			return
@@ -290,6 +323,8 @@
 	state    byte
 	readOnly bool
 	writes   []standinCommit
+	// prepared holds READ or WRITE by the name of the prepared statement.
+	prepared map[string]string
 }
 
 func (s *standinSession) run(text string) string {
@@ -303,7 +338,19 @@
 		text = query
 	}
 	word, rest, _ := strings.Cut(text, " ")
+	if word == "EXECUTE" {
+		name, arguments, _ := strings.Cut(rest, " ")
+		if s.prepared[name] == "" {
+			return s.errorResponse("NOSUCHSTMT")
+		}
+		word, rest = s.prepared[name], arguments
+	}
 	switch word {
+	case "PREPARE":
+		fields := strings.Fields(rest)
+		s.prepared[fields[0]] = fields[1]
+	case "RESET":
+		clear(s.prepared)
 	case "STATUS", "STEPDOWN":
 		role := "replica"
 		if s.database.primary {
@@ -332,6 +379,9 @@
 				data = x.data
 			}
 		}
+		if strings.HasPrefix(rest, "long") {
+			data = strings.Repeat("x", standinLongRow)
+		}
 		return s.complete("ROW " + data + "\r\n")
 	case "WRITE":
 		item, data, _ := strings.Cut(rest, " ")
@@ -400,6 +450,11 @@
 // exchange is queryLines for a query with the id.
 func (g *lineGuest) exchange(id, text string) (lines []string, state string, err error) {
 	fmt.Fprintf(g.conn, "QUERY %s %s\r\n", id, text)
+	return g.readAnswer()
+}
+
+// readAnswer reads the response to a query.
+func (g *lineGuest) readAnswer() (lines []string, state string, err error) {
 	g.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	for {
 		line, err := g.reader.ReadString('\n')
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -35,14 +36,16 @@
 	*installation
 	seeds     []string
 	databases *standinGroup
+	// remote are the entry hosts in another failure domain than the databases.
+	remote []string
 }
 
-func startPlatform(t testing.TB) *platformInstallation {
+func startPlatform(t testing.TB, remote ...string) *platformInstallation {
 	bin, err := buildPrograms()
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &platformInstallation{installation: &installation{
+	n := &platformInstallation{remote: remote, installation: &installation{
 		t: t, binDir: bin, dir: t.TempDir(), control: map[string]*process{}, hosts: map[string]*process{}, targets: map[string]*process{},
 	}}
 	t.Cleanup(n.stop)
@@ -77,7 +80,11 @@
 // settings writes a settings file and returns the flag that names it.
 func (n *platformInstallation) settings(name string, lines ...string) string {
 	path := filepath.Join(n.dir, name+".conf")
-	lines = append(lines, "interface platform", "name "+name, "failure-domain zone-1", "region region-1", "regions zone-1=region-1",
+	domain := "zone-1"
+	if slices.Contains(n.remote, name) {
+		domain = "zone-2"
+	}
+	lines = append(lines, "interface platform", "name "+name, "failure-domain "+domain, "region region-1", "regions zone-1=region-1,zone-2=region-1",
 		"seeds "+strings.Join(n.seeds, ","), "log-format json", "drain-milliseconds 3000")
 	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		n.t.Fatal(err)
@@ -93,7 +100,11 @@
 
 func (n *platformInstallation) startEntryHost(i int) {
 	name := fmt.Sprintf("edge-%d", i)
-	n.hosts[name] = n.startProcess(name, "jacinthd", n.settings(name, "role entry", "guest-listen 127.0.0.1:0", "link-listen 127.0.0.1:0",
+	n.hosts[name] = n.startEntryProcess(name, "127.0.0.1:0")
+}
+
+func (n *platformInstallation) startEntryProcess(name, guestAddress string) *process {
+	return n.startProcess(name, "jacinthd", n.settings(name, "role entry", "guest-listen "+guestAddress, "link-listen 127.0.0.1:0",
 		"ready-listen "+freeAddress(n.t)))
 }
 
