e2e: show the goroutines of guests when a host stops late

Change: the report of a late host has all goroutines of package statement. Measured: the test compiles; see the report of the next late host.

--- a/e2e/stop_soak_test.go
+++ b/e2e/stop_soak_test.go
@@ -257,7 +257,7 @@
 	return false
 }
 
-// stopReport returns the end of a process's log, and of its goroutines the one that stops it.
+// stopReport returns the end of a process's log, and of its goroutines the one that stops it and those of guests.
 func stopReport(output string) string {
 	var log []string
 	for _, line := range strings.Split(output, "\n") {
@@ -267,7 +267,7 @@
 	}
 	out := strings.Join(log[max(0, len(log)-10):], "\n")
 	for _, goroutine := range strings.Split(output, "\n\n") {
-		if strings.Contains(goroutine, "(*Process).Stop(") {
+		if strings.Contains(goroutine, "(*Process).Stop(") || strings.Contains(goroutine, "jacinthtiller/statement.") {
 			out += "\n" + goroutine
 		}
 	}
