daemon: a stop does not wait for silent HTTP connections

Cause: the end of a stop waits for all HTTP connections within what is left of its time, and a connection on which nothing has been sent yet counts for 5 s. A control process was then not gone when its time to stop was over, or exited with code 1. Change: the wait ends after 500 ms, and 50 ms before the end of the time; then the connections are closed and http-cut-off (111) is logged.

--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -13,6 +13,13 @@
 	"github.com/jacinthtiller/jacinthtiller/session"
 )
 
+const (
+	// httpStopTimeout bounds the wait for the last HTTP requests, none of which waits for anything once the roles are closed.
+	httpStopTimeout = 500 * time.Millisecond
+	// httpStopMargin is the time to stop that is left after that wait, for the end of the process.
+	httpStopMargin = 50 * time.Millisecond
+)
+
 // markStopping makes the process not ready and reports whether this is the first call.
 func (p *Process) markStopping() bool {
 	p.mu.Lock()
@@ -56,9 +63,7 @@
 			errs = append(errs, fmt.Errorf("close the control role: %w", err))
 		}
 	}
-	if err := p.httpServer.Shutdown(ctx); err != nil {
-		errs = append(errs, fmt.Errorf("stop the HTTP service: %w", err))
-	}
+	p.stopHTTP(ctx)
 	err := errors.Join(errs...)
 	p.events.Emit(event.ProcessStopped, nil)
 	if p.markClosed() {
@@ -67,6 +72,20 @@
 	return err
 }
 
+// stopHTTP lets requests in progress end. Whoever has connected and sends nothing would keep it for 5 s.
+func (p *Process) stopHTTP(ctx context.Context) {
+	end := time.Now().Add(httpStopTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Add(-httpStopMargin).Before(end) {
+		end = d.Add(-httpStopMargin)
+	}
+	shutdownCtx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if err := p.httpServer.Shutdown(shutdownCtx); err != nil {
+		p.events.Emit(event.HTTPCutOff, event.Fields{"fault": err.Error()})
+		_ = p.httpServer.Close()
+	}
+}
+
 // stopEntry hands the owned targets over to other hosts, so that the remaining requests find new owners, while it drains
 // the host's own guests. Transactions of all hosts end at the same time.
 func (p *Process) stopEntry(ctx context.Context) error {
--- a/e2e/stop_late_test.go
+++ b/e2e/stop_late_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -83,3 +84,20 @@
 	})
 	return p
 }
+
+// TestControlStopWithSilentConnection guards against a control process that does not end within its time to stop because a caller
+// has connected and sends nothing.
+func TestControlStopWithSilentConnection(t *testing.T) {
+	convey.Convey("A control process to which a caller has connected that sends nothing stops in time", t, func() {
+		n := startPlatform(t)
+		c, err := net.Dial("tcp", n.seeds[0])
+		convey.So(err, convey.ShouldBeNil)
+		defer c.Close()
+		time.Sleep(50 * time.Millisecond) // the process accepts the connection
+		began := time.Now()
+		convey.So(n.control["core-0"].terminate(), convey.ShouldEqual, 0)
+		took := time.Since(began)
+		t.Logf("the process took %v", took)
+		convey.So(took, convey.ShouldBeLessThan, stopTime)
+	})
+}
--- a/event/process.go
+++ b/event/process.go
@@ -24,6 +24,8 @@
 		"A fault of the program ended one piece of work, which the field work names; report it with the stack.")
 	DutyGivenUp = register(109, "duty-given-up", logrus.ErrorLevel,
 		"A duty of the process failed again and again; the process ends, so that it is started anew.")
+	HTTPCutOff = register(111, "http-cut-off", logrus.InfoLevel,
+		"A stopping process closed HTTP connections that had not ended; mostly they had sent nothing.")
 	RelayCutOff = register(110, "relay-cut-off", logrus.WarnLevel,
 		"A stopping host closed the connections of other hosts while work of theirs had not ended.")
 )
