statement: give servers their log of events before their goroutines start in tests

Three tests replaced the log of a server that was running already, which the race detector reports: TestFaults, TestUnansweredRequestLogged and TestStopStepsLogged. newTestServer takes options now; the checks are the same.

Measured: go test ./statement -race failed in each of three runs, in all three tests in the two whose output was kept, and passes.

--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -260,10 +260,10 @@
 	view   jacinthtiller.View
 }
 
-func newTestServer(t testing.TB) *testServer {
+func newTestServer(t testing.TB, opts ...Option) *testServer {
 	ts := &testServer{t: t, group: &fakeGroup{down: map[string]bool{}}}
 	ts.pool = pool.New(ts.group, dialect{}, pool.WithHost("h0"))
-	ts.server = New(ts.pool, dialect{}, nil)
+	ts.server = New(ts.pool, dialect{}, nil, opts...)
 	d := jacinthtiller.Database{Name: "db", Direct: true, Term: 1, Primary: "a"}
 	for _, n := range []string{"a", "b", "c"} {
 		d = d.WithTarget(jacinthtiller.Target{Name: n, Database: "db", Address: "10.0.0.1:" + n, Slots: 4, State: jacinthtiller.StateServing})
--- a/statement/fault_test.go
+++ b/statement/fault_test.go
@@ -22,12 +22,11 @@
 		"a commit":                 {"BEGIN", "WRITE 2 x", "COMMIT"},
 	} {
 		convey.Convey("When "+name+" of many guests panics", t, func() {
-			ts := newTestServer(t)
-			defer ts.close()
 			var out bytes.Buffer
 			l := logrus.New()
 			l.SetOutput(&out)
-			ts.server.events = event.New("h0", l)
+			ts := newTestServer(t, WithEvents(event.New("h0", l)))
+			defer ts.close()
 			last := requests[len(requests)-1]
 			if name == "the start of transaction" {
 				last = "BEGIN"
--- a/statement/unanswered_test.go
+++ b/statement/unanswered_test.go
@@ -43,8 +43,7 @@
 	convey.Convey("A guest to which the answer of a target can't be written", t, func() {
 		var trace bytes.Buffer
 		synctest.Test(t, func(*testing.T) {
-			ts := newTestServer(t)
-			ts.server.events = event.New("h0", nil, event.WithTrace(&trace))
+			ts := newTestServer(t, WithEvents(event.New("h0", nil, event.WithTrace(&trace))))
 			ts.lease(time.Hour)
 			g := newFakeGuest(jacinthtiller.ClassPrimary)
 			ts.serve(brokenGuest{g})
@@ -66,8 +65,7 @@
 	convey.Convey("A stop with a session that stays in a transaction", t, func() {
 		var trace bytes.Buffer
 		synctest.Test(t, func(*testing.T) {
-			ts := newTestServer(t)
-			ts.server.events = event.New("h0", nil, event.WithTrace(&trace))
+			ts := newTestServer(t, WithEvents(event.New("h0", nil, event.WithTrace(&trace))))
 			ts.lease(time.Hour)
 			g := ts.guest(jacinthtiller.ClassPrimary)
 			g.ask("BEGIN")
