relay: do not refuse a job whose reply was not written

Cause: when the reply to a job could not be written, or its work panicked, its connection counted as resting until it was removed. The close of a stopping host writes a refusal to resting connections, so that a job that may have run could be called not run. Change: the end of work on such a connection no longer makes it a resting one.

--- a/relay/server.go
+++ b/relay/server.go
@@ -176,6 +176,13 @@
 	s.working--
 }
 
+// abandonWork ends the work on a connection whose job may have run without a reply, so that no refusal may follow.
+func (s *Server) abandonWork() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.working--
+}
+
 func (s *Server) addResting(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -232,7 +239,7 @@
 			conn.RollBack(s.rollback)
 		}
 		if working {
-			s.endWork(nc)
+			s.abandonWork()
 		}
 	}()
 	for {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +115,60 @@
 		}
 	})
 }
+
+// unwritableConn is a connection whose writes fail once told so.
+type unwritableConn struct {
+	net.Conn
+	failed atomic.Bool
+}
+
+func (c *unwritableConn) Write(b []byte) (int, error) {
+	if c.failed.Load() {
+		return 0, errors.New("the other host does not read")
+	}
+	return c.Conn.Write(b)
+}
+
+// TestNoRefusalAfterLostReply guards against a job that ran and whose reply could not be written, after which the close of a stopping host says that it was
+// refused as not run.
+func TestNoRefusalAfterLostReply(t *testing.T) {
+	convey.Convey("The reply to a job can't be written", t, func() {
+		f := &fakeTargets{held: make(chan struct{})}
+		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		defer p.Close()
+		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
+		p.Apply(jacinthtiller.View{
+			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
+			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		defer l.Close()
+		s := NewServer(p, "rollback", nil)
+		nc := &unwritableConn{}
+		var group conc.WaitGroup
+		group.Go(func() {
+			if nc.Conn, err = l.Accept(); err == nil && s.addConn(nc) {
+				s.serve(nc) // the connection stays known, as it is until removeConn
+			}
+		})
+		c, dialErr := Dialer{}.DialRelay(context.Background(), l.Addr().String(), target, false)
+		convey.So(dialErr, convey.ShouldBeNil)
+		defer c.Close()
+		convey.So(c.Start(jacinthtiller.Job{
+			TargetRequest: jacinthtiller.TargetRequest{ID: "x", Text: "write"}, Deadline: time.Now().Add(5 * time.Second),
+		}), convey.ShouldBeNil)
+		for len(f.log()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		nc.failed.Store(true)
+		close(f.held)
+		group.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		s.mu.Lock()
+		resting, working := len(s.resting), s.working
+		s.mu.Unlock()
+		convey.So(resting, convey.ShouldEqual, 0)
+		convey.So(working, convey.ShouldEqual, 0)
+	})
+}
