--- a/pool/leaving_test.go
+++ b/pool/leaving_test.go
@@ -49,31 +49,35 @@
 			v := view(1, 30)
 			p.Apply(v)
 			target := p.Find(v.Databases["db"].Targets[c.target])
-			var changedAt time.Time
 			var wg conc.WaitGroup
-			results := make(chan error, 6)
+			type result struct {
+				err   error
+				endAt time.Time
+			}
+			results := make(chan result, 6)
 			for range cap(results) { // of which four run at once
 				wg.Go(func() {
 					j := newJob("read")
 					j.Deadline = time.Now().Add(wait)
 					_, err := run(target, j)
-					if err != nil {
-						refusedWithin = max(refusedWithin, time.Since(changedAt))
-					}
-					results <- err
+					results <- result{err, time.Now()}
 				})
 			}
 			synctest.Wait()
-			changedAt = time.Now()
+			changedAt := time.Now()
 			v.Index++
 			v.Databases = map[string]jacinthtiller.Database{"db": c.change(v.Databases["db"])}
 			p.Apply(v)
 			wg.Wait()
 			for range cap(results) {
 				var notRun *jacinthtiller.Error
-				if err := <-results; err == nil {
+				r := <-results
+				if r.err == nil {
 					ran++
-				} else if errors.As(err, &notRun) && notRun.Reason == jacinthtiller.ReasonDraining {
+					continue
+				}
+				refusedWithin = max(refusedWithin, r.endAt.Sub(changedAt))
+				if errors.As(r.err, &notRun) && notRun.Reason == jacinthtiller.ReasonDraining {
 					refused++
 				}
 			}
