--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -105,18 +105,24 @@
 }
 func (dialect) Execute(name, arguments string) string { return name + arguments }
 
+// newPool returns the pool of a host and its one target, to which f connects.
+func newPool(f *fakeTargets, slots int) (*pool.Pool, jacinthtiller.Target) {
+	p := pool.New(f, dialect{}, pool.WithHost("h0"))
+	target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: slots, State: jacinthtiller.StateServing}
+	p.Apply(jacinthtiller.View{
+		Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
+		Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
+	})
+	return p, target
+}
+
 // TestRelay guards against outcomes that change between hosts, and transactions that outlive their relay connection.
 func TestRelay(t *testing.T) {
 	for name, compress := range map[string]bool{"Through another host": false, "Through a host of another region": true} {
 		convey.Convey(name, t, func() {
 			f := &fakeTargets{}
-			p := pool.New(f, dialect{}, pool.WithHost("h0"))
+			p, target := newPool(f, 0)
 			defer p.Close()
-			target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", State: jacinthtiller.StateServing}
-			p.Apply(jacinthtiller.View{
-				Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
-				Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
-			})
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			convey.So(err, convey.ShouldBeNil)
 			s := NewServer(p, "rollback", nil)
@@ -271,13 +277,8 @@
 	convey.Convey("A host that relays for others stops", t, func() {
 		f := &fakeTargets{held: make(chan struct{})}
 		release := sync.OnceFunc(func() { close(f.held) })
-		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		p, target := newPool(f, 4)
 		defer p.Close()
-		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
-		p.Apply(jacinthtiller.View{
-			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
-			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
-		})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		convey.So(err, convey.ShouldBeNil)
 		s := NewServer(p, "rollback", nil)
@@ -338,12 +339,7 @@
 	convey.Convey("A host closes while a target works on a job of another host", t, func() {
 		f := &fakeTargets{held: make(chan struct{})}
 		defer close(f.held)
-		p := pool.New(f, dialect{}, pool.WithHost("h0"))
-		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
-		p.Apply(jacinthtiller.View{
-			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
-			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
-		})
+		p, target := newPool(f, 4)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		convey.So(err, convey.ShouldBeNil)
 		s := NewServer(p, "rollback", nil)
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -20,13 +20,8 @@
 func TestRelayStopRefusals(t *testing.T) {
 	convey.Convey("A host sends statements through another one, which stops", t, func() {
 		f := &fakeTargets{}
-		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
-		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		p, target := newPool(f, 4)
 		defer p.Close()
-		p.Apply(jacinthtiller.View{
-			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
-			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
-		})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		convey.So(err, convey.ShouldBeNil)
 		s := NewServer(p, "rollback", nil)
@@ -134,13 +129,8 @@
 func TestNoRefusalAfterLostReply(t *testing.T) {
 	convey.Convey("The reply to a job can't be written", t, func() {
 		f := &fakeTargets{held: make(chan struct{})}
-		p := pool.New(f, dialect{}, pool.WithHost("h0"))
+		p, target := newPool(f, 4)
 		defer p.Close()
-		target := jacinthtiller.Target{Name: "a", Database: "db", Address: "10.0.0.1:1", Slots: 4, State: jacinthtiller.StateServing}
-		p.Apply(jacinthtiller.View{
-			Index: 1, Hosts: map[string]jacinthtiller.Host{"h0": {Name: "h0"}},
-			Databases: map[string]jacinthtiller.Database{"db": jacinthtiller.Database{Name: "db", Direct: true}.WithTarget(target)},
-		})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		convey.So(err, convey.ShouldBeNil)
 		defer l.Close()
--- a/statement/stop_test.go
+++ b/statement/stop_test.go
@@ -235,6 +235,20 @@
 	}, now.Add(5400 * time.Millisecond)
 }
 
+// silenceTargets has no target answer any more, and gives requests a minute.
+func (ts *testServer) silenceTargets() {
+	for n, r := range ts.view.Edition.Routes {
+		r.StatementMilliseconds = 60_000
+		ts.view.Edition.Routes[n] = r
+	}
+	ts.group.set(func() {
+		ts.group.receive = func(_ jacinthtiller.TargetRequest, deadline time.Time) error {
+			time.Sleep(time.Until(deadline))
+			return os.ErrDeadlineExceeded
+		}
+	})
+}
+
 // TestStopEndsBusySessions guards against sessions that last to the end of a stop, which cuts off what they ask for then, because their guests
 // ask again at once for something that the host answers without a target.
 func TestStopEndsBusySessions(t *testing.T) {
@@ -312,16 +326,7 @@
 				ts := newTestServer(t)
 				defer ts.close()
 				ts.lease(time.Hour)
-				for n, r := range ts.view.Edition.Routes {
-					r.StatementMilliseconds = 60_000
-					ts.view.Edition.Routes[n] = r
-				}
-				ts.group.set(func() {
-					ts.group.receive = func(_ jacinthtiller.TargetRequest, deadline time.Time) error {
-						time.Sleep(time.Until(deadline))
-						return os.ErrDeadlineExceeded
-					}
-				})
+				ts.silenceTargets()
 				g := ts.guest(jacinthtiller.ClassPrimary)
 				var group conc.WaitGroup
 				group.Go(func() { answer = g.ask("READ 1") })
@@ -461,16 +466,7 @@
 					ts := newTestServer(t)
 					defer ts.close()
 					ts.lease(time.Hour)
-					for n, r := range ts.view.Edition.Routes {
-						r.StatementMilliseconds = 60_000
-						ts.view.Edition.Routes[n] = r
-					}
-					ts.group.set(func() {
-						ts.group.receive = func(_ jacinthtiller.TargetRequest, deadline time.Time) error {
-							time.Sleep(time.Until(deadline))
-							return os.ErrDeadlineExceeded
-						}
-					})
+					ts.silenceTargets()
 					first := waitingGuest{newFakeGuest(jacinthtiller.ClassPrimary)}
 					ts.serve(first)
 					<-first.answers
