jacinthtiller: values and interfaces of client accounts and their limits

Cause: a new customer's deployments hold client accounts with keys and limits, and targets that serve one account a connection; nothing in the program knows accounts. Change: Account, RateLimit, KeyDigest and their validation in the edition; interfaces between hosts for tokens of limits; the account of a job and of a connection to a target. No behaviour changes yet: all accounts are empty.

--- /dev/null
+++ b/account.go
@@ -0,0 +1,175 @@
+package jacinthtiller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// keyDigestBytes is the length of a key digest before encoding. 128 bits rule out collisions among the keys of all accounts.
+const keyDigestBytes = 16
+
+// KeyDigest identifies a key of a client account without revealing it.
+type KeyDigest string
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(hex.EncodeToString(sum[:keyDigestBytes]))
+}
+
+// Account is a client account. Guests authenticate with one of its keys, and everything that they run counts toward it.
+type Account struct {
+	Name string `cbor:"name" json:"name"`
+	// KeyDigests identifies the account's keys. Keys themselves are secrets and are in no view, log or dump.
+	KeyDigests []KeyDigest `cbor:"key-digests,omitempty" json:"-"`
+	// Priority orders the accounts of one priority class; 0 is the highest.
+	Priority int `cbor:"priority,omitempty" json:"priority,omitempty"`
+	// Limit bounds the operations of the account on all hosts together; nil means no limit.
+	Limit *RateLimit `cbor:"limit,omitempty" json:"limit,omitempty"`
+}
+
+// RateLimit bounds the operations of an account: PerSecond times the length of any period, plus Burst. A single statement
+// and a whole transaction are one operation each.
+type RateLimit struct {
+	PerSecond float64 `cbor:"per-second" json:"per-second"`
+	Burst     float64 `cbor:"burst" json:"burst"`
+}
+
+// validate returns an error for the first invalid field of an account that is stored under the name. Errors contain no key.
+func (a Account) validate(name string) error {
+	if a.Name == "" || a.Name != name {
+		return fmt.Errorf("account %q has no name", a.Name)
+	}
+	if l := a.Limit; l != nil {
+		for field, value := range map[string]float64{"rate": l.PerSecond, "burst": l.Burst} {
+			if value < 0 || math.IsNaN(value) || math.IsInf(value, 0) {
+				return fmt.Errorf("account %q has the %s %v, which is not a number of at least 0", name, field, value)
+			}
+		}
+	}
+	return nil
+}
+
+// validateAccounts returns an error for the first invalid account, or for a key that two accounts share.
+func (e Edition) validateAccounts() error {
+	owners := map[KeyDigest]string{}
+	for _, name := range slices.Sorted(maps.Keys(e.Accounts)) {
+		a := e.Accounts[name]
+		if err := a.validate(name); err != nil {
+			return err
+		}
+		for _, d := range a.KeyDigests {
+			if other, ok := owners[d]; ok && other != name {
+				return fmt.Errorf("accounts %q and %q share a key", other, name)
+			}
+			owners[d] = name
+		}
+	}
+	return nil
+}
+
+// AccountsByKey returns the account of each key of the edition.
+func (e Edition) AccountsByKey() map[KeyDigest]Account {
+	out := map[KeyDigest]Account{}
+	for _, a := range e.Accounts {
+		for _, d := range a.KeyDigests {
+			out[d] = a
+		}
+	}
+	return out
+}
+
+// LimitShares is the number of shares into which an account's limit is divided. Each share is administered by another host,
+// so that the loss of one administrator leaves the account the rest of its limit.
+const LimitShares = 2
+
+// LimitAdministrators returns the hosts that administer the shares of an account's limit, in order of the shares. Every host
+// with the same view gets the same result. A deployment with fewer hosts than shares has the remaining shares on the same
+// hosts.
+func (p Placement) LimitAdministrators(account string) []Host {
+	if len(p.hosts) == 0 {
+		return nil
+	}
+	ranked := rankHosts(p.hosts, accountSalt(account), LimitShares)
+	out := make([]Host, LimitShares)
+	for i := range out {
+		out[i] = ranked[i%len(ranked)]
+	}
+	return out
+}
+
+// TokenRequest asks the administrator of a share of an account's limit for tokens. One token admits one operation.
+type TokenRequest struct {
+	Account string
+	// Share is the number of the share, from 0 to LimitShares-1.
+	Share int
+	// Tokens is how many tokens the host wants, at least 1.
+	Tokens int
+}
+
+// TokenRefusal is why a host grants no tokens, although the share may have some.
+type TokenRefusal string
+
+// The reasons of a refusal.
+const (
+	TokensGranted          TokenRefusal = ""                  // the reply states what the share has
+	TokensNotAdministrator TokenRefusal = "not-administrator" // by the host's view, another host administers the share
+	TokensNoLease          TokenRefusal = "no-lease"          // the host may have been replaced as the administrator
+	TokensHandover         TokenRefusal = "handover"          // the former administrator may still grant tokens
+)
+
+// TokenReply answers a TokenRequest.
+type TokenReply struct {
+	Refusal TokenRefusal
+	// Granted is how many tokens the requesting host may use, between 0 and TokenRequest.Tokens.
+	Granted int
+	// LifetimeMicroseconds is how long the tokens may be used, counted by the requesting host from before it sent the request.
+	LifetimeMicroseconds int64
+	// RetryAfterMicroseconds is when the share is expected to have tokens for this host again; 0 when it has some left.
+	RetryAfterMicroseconds int64
+}
+
+// ShareRelease asks the former administrator of a share to stop granting its tokens.
+type ShareRelease struct {
+	Account string
+	Share   int
+	// Index is the index of the view that names the new administrator.
+	Index uint64
+}
+
+// LimitClient sends the queries of limits to other hosts. The address is that of a host's listener for other hosts.
+type LimitClient interface {
+	RequestTokens(address string, r TokenRequest, deadline time.Time) (TokenReply, error)
+	// ReleaseShare returns true when the host grants no more tokens of the share under any view up to r.Index.
+	ReleaseShare(address string, r ShareRelease, deadline time.Time) (bool, error)
+}
+
+// LimitSource answers the queries of limits of other hosts.
+type LimitSource interface {
+	GrantTokens(r TokenRequest) TokenReply
+	ReleaseShare(r ShareRelease) bool
+}
+
+// Limiter enforces the limits of accounts over all hosts.
+type Limiter interface {
+	// Admit takes a token for one operation of the account. It waits for tokens that are on their way until the deadline, and
+	// returns at once when there are none. An account without a limit, or one that the view does not hold, needs no token.
+	Admit(account string, deadline time.Time) LimitDecision
+}
+
+// LimitDecision is the result of Limiter.Admit.
+type LimitDecision struct {
+	Admitted bool
+	// Exhausted is true when the account has used up its limit, and false when no administrator answered in time.
+	Exhausted bool
+	// RetryAt is when a refused operation should be tried again; it is spread over the hosts and requests.
+	RetryAt time.Time
+	// Limit is the limit that decided, and KnownAt when the host last heard from an administrator about the account.
+	Limit   RateLimit
+	KnownAt time.Time
+}
--- a/direct.go
+++ b/direct.go
@@ -42,6 +42,8 @@
 	ObjectiveMilliseconds int64 `cbor:"objective-milliseconds,omitempty" json:"objective-milliseconds,omitempty"`
 	// Priority orders guests that wait for the same target; 0 is the highest priority.
 	Priority int `cbor:"priority,omitempty" json:"priority,omitempty"`
+	// Public is true when guests need no key of an account.
+	Public bool `cbor:"public,omitempty" json:"public,omitempty"`
 }
 
 // Group holds the document's settings of one group of targets.
@@ -69,6 +71,10 @@
 	Groups map[string]Group `cbor:"groups" json:"groups"`
 	// IdleTransactionMilliseconds is how long a transaction may be idle between statements; 0 means no limit.
 	IdleTransactionMilliseconds int64 `cbor:"idle-transaction-milliseconds,omitempty" json:"idle-transaction-milliseconds,omitempty"`
+	// RequiresKeys is true when the document has accounts, so that guests of routes that are not public need a key.
+	RequiresKeys bool `cbor:"requires-keys,omitempty" json:"requires-keys,omitempty"`
+	// Accounts maps the names of the client accounts to the accounts.
+	Accounts map[string]Account `cbor:"accounts,omitempty" json:"accounts,omitempty"`
 }
 
 // Validate returns an error for the first invalid part of an edition.
@@ -88,7 +94,7 @@
 			return fmt.Errorf("route %q has a negative greatest age", name)
 		}
 	}
-	return nil
+	return e.validateAccounts()
 }
 
 const (
@@ -268,6 +274,7 @@
 	ErrorCodeExecution   ErrorCode = "execution"    // the request ran and failed
 	ErrorCodeNoStatement ErrorCode = "no-statement" // no statement is prepared under the name
 	ErrorCodeNoRoute     ErrorCode = "no-route"     // no route has the name
+	ErrorCodeNoAccount   ErrorCode = "no-account"   // no account has the guest's key
 	ErrorCodeMalformed   ErrorCode = "malformed"    // the request is malformed or not allowed in the session's state
 	ErrorCodeTooLarge    ErrorCode = "too-large"    // the request is larger than the protocol allows
 	ErrorCodeOther       ErrorCode = "other"        // a code that this program does not know
@@ -335,6 +342,8 @@
 	Statement *PreparedStatement
 	// Route and Guest are the keys of fair queueing for the target.
 	Route, Guest string
+	// Account is the client account on whose connections the request runs; empty when the deployment has no accounts.
+	Account string
 	// BeginsTransaction is true when the request begins a transaction.
 	BeginsTransaction bool
 	// PositionQuery is true when the job queries the target's log position; such a job bypasses the queue of statements.
@@ -424,8 +433,9 @@
 
 // TargetDialer opens connections to targets of direct groups.
 type TargetDialer interface {
-	// Dial connects and logs in. The error is a *TargetError when the target refused.
-	Dial(ctx context.Context, t Target) (TargetConn, error)
+	// Dial connects and logs in for the client account, or for the host itself if account is empty. The connection serves no
+	// other account. The error is a *TargetError when the target refused.
+	Dial(ctx context.Context, t Target, account string) (TargetConn, error)
 }
 
 // TargetError is an error that a target returned.
--- a/gateway.go
+++ b/gateway.go
@@ -97,6 +97,9 @@
 	return rankHosts(p.byDomain[domain], xxhash.Sum64String(database), n)
 }
 
+// accountSalt returns the salt under which the hosts of an account are ranked.
+func accountSalt(account string) uint64 { return xxhash.Sum64String("account\x00" + account) }
+
 // SampleHosts returns up to n live hosts of all failure domains, without the named one, in an order that depends on the
 // name.
 func (p Placement) SampleHosts(name string, n int) []Host {
--- a/pool/close_test.go
+++ b/pool/close_test.go
@@ -23,7 +23,7 @@
 	return silentConn{asked: make(chan struct{}), closed: make(chan struct{}), asksOnce: &sync.Once{}, closesOnce: &sync.Once{}}
 }
 
-func (c silentConn) Dial(context.Context, jacinthtiller.Target) (jacinthtiller.TargetConn, error) {
+func (c silentConn) Dial(context.Context, jacinthtiller.Target, string) (jacinthtiller.TargetConn, error) {
 	return c, nil
 }
 
--- a/pool/fake_test.go
+++ b/pool/fake_test.go
@@ -33,7 +33,7 @@
 	change()
 }
 
-func (f *fakeTargets) Dial(_ context.Context, t jacinthtiller.Target) (jacinthtiller.TargetConn, error) {
+func (f *fakeTargets) Dial(_ context.Context, t jacinthtiller.Target, _ string) (jacinthtiller.TargetConn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dials++
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -312,7 +312,7 @@
 func (p *Pool) dial(spec jacinthtiller.Target, deadline time.Time) (jacinthtiller.TargetConn, error) {
 	ctx, cancel := context.WithDeadline(p.ctx, earlier(deadline, time.Now().Add(dialTimeout)))
 	defer cancel()
-	c, err := p.dialer.Dial(ctx, spec)
+	c, err := p.dialer.Dial(ctx, spec, "")
 	if err != nil {
 		return nil, err
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,7 +30,7 @@
 	held chan struct{}
 }
 
-func (f *fakeTargets) Dial(context.Context, jacinthtiller.Target) (jacinthtiller.TargetConn, error) {
+func (f *fakeTargets) Dial(context.Context, jacinthtiller.Target, string) (jacinthtiller.TargetConn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
--- a/statement/fake_test.go
+++ b/statement/fake_test.go
@@ -29,7 +29,7 @@
 	received []string
 }
 
-func (g *fakeGroup) Dial(_ context.Context, t jacinthtiller.Target) (jacinthtiller.TargetConn, error) {
+func (g *fakeGroup) Dial(_ context.Context, t jacinthtiller.Target, _ string) (jacinthtiller.TargetConn, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.down[t.Name] {
--- a/view.go
+++ b/view.go
@@ -187,6 +187,8 @@
 	Exclusive bool `cbor:"exclusive,omitempty" json:"exclusive,omitempty"`
 	// RelayCompression is true when the host understands compressed frames on relay connections.
 	RelayCompression bool `cbor:"relay-compression,omitempty" json:"relay-compression,omitempty"`
+	// ServesAccounts is true when the host understands the jobs of accounts and the queries of limits of other hosts.
+	ServesAccounts bool `cbor:"serves-accounts,omitempty" json:"serves-accounts,omitempty"`
 	// LeaseEnded is true from the end of the host's lease until the host registers again.
 	LeaseEnded bool `cbor:"gone,omitempty" json:"gone,omitempty"`
 }
