--- a/account.go
+++ b/account.go
@@ -134,25 +134,14 @@
 	RetryAfterMicroseconds int64
 }
 
-// ShareRelease asks the former administrator of a share to stop granting its tokens.
-type ShareRelease struct {
-	Account string
-	Share   int
-	// Index is the index of the view that names the new administrator.
-	Index uint64
-}
-
-// LimitClient sends the queries of limits to other hosts. The address is that of a host's listener for other hosts.
+// LimitClient asks other hosts for tokens. The address is that of a host's listener for other hosts.
 type LimitClient interface {
 	RequestTokens(address string, r TokenRequest, deadline time.Time) (TokenReply, error)
-	// ReleaseShare returns true when the host grants no more tokens of the share under any view up to r.Index.
-	ReleaseShare(address string, r ShareRelease, deadline time.Time) (bool, error)
 }
 
-// LimitSource answers the queries of limits of other hosts.
+// LimitSource answers the token requests of other hosts.
 type LimitSource interface {
 	GrantTokens(r TokenRequest) TokenReply
-	ReleaseShare(r ShareRelease) bool
 }
 
 // Limiter enforces the limits of accounts over all hosts.
--- a/view.go
+++ b/view.go
@@ -319,6 +319,9 @@
 	Incarnation string
 	// Deadline is the end of the lease on the host's own clock, counted from before the host requested it.
 	Deadline time.Time
+	// SettledIndex is the index of a view such that, when the lease was granted, no host held a lease under an earlier view;
+	// 0 when unknown. It never decreases while the host holds a lease.
+	SettledIndex uint64
 }
 
 // Valid reports whether the lease holds at now.
