control: send only the changed parts of an edition

Every new edition was sent whole to each host, so that one changed key would cost more with every account. A watcher that sets AcceptsEditionDeltas now gets the routes, groups and accounts that changed since its view; other watchers get the whole edition as before. Watches at one index that accept the same form still share one encoded message.

A host whose edition a delta does not fit, such as one without accounts from a peer of an earlier version, asks for a full view instead of the same delta again.

--- a/control/client.go
+++ b/control/client.go
@@ -412,7 +412,7 @@
 func (e *endpoint) streamDeltas(ctx context.Context, cancel context.CancelCauseFunc, from uint64, apply func(jacinthtiller.Delta) error) error {
 	idle := time.AfterFunc(watchIdleTimeout, func() { cancel(errNoHeartbeat) })
 	defer idle.Stop()
-	s, err := e.watch.CallServerStream(ctx, connect.NewRequest(&WatchRequest{From: from, AcceptsCompressed: true}))
+	s, err := e.watch.CallServerStream(ctx, connect.NewRequest(&WatchRequest{From: from, AcceptsCompressed: true, AcceptsEditionDeltas: true}))
 	if err != nil {
 		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
 	}
--- a/control/compress_test.go
+++ b/control/compress_test.go
@@ -28,7 +28,7 @@
 	convey.Convey("A view of 480 databases", t, func() {
 		s, _, url := startFake(t, Config{Operators: &Operators{}}, true)
 		largeGroups(s.machine, 480)
-		d, _ := s.machine.delta(0)
+		d, _ := s.machine.delta(0, true)
 		raw, err := d.MarshalCBOR()
 		convey.So(err, convey.ShouldBeNil)
 		convey.Convey("is compressed once, to an eighth or less", func() {
--- a/control/machine.go
+++ b/control/machine.go
@@ -29,7 +29,7 @@
 	changed chan struct{}
 	// urgent is closed and replaced at changes whose delivery must not be delayed.
 	urgent chan struct{}
-	// encoded holds the deltas to the current view, by their starting index.
+	// encoded holds the deltas to the current view, by their starting index, in the form with edition deltas.
 	encoded map[uint64]*encodedDelta
 }
 
@@ -127,8 +127,9 @@
 }
 
 // delta returns the delta from the view at from to the current one, and a channel that is closed when the view changes.
-// The delta is nil for a watcher that is up to date or ahead of this process.
-func (m *machine) delta(from uint64) (*encodedDelta, <-chan struct{}) {
+// The delta is nil for a watcher that is up to date or ahead of this process. A watcher that does not accept edition deltas
+// gets the whole edition when it has changed.
+func (m *machine) delta(from uint64, acceptsEditionDeltas bool) (*encodedDelta, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if from >= m.current.View.Index {
@@ -139,6 +140,9 @@
 		d = m.buildDelta(from)
 		m.encoded[from] = d
 	}
+	if !acceptsEditionDeltas {
+		d = m.withWholeEdition(d)
+	}
 	return d, m.changed
 }
 
@@ -158,6 +162,19 @@
 	return d
 }
 
+// withWholeEdition returns the form of a delta to the current view for watchers that do not accept edition deltas. All of
+// them share it. The caller holds m.mu.
+func (m *machine) withWholeEdition(d *encodedDelta) *encodedDelta {
+	if d.delta.EditionDelta == nil {
+		return d
+	}
+	if d.wholeEdition == nil {
+		d.wholeEdition = &encodedDelta{delta: d.delta, urgent: d.urgent}
+		d.wholeEdition.delta.EditionDelta, d.wholeEdition.delta.Edition = nil, m.current.View.Edition
+	}
+	return d.wholeEdition
+}
+
 // buildDelta builds the delta from the names of the entries that changed since from, or a full view when these are no
 // longer known.
 func (m *machine) buildDelta(from uint64) *encodedDelta {
@@ -175,6 +192,7 @@
 		Sections: map[string]jacinthtiller.Section{},
 	}
 	removed := map[string]bool{}
+	var editions []*editionChange
 	for i := len(m.recent) - 1; i >= 0 && m.recent[i].index > from; i-- {
 		urgent = urgent || m.recent[i].urgent
 		for _, n := range m.recent[i].hosts {
@@ -187,14 +205,15 @@
 		for _, n := range m.recent[i].databases {
 			d.Databases[n] = v.Databases[n]
 		}
-		if m.recent[i].edition {
-			d.Edition = v.Edition
+		if c := m.recent[i].edition; c != nil {
+			editions = append(editions, c)
 		}
 		for _, n := range m.recent[i].sections {
 			d.Sections[n] = v.Sections[n]
 		}
 	}
 	d.RemovedHosts = slices.Sorted(maps.Keys(removed))
+	d.Edition, d.EditionDelta = editionDelta(editions, v.Edition)
 	return &encodedDelta{delta: d, urgent: urgent}
 }
 
@@ -206,9 +225,13 @@
 	delta jacinthtiller.Delta
 	// urgent is true when delivery of the delta must not be delayed.
 	urgent bool
-	once   sync.Once
-	raw    []byte
-	err    error
+	// wholeEdition is the form for watchers that do not accept edition deltas; nil until one of them asks. It is guarded by
+	// the lock of the machine.
+	wholeEdition *encodedDelta
+
+	once sync.Once
+	raw  []byte
+	err  error
 	// compressOnce guards compressed and compressErr. A small delta is its own compressed form.
 	compressOnce sync.Once
 	compressed   *encodedDelta
@@ -277,9 +300,10 @@
 			events.Emit(event.ControlHostRegistered, f)
 		}
 	}
-	if ch.edition {
+	if ch.edition != nil {
 		events.Emit(event.ControlEditionApplied, event.Fields{
-			"number": after.View.Edition.Number, "routes": len(after.View.Edition.Routes), "index": ch.index,
+			"number": after.View.Edition.Number, "routes": len(after.View.Edition.Routes),
+			"accounts": len(after.View.Edition.Accounts), "index": ch.index,
 		})
 	}
 	for _, n := range ch.databases {
--- a/control/message.go
+++ b/control/message.go
@@ -24,6 +24,8 @@
 	From uint64 `cbor:"from" json:"from"`
 	// AcceptsCompressed is true when the caller accepts deltas that are compressed once for all watches.
 	AcceptsCompressed bool `cbor:"unpacks,omitempty" json:"unpacks,omitempty"`
+	// AcceptsEditionDeltas is true when the caller understands jacinthtiller.EditionDelta; others get whole editions.
+	AcceptsEditionDeltas bool `cbor:"edition-deltas,omitempty" json:"edition-deltas,omitempty"`
 }
 
 // StepRequest carries messages of the log between control processes.
--- a/control/registry.go
+++ b/control/registry.go
@@ -13,13 +13,14 @@
 // edition puts an edition in force. An edition whose number is not higher is accepted without effect, because it is a
 // resend or outdated.
 func (e *editor) edition(c editionCommand) commandResult {
-	if old := e.s.View.Edition; old != nil && c.Edition.Number <= old.Number {
+	old := e.s.View.Edition
+	if old != nil && c.Edition.Number <= old.Number {
 		return commandResult{Code: codeOlder, Revision: old.Number}
 	}
 	updated := c.Edition
 	e.s.View.Edition, e.s.EditionText = &updated, c.Text
 	e.s.View.Document = e.changes.index
-	e.changes.edition, e.changes.urgent = true, true
+	e.changes.edition, e.changes.urgent = newEditionChange(old, updated), true
 	return commandResult{Revision: updated.Number}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -81,14 +81,15 @@
 type changes struct {
 	index                      uint64
 	hosts, databases, sections []string
-	edition                    bool
+	// edition is nil when the edition has not changed.
+	edition *editionChange
 	// urgent is true for all changes except those of hosts and of targets that join, leave or change their state: a new
 	// primary, edition or section affects which requests hosts may answer.
 	urgent bool
 }
 
 func (c changes) empty() bool {
-	return len(c.hosts) == 0 && len(c.databases) == 0 && len(c.sections) == 0 && !c.edition
+	return len(c.hosts) == 0 && len(c.databases) == 0 && len(c.sections) == 0 && c.edition == nil
 }
 
 // editor builds the state after one entry.
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -98,17 +98,17 @@
 		convey.So(first.Hosts["h1"].LeaseEnded, convey.ShouldBeFalse)
 
 		convey.Convey("a delta leads from an older view to the newest", func() {
-			d, _ := m.delta(3)
+			d, _ := m.delta(3, true)
 			v, ok := first.With(d.delta)
 			convey.So(ok, convey.ShouldBeTrue)
 			convey.So(v, convey.ShouldResemble, m.state().View)
 			convey.So(d.delta.From, convey.ShouldEqual, 3)
 		})
 		convey.Convey("watchers share one encoded delta and one ahead gets nothing", func() {
-			d, _ := m.delta(3)
-			again, _ := m.delta(3)
+			d, _ := m.delta(3, true)
+			again, _ := m.delta(3, true)
 			convey.So(again, convey.ShouldEqual, d)
-			ahead, _ := m.delta(8)
+			ahead, _ := m.delta(8, true)
 			convey.So(ahead, convey.ShouldBeNil)
 			convey.So(m.heartbeat(8), convey.ShouldBeNil)
 			convey.So(m.heartbeat(7), convey.ShouldNotBeNil)
@@ -117,11 +117,11 @@
 			for i := range uint64(maxRecentChanges) + 1 {
 				apply(m, 10+i, register(fmt.Sprint("x", i)))
 			}
-			d, _ := m.delta(3)
+			d, _ := m.delta(3, true)
 			convey.So(d.delta.From, convey.ShouldEqual, 0)
 			v, _ := jacinthtiller.View{}.With(d.delta)
 			convey.So(v, convey.ShouldResemble, m.state().View)
-			near, _ := m.delta(12)
+			near, _ := m.delta(12, true)
 			convey.So(near.delta.From, convey.ShouldEqual, 12)
 		})
 		convey.Convey("a snapshot restores the same state, and older watchers get a full view", func() {
@@ -132,7 +132,7 @@
 			again, err := other.Snapshot()
 			convey.So(err, convey.ShouldBeNil)
 			convey.So(again, convey.ShouldResemble, b)
-			d, _ := other.delta(3)
+			d, _ := other.delta(3, true)
 			convey.So(d.delta.From, convey.ShouldEqual, 0)
 		})
 		convey.Convey("an entry that cannot be read changes nothing", func() {
--- a/control/watch.go
+++ b/control/watch.go
@@ -35,7 +35,7 @@
 	schedule := sendSchedule{origin: s.startedAt}
 	for {
 		urgent := s.machine.urgentChange() // before the delta, so that no change between the two is missed
-		d, changed := s.machine.delta(from)
+		d, changed := s.machine.delta(from, r.Msg.AcceptsEditionDeltas)
 		var delay <-chan time.Time
 		if d != nil {
 			due := schedule.due(d.urgent, time.Now())
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -35,7 +35,7 @@
 				suspended = now
 				applyTo(m, uint64(step+1), Command{SuspendPrimary: &suspendPrimaryCommand{Database: "db", Primary: "a"}})
 			}
-			x, _ := m.delta(from)
+			x, _ := m.delta(from, true)
 			if x == nil || !p.due(x.urgent, now).IsZero() {
 				continue
 			}
@@ -82,7 +82,7 @@
 				}
 				do(Command{RecordPrimary: &recordPrimaryCommand{Database: fmt.Sprint("db", n/2), Term: 1, Target: fmt.Sprint("t", n/2)}})
 			}
-			x, _ := m.delta(from)
+			x, _ := m.delta(from, true)
 			if x == nil || !p.due(x.urgent, now).IsZero() {
 				continue
 			}
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -28,6 +28,8 @@
 	watches       int
 	registrations int
 	released      bool
+	// watchedFrom is the index from which the last watch started.
+	watchedFrom uint64
 }
 
 var errUnreachable = errors.New("control is unreachable")
@@ -46,6 +48,12 @@
 	f()
 }
 
+func (c *fakeControl) watchStart() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watchedFrom
+}
+
 func (c *fakeControl) Register(context.Context, jacinthtiller.Host) (jacinthtiller.RegisterResponse, error) {
 	if c.isDown() {
 		return jacinthtiller.RegisterResponse{}, errUnreachable
@@ -79,8 +87,8 @@
 
 func (c *fakeControl) ReportOverload(context.Context, jacinthtiller.OverloadReport) error { return nil }
 
-func (c *fakeControl) Watch(ctx context.Context, _ uint64, apply func(jacinthtiller.Delta) error) error {
-	c.locked(func() { c.watches++ })
+func (c *fakeControl) Watch(ctx context.Context, from uint64, apply func(jacinthtiller.Delta) error) error {
+	c.locked(func() { c.watches, c.watchedFrom = c.watches+1, from })
 	for {
 		if c.isDown() {
 			return errUnreachable
@@ -187,6 +195,39 @@
 	})
 }
 
+// TestViewMismatch guards against a host that asks again and again for deltas to a view that they do not apply to: one that
+// has an edition without accounts, from a peer of an earlier version.
+func TestViewMismatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("After a delta that does not apply the host asks for a full view once", t, func() {
+			c := &fakeControl{}
+			h := startHost(c, &fakePeer{})
+			defer stopHost(h)
+			// interrupt ends the watch after a delta that applies.
+			interrupt := func(d jacinthtiller.Delta) {
+				synctest.Wait() // the host watches
+				c.locked(func() { c.down = true })
+				c.deltas <- d
+				time.Sleep(time.Second)
+				c.locked(func() { c.down = false })
+				time.Sleep(2 * time.Second)
+			}
+			interrupt(jacinthtiller.Delta{Index: 20, Edition: &jacinthtiller.Edition{Number: 3}})
+			convey.So(c.watchStart(), convey.ShouldEqual, 20)
+			c.deltas <- jacinthtiller.Delta{From: 20, Index: 21, EditionDelta: &jacinthtiller.EditionDelta{
+				From: 3, Changed: jacinthtiller.Edition{Number: 4}, Entries: 2,
+			}}
+			time.Sleep(2 * time.Second)
+			convey.So(h.config.Views.View().Index, convey.ShouldEqual, 20)
+			convey.So(c.watchStart(), convey.ShouldEqual, 0)
+			c.deltas <- jacinthtiller.Delta{Index: 21, Edition: &jacinthtiller.Edition{Number: 4}}
+			interrupt(jacinthtiller.Delta{From: 21, Index: 22})
+			convey.So(h.config.Views.View().Edition.Number, convey.ShouldEqual, 4)
+			convey.So(c.watchStart(), convey.ShouldEqual, 22)
+		})
+	})
+}
+
 // TestView guards against a view that is replaced by an older one from control or from a peer.
 func TestView(t *testing.T) {
 	cases := map[string]struct {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -13,15 +13,21 @@
 
 // watchViews keeps the current view up to date from control, or from peers while control is unreachable.
 func (h *Host) watchViews() {
-	lost := false
+	lost, mismatch := false, false
 	for h.ctx.Err() == nil {
-		err := h.config.Control.Watch(h.newWatchContext(), h.config.Views.View().Index, func(d jacinthtiller.Delta) error {
+		from := h.config.Views.View().Index
+		if mismatch {
+			from = 0 // the next delta from the same view would not apply either, so ask for a full view
+		}
+		err := h.config.Control.Watch(h.newWatchContext(), from, func(d jacinthtiller.Delta) error {
 			if lost {
 				lost = false
 				h.config.Events.Emit(event.ControlFound, event.Fields{"index": d.Index})
 			}
 			h.recordControlContact()
-			if !h.config.Views.Apply(d) && d.Index > h.config.Views.View().Index {
+			applied := h.config.Views.Apply(d)
+			mismatch = !applied && d.Index > h.config.Views.View().Index
+			if mismatch {
 				return fmt.Errorf("delta from index %d does not apply", d.From)
 			}
 			return nil
--- a/view.go
+++ b/view.go
@@ -256,8 +256,10 @@
 	Hosts     map[string]Host     `cbor:"hosts,omitempty"`
 	Databases map[string]Database `cbor:"databases,omitempty"`
 	Sections  map[string]Section  `cbor:"sections,omitempty"`
-	// Edition is nil when it has not changed.
+	// Edition is nil when it has not changed or EditionDelta is set.
 	Edition *Edition `cbor:"edition,omitempty"`
+	// EditionDelta is the difference between the editions of the two views; it is used only for watchers that accept it.
+	EditionDelta *EditionDelta `cbor:"edition-delta,omitempty" json:"edition-delta,omitempty"`
 	// RemovedHosts, RemovedDatabases and RemovedSections name the removed entries.
 	RemovedHosts     []string `cbor:"removed-hosts,omitempty"`
 	RemovedDatabases []string `cbor:"removed-databases,omitempty"`
@@ -267,7 +269,7 @@
 	Compressed []byte `cbor:"packed,omitempty" json:"Packed"`
 }
 
-// With returns the view after d. A delta for another index or an older one
+// With returns the view after d. A delta for another index, an older one or another edition
 // returns v unchanged and false.
 func (v View) With(d Delta) (View, bool) {
 	switch {
@@ -286,8 +288,18 @@
 		Hosts: maps.Clone(v.Hosts), Databases: maps.Clone(v.Databases), Sections: maps.Clone(v.Sections),
 		Edition: v.Edition,
 	}
-	if d.Edition != nil {
+	switch {
+	case d.Edition != nil:
 		out.Edition = d.Edition
+	case d.EditionDelta != nil:
+		if v.Edition == nil {
+			return v, false
+		}
+		e, ok := v.Edition.With(*d.EditionDelta)
+		if !ok {
+			return v, false
+		}
+		out.Edition = &e
 	}
 	if out.Hosts == nil {
 		out.Hosts = map[string]Host{}
