--- a/direct.go
+++ b/direct.go
@@ -238,7 +238,8 @@
 
 // GuestConn is one guest's connection. It is used by one goroutine at a time; any goroutine may call InterruptNext.
 type GuestConn interface {
-	// ReadStartup reads the guest's first message, which holds the name of a route and the guest's own name.
+	// ReadStartup reads the guest's first message, which holds the name of a route and the guest's own name. Where editions
+	// require keys, guest is the guest's key, a secret that is not kept.
 	ReadStartup() (route, guest string, err error)
 	// AcceptSession tells the guest that the session has begun.
 	AcceptSession() error
