statement: no refusal for an unknown route by an edition that arrives meanwhile

Cause: awaitAccess looked a guest up in one edition and then asked whether another one was there. A guest of a starting host could be told that its route is unknown when the first edition arrived between the two. Change: both use the same index. Result: go test ./statement passes; no test reaches the moment between the two reads.

--- a/statement/account.go
+++ b/statement/account.go
@@ -71,11 +71,11 @@
 	return name
 }
 
-// refusalCertainAt returns when the host may refuse a guest with the code if its view does not change until then. It returns
-// false while the view may be outdated, because the host has no edition or no lease.
-func (s *Server) refusalCertainAt(code jacinthtiller.ErrorCode) (time.Time, bool) {
+// refusalCertainAt returns when the host may refuse a guest with a code that x gave, if x stays in force until then. It returns
+// false while x may be outdated, because the host has no edition or no lease.
+func (s *Server) refusalCertainAt(x *accountIndex, code jacinthtiller.ErrorCode) (time.Time, bool) {
 	switch {
-	case s.accounts.Load().edition == nil || !s.lease.Load().Valid(now()):
+	case x.edition == nil || !s.lease.Load().Valid(now()):
 		return time.Time{}, false
 	case code == jacinthtiller.ErrorCodeNoAccount:
 		return s.leasedSince.Load().Add(viewCatchUpTime), true
@@ -89,8 +89,9 @@
 func (s *Server) awaitAccess(route string, key jacinthtiller.KeyDigest, deadline time.Time) (a access, certain bool) {
 	for {
 		changed := s.changeSignal()
-		a = s.accounts.Load().access(route, key)
-		at, known := s.refusalCertainAt(a.refused)
+		x := s.accounts.Load()
+		a = x.access(route, key)
+		at, known := s.refusalCertainAt(x, a.refused)
 		if a.refused == "" || known && !time.Now().Before(at) {
 			return a, true
 		}
