--- a/statement/server.go
+++ b/statement/server.go
@@ -40,15 +40,21 @@
 	// freshnessClient queries other hosts for freshness and leases; nil when there are none.
 	freshnessClient jacinthtiller.FreshnessClient
 	domain          string
-	events          *event.Log
-	newGuestConn    NewGuestConn
-	metrics         metrics
-	group           duty.Group
-	ctx             context.Context
-	stop            context.CancelFunc
+	// limiter is nil when the operations of accounts have no limits.
+	limiter      jacinthtiller.Limiter
+	events       *event.Log
+	newGuestConn NewGuestConn
+	metrics      metrics
+	group        duty.Group
+	ctx          context.Context
+	stop         context.CancelFunc
 
 	view  atomic.Pointer[jacinthtiller.View]
 	lease atomic.Pointer[jacinthtiller.Lease]
+	// accounts is the index of the view's edition; edition and keys of one operation are read from it together.
+	accounts atomic.Pointer[accountIndex]
+	// leasedSince is when the host last got a lease while it had none.
+	leasedSince atomic.Pointer[time.Time]
 	// isolated is the latest result of the isolation detector.
 	isolated atomic.Bool
 	// successes counts successful requests, of which a sample is logged.
@@ -89,6 +95,9 @@
 	return func(s *Server) { s.domain, s.freshnessClient = domain, c }
 }
 
+// WithLimiter sets what admits the operations of accounts.
+func WithLimiter(l jacinthtiller.Limiter) Option { return func(s *Server) { s.limiter = l } }
+
 // New returns a server that runs requests on the pool's targets.
 func New(p *pool.Pool, d jacinthtiller.Dialect, newConn NewGuestConn, opts ...Option) *Server {
 	s := &Server{
@@ -103,6 +112,8 @@
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.view.Store(&jacinthtiller.View{})
 	s.lease.Store(&jacinthtiller.Lease{})
+	s.accounts.Store(&accountIndex{})
+	s.leasedSince.Store(&time.Time{})
 	s.group.Go(func() { duty.RunWithRestart(s.ctx, s.events, "report suspicions", s.reportSuspicions) })
 	s.group.Go(func() { duty.RunWithRestart(s.ctx, s.events, "report overloads", s.reportOverloads) })
 	s.group.Go(func() {
@@ -115,12 +126,18 @@
 func (s *Server) Apply(v jacinthtiller.View) {
 	s.pool.Apply(v)
 	s.view.Store(&v)
+	s.accounts.Store(s.accounts.Load().withEdition(v.Edition))
 	s.notifyChange()
 }
 
 // SetLease replaces the host's lease.
 func (s *Server) SetLease(l jacinthtiller.Lease) {
-	had := s.lease.Swap(&l).Valid(clock.Now())
+	had := s.lease.Load().Valid(clock.Now())
+	if !had {
+		since := time.Now()
+		s.leasedSince.Store(&since) // before the lease, with which guests may be refused
+	}
+	s.lease.Store(&l)
 	if !had {
 		s.notifyChange()
 		s.queryPrimaryPositions()
