pool: connections belong to the account that opened them

Cause: a connection to a target serves one account only, from its login on; the pool reused any idle connection. Change: a job takes an idle connection of its account only. At its fair share the host first closes the least recently used idle connection of any account, those without account first; it never closes one in use. Position queries and probes use any idle connection and return it without counting as a use. A probe over an idle connection of an account asks the target, because such a connection exists for seconds without proving anything. Metrics by target count openings by reason, reuse and evictions; the dump names at most 10 accounts for each target.

--- a/pool/directconn.go
+++ b/pool/directconn.go
@@ -18,6 +18,8 @@
 type directConn struct {
 	t  *Target
 	tc jacinthtiller.TargetConn
+	// account is the client account that the connection serves; empty for one of the host itself.
+	account string
 	// grant is the admission of the current statement or transaction; nil while the connection is idle.
 	grant *admission.Grant
 	// needsSlot is true between statements of a transaction: the next one needs a new slot.
@@ -26,7 +28,8 @@
 	values     map[string]string
 	statements map[string]bool
 	// dirty is true when values or statements may be wrong, so that the connection must be reset before use.
-	dirty     bool
+	dirty bool
+	// idleSince is when the connection was last used by its account, or by the host if it has none.
 	idleSince time.Time
 }
 
@@ -42,7 +45,7 @@
 	if err != nil {
 		return nil, &NoTargetError{Target: t.name, Cause: err}
 	}
-	c, err := t.connect(j.Deadline)
+	c, err := t.connect(j.Account, j.Deadline)
 	if err != nil {
 		g.Done(false)
 		return nil, &NoTargetError{Target: t.name, Cause: err}
@@ -51,55 +54,6 @@
 	return c, nil
 }
 
-// connect returns an idle connection or opens one.
-func (t *Target) connect(deadline time.Time) (*directConn, error) {
-	for {
-		t.mu.Lock()
-		n := len(t.idle)
-		if n == 0 {
-			break
-		}
-		c := t.idle[n-1]
-		t.idle = t.idle[:n-1]
-		t.mu.Unlock()
-		if time.Since(c.idleSince) > staleCheckAge && c.tc.Unusable() {
-			t.close(c, "closed by target")
-			continue
-		}
-		return c, nil
-	}
-	now := time.Now()
-	if t.retired || now.Before(t.noConnectionUntil) {
-		t.mu.Unlock()
-		return nil, &jacinthtiller.TargetError{Code: jacinthtiller.ErrorCodeConnections, Text: "no free connection a moment ago"}
-	}
-	t.openConns++
-	spec := t.spec
-	t.mu.Unlock()
-	tc, err := t.p.dial(spec, deadline)
-	if err != nil {
-		t.mu.Lock()
-		t.openConns--
-		refusal := refusalOf(err)
-		busy := isTimeout(err) && time.Now().Before(t.answeredAt.Add(recentAnswerAge))
-		if refusal != nil || busy {
-			t.noConnectionUntil = time.Now().Add(noConnectionPause)
-		}
-		t.mu.Unlock()
-		switch {
-		case busy: // the target is overloaded, not unreachable: it answers on open connections
-		case refusal != nil && refusal.Code != jacinthtiller.ErrorCodeWrongTarget:
-			t.recordReachable(t.directPath)
-		default:
-			t.recordUnreachable(t.directPath, err)
-		}
-		return nil, err
-	}
-	t.p.metrics.opened()
-	t.recordReachable(t.directPath)
-	return &directConn{t: t, tc: tc, values: map[string]string{}, statements: map[string]bool{}}, nil
-}
-
 // start prepares the connection for the job and sends its request. An error proves that the request did not run.
 func (c *directConn) start(j jacinthtiller.Job) error {
 	if c.needsSlot {
@@ -175,20 +129,6 @@
 	c.t.putIdle(c)
 }
 
-// putIdle makes a connection idle, or closes it when its target has been retired.
-func (t *Target) putIdle(c *directConn) {
-	t.mu.Lock()
-	retired := t.retired
-	if !retired {
-		c.idleSince = time.Now()
-		t.idle = append(t.idle, c)
-	}
-	t.mu.Unlock()
-	if retired {
-		t.close(c, "target left the view")
-	}
-}
-
 // drop closes the connection, which rolls back an open transaction.
 func (c *directConn) drop(reason string) {
 	c.t.close(c, reason)
--- a/pool/dump.go
+++ b/pool/dump.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -8,11 +9,18 @@
 	"github.com/jacinthtiller/jacinthtiller"
 )
 
+// maxDumpedAccounts bounds the accounts that a dump names for each target.
+const maxDumpedAccounts = 10
+
 // TargetState is the state of one target in a dump.
 type TargetState struct {
-	Target              jacinthtiller.Target   `json:"target"`
-	Open                int                    `json:"open"`
-	Idle                int                    `json:"idle"`
+	Target jacinthtiller.Target `json:"target"`
+	Open   int                  `json:"open"`
+	Idle   int                  `json:"idle"`
+	// IdleAccounts is the number of accounts with idle connections, and IdleByAccount their connections; it names at most
+	// maxDumpedAccounts of them.
+	IdleAccounts        int                    `json:"idle-accounts,omitempty"`
+	IdleByAccount       map[string]int         `json:"idle-by-account,omitempty"`
 	FairShare           int                    `json:"fair"`
 	Load                int                    `json:"load"`
 	Waiting             map[string]int         `json:"waiting"`
@@ -28,8 +36,14 @@
 	for _, t := range p.Targets() {
 		waiting := t.gate.Stats().Waiting
 		t.mu.Lock()
+		byAccount := t.idle.accounts()
+		accounts := len(byAccount)
+		for _, name := range slices.Sorted(maps.Keys(byAccount))[min(accounts, maxDumpedAccounts):] {
+			delete(byAccount, name)
+		}
 		out = append(out, TargetState{
-			Target: t.spec, Open: t.openConns, Idle: len(t.idle), FairShare: t.fairShare, Load: t.load, Waiting: waiting,
+			Target: t.spec, Open: t.openConns, Idle: len(t.idle), IdleAccounts: accounts, IdleByAccount: byAccount,
+			FairShare: t.fairShare, Load: t.load, Waiting: waiting,
 			LatencyMicroseconds: t.latencyMicroseconds, Seen: t.newestPosition, Direct: t.direct, FailingSince: t.directPath.failureStart(),
 		})
 		t.mu.Unlock()
--- a/pool/path.go
+++ b/pool/path.go
@@ -182,7 +182,7 @@
 	return now.Before(t.answeredAt.Add(recentAnswerAge))
 }
 
-// probe opens a connection on the path, makes it idle, and reports whether the other end answered.
+// probe opens a connection on the path or takes an idle one, makes it idle, and reports whether the other end answered.
 func (t *Target) probe(p *path) bool {
 	deadline := time.Now().Add(dialTimeout)
 	if p != t.directPath {
@@ -193,13 +193,20 @@
 		p.putIdle(c)
 		return true
 	}
-	c, err := t.connect(deadline)
-	if err != nil {
-		refusal := refusalOf(err)
-		return refusal != nil && refusal.Code != jacinthtiller.ErrorCodeWrongTarget
+	for {
+		c, err := t.connectAny(deadline)
+		if err != nil {
+			refusal := refusalOf(err)
+			return refusal != nil && refusal.Code != jacinthtiller.ErrorCodeWrongTarget
+		}
+		if c.account == "" {
+			t.putBack(c)
+			return true
+		}
+		if answered, known := t.checkIdle(c, deadline); known {
+			return answered
+		}
 	}
-	t.putIdle(c)
-	return true
 }
 
 // dialRelay opens a connection to the target through the path's host.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -308,11 +308,11 @@
 	p.group.Close()
 }
 
-// dial opens a connection before the deadline, within dialTimeout.
-func (p *Pool) dial(spec jacinthtiller.Target, deadline time.Time) (jacinthtiller.TargetConn, error) {
+// dial opens a connection for the account before the deadline, within dialTimeout.
+func (p *Pool) dial(spec jacinthtiller.Target, account string, deadline time.Time) (jacinthtiller.TargetConn, error) {
 	ctx, cancel := context.WithDeadline(p.ctx, earlier(deadline, time.Now().Add(dialTimeout)))
 	defer cancel()
-	c, err := p.dialer.Dial(ctx, spec, "")
+	c, err := p.dialer.Dial(ctx, spec, account)
 	if err != nil {
 		return nil, err
 	}
--- a/pool/target.go
+++ b/pool/target.go
@@ -44,6 +44,7 @@
 	database, name string
 	gate           *admission.Gate
 	directPath     *path
+	metrics        targetMetrics
 
 	mu   sync.Mutex // guards the fields below
 	spec jacinthtiller.Target
@@ -60,12 +61,15 @@
 	fairShare int
 	// openConns counts connections, including those being opened.
 	openConns int
-	// idle holds unused connections, the most recently used one last.
-	idle []*directConn
+	// openByAccount counts the same connections by account; it has no entries of 0.
+	openByAccount map[string]int
+	idle          idleConns
 	// warmupUntil is when the target's warm-up ends.
 	warmupUntil time.Time
 	// noConnectionUntil is when a further connection may be opened.
 	noConnectionUntil time.Time
+	// scarceUntil is until when the target is assumed to have no connection to spare, after it refused one.
+	scarceUntil time.Time
 	// lagMicroseconds is the target's replication lag measured at lagAt; 0 when unknown.
 	lagMicroseconds int64
 	lagAt           time.Time
@@ -85,6 +89,7 @@
 func (p *Pool) newTarget(spec jacinthtiller.Target, warmupUntil time.Time) *Target {
 	t := &Target{
 		p: p, database: spec.Database, name: spec.Name, spec: spec, directPath: &path{}, warmupUntil: warmupUntil, inService: true,
+		openByAccount: map[string]int{}, metrics: p.metrics.forTarget(spec),
 		gate: admission.NewGate(
 			admission.WithCapacity(queueCapacity), admission.WithEarlyRejection(), admission.WithStatementsFirst(),
 			admission.WithTransactionOverflow(),
@@ -190,9 +195,7 @@
 	t.mu.Lock()
 	var old []*directConn
 	t.idle = slices.DeleteFunc(t.idle, func(c *directConn) bool {
-		idle := now.Sub(c.idleSince)
-		left := t.openConns - len(old)
-		if left > t.fairShare && idle > surplusIdleTimeout || left > 1 && idle > spareIdleTimeout || idle > lastIdleTimeout {
+		if t.idleTooLong(c, now.Sub(c.idleSince), t.openConns-len(old)) {
 			old = append(old, c)
 			return true
 		}
@@ -208,14 +211,6 @@
 	}
 }
 
-func (t *Target) close(c *directConn, reason string) {
-	_ = c.tc.Close() // the connection is discarded whether or not Close fails
-	t.mu.Lock()
-	t.openConns--
-	t.mu.Unlock()
-	t.p.metrics.closed(reason)
-}
-
 // pickPath returns the direct path if usable, else the first usable relay path, or nil.
 func (t *Target) pickPath(now time.Time) *path {
 	t.mu.Lock()
@@ -283,7 +278,7 @@
 	if !t.directPath.usable(time.Now()) {
 		return jacinthtiller.Position{}, &NoTargetError{Target: t.name, Cause: errRecentlyUnreachable}
 	}
-	c, err := t.connect(deadline)
+	c, err := t.connectAny(deadline)
 	if err != nil {
 		return jacinthtiller.Position{}, err
 	}
@@ -295,7 +290,7 @@
 		t.close(c, "no answer to a question")
 		return jacinthtiller.Position{}, fmt.Errorf("ask %s for its position: %w", t.name, err)
 	}
-	t.putIdle(c)
+	t.putBack(c)
 	return r.Position, nil
 }
 
