relay: jobs carry their account

Cause: a gateway needs the account of a job to run it on a connection of that account. Change: a job with an account is sent as a pair of the former job and the account; one without is encoded as before, because a host of the previous version cannot decode the pair. Hosts state in the view that they understand it.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -62,7 +62,7 @@
 	self := jacinthtiller.Host{
 		Name: p.settings.Name, Domain: p.settings.Domain, Region: p.settings.Region,
 		RPC: p.RPCURL(), Link: p.linkListener.Addr().String(), Guests: p.guestListener.Addr().String(), Incarnation: newIncarnation(), Exclusive: true,
-		RelayCompression: true,
+		RelayCompression: true, ServesAccounts: true,
 	}
 	p.controlClient = control.NewClient(slices.Sorted(maps.Values(p.settings.Control)), client,
 		control.WithClientLocation(p.settings.Domain, p.settings.Region), control.WithClientEvents(p.events))
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -63,7 +63,11 @@
 
 // Start sends the job.
 func (c *clientConn) Start(j jacinthtiller.Job) error {
-	return c.f.write(j.Deadline, encodeJob(j, time.Now()))
+	out := encodeJob(j, time.Now())
+	if j.Account == "" {
+		return c.f.write(j.Deadline, out)
+	}
+	return c.f.write(j.Deadline, accountJob{Job: out, Account: j.Account})
 }
 
 // Receive reads the reply to the job.
--- a/relay/frame.go
+++ b/relay/frame.go
@@ -62,6 +62,34 @@
 	Statement           *jacinthtiller.PreparedStatement
 }
 
+// accountJob encodes a job that runs for an account. Hosts of versions without accounts cannot decode it; a job without an
+// account is encoded as a job.
+type accountJob struct {
+	_       struct{} `cbor:",toarray"`
+	Job     job
+	Account string
+}
+
+// receivedJob decodes a job or an accountJob, whose encodings differ in the number of elements.
+type receivedJob struct{ accountJob }
+
+// accountJobHeader is the first byte of an encoded accountJob: the header of an array of two elements.
+const accountJobHeader = 0x82
+
+// UnmarshalCBOR decodes either form.
+func (r *receivedJob) UnmarshalCBOR(p []byte) error {
+	if len(p) > 0 && p[0] == accountJobHeader {
+		return cbor.Unmarshal(p, &r.accountJob)
+	}
+	return cbor.Unmarshal(p, &r.Job)
+}
+
+func (r receivedJob) decode(now time.Time) jacinthtiller.Job {
+	j := r.Job.decode(now)
+	j.Account = r.Account
+	return j
+}
+
 // The outcomes of a job.
 const (
 	outcomeReply       = iota // the target answered
--- a/relay/server.go
+++ b/relay/server.go
@@ -248,7 +248,7 @@
 			idleDeadline = time.Now().Add(idleTransactionTimeout)
 		}
 		_ = nc.SetReadDeadline(idleDeadline)
-		var in job
+		var in receivedJob
 		if err := f.read(&in); err != nil {
 			return
 		}
@@ -261,7 +261,7 @@
 			}
 		}
 		var reply jobReply
-		if in.Flags&flagPositionQuery != 0 {
+		if in.Job.Flags&flagPositionQuery != 0 {
 			reply = s.queryPosition(h, in)
 		} else if conn, reply = s.connFor(h, conn, in); conn != nil {
 			var open bool
@@ -280,7 +280,7 @@
 }
 
 // queryPosition asks the target for its log position, bypassing the queue.
-func (s *Server) queryPosition(h hello, in job) jobReply {
+func (s *Server) queryPosition(h hello, in receivedJob) jobReply {
 	t := s.pool.FindNamed(h.Database, h.Target)
 	if t == nil {
 		return jobReply{Outcome: outcomeUnreachable, Text: "the host does not know the target any more"}
@@ -315,7 +315,7 @@
 }
 
 // connFor returns the connection of the open transaction, or opens one for the job, or returns nil and the reply.
-func (s *Server) connFor(h hello, conn *pool.Conn, in job) (*pool.Conn, jobReply) {
+func (s *Server) connFor(h hello, conn *pool.Conn, in receivedJob) (*pool.Conn, jobReply) {
 	if conn != nil {
 		return conn, jobReply{}
 	}
