statement: test of the turns of accounts at a target

Cause: no test showed that an account with many guests has one turn in the queue of a target. Change: TestTurnsByAccount compares a guest beside 60 guests of one account with one beside 60 accounts.

--- a/statement/account_test.go
+++ b/statement/account_test.go
@@ -1,6 +1,7 @@
 package statement
 
 import (
+	"fmt"
 	"maps"
 	"strings"
 	"sync"
@@ -334,3 +335,55 @@
 		})
 	})
 }
+
+// TestTurnsByAccount guards against an account that gets more of a target because its requests come from many guests.
+func TestTurnsByAccount(t *testing.T) {
+	const guests, statementMilliseconds = 60, 10
+	// wait returns how long a single guest of account beta waits at a target that many others ask at the same time.
+	wait := func(accounts map[string][]string, keyOfOthers func(i int) string) (took time.Duration, answer string) {
+		synctest.Test(t, func(t *testing.T) {
+			ts := newTestServer(t)
+			ts.lease(time.Hour)
+			ts.setKeys(accounts)
+			ts.group.set(func() {
+				ts.group.receive = func(jacinthtiller.TargetRequest, time.Time) error {
+					time.Sleep(statementMilliseconds * time.Millisecond)
+					return nil
+				}
+			})
+			others := make([]*accountGuest, guests)
+			for i := range others {
+				others[i] = ts.accountGuest(primaryRoute, keyOfOthers(i))
+				<-others[i].answers
+			}
+			single := ts.accountGuest(primaryRoute, "k-beta")
+			<-single.answers
+			time.Sleep(time.Second)
+			for _, g := range others {
+				g.requests <- requestOf("WRITE 1 x")
+			}
+			synctest.Wait()
+			began := time.Now()
+			answer = single.ask("WRITE 1 x")
+			took = time.Since(began)
+			for _, g := range others {
+				<-g.answers
+				g.leave()
+			}
+			single.leave()
+			ts.close()
+		})
+		return took, answer
+	}
+	manyAccounts := map[string][]string{"beta": {"k-beta"}}
+	for i := range guests {
+		manyAccounts[fmt.Sprint("acme-", i)] = []string{fmt.Sprint("k-", i)}
+	}
+	byAccount, first := wait(map[string][]string{"acme": {"k-acme"}, "beta": {"k-beta"}}, func(int) string { return "k-acme" })
+	byGuest, second := wait(manyAccounts, func(i int) string { return fmt.Sprint("k-", i) })
+	convey.Convey("A guest waits for one turn of an account with many guests, and for a turn of each of many accounts", t, func() {
+		convey.So([]string{first, second}, convey.ShouldResemble, []string{"passed I", "passed I"})
+		convey.So(byAccount.Milliseconds(), convey.ShouldBeLessThanOrEqualTo, 3*statementMilliseconds)
+		convey.So(byGuest.Milliseconds(), convey.ShouldBeGreaterThanOrEqualTo, 5*statementMilliseconds)
+	})
+}
