control, operator: show accounts without their keys

jacinthctl status lists the accounts of the edition in force with priority, number of keys and limit. Dumps and JSON views show the number of keys of an account in place of their digests.

--- a/account.go
+++ b/account.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
@@ -33,6 +34,19 @@
 	Limit *RateLimit `cbor:"limit,omitempty" json:"limit,omitempty"`
 }
 
+// MarshalJSON returns the account as operators see it: with the number of its keys in place of their digests.
+func (a Account) MarshalJSON() ([]byte, error) {
+	type fields Account // without this method
+	b, err := json.Marshal(struct {
+		fields
+		Keys int `json:"keys"`
+	}{fields(a), len(a.KeyDigests)})
+	if err != nil {
+		return nil, fmt.Errorf("encode account %q: %w", a.Name, err)
+	}
+	return b, nil
+}
+
 // RateLimit bounds the operations of an account: PerSecond times the length of any period, plus Burst. A single statement
 // and a whole transaction are one operation each.
 type RateLimit struct {
--- a/control/message.go
+++ b/control/message.go
@@ -116,6 +116,16 @@
 	Targets int `cbor:"targets" json:"targets"`
 }
 
+// AccountStatus describes a client account without anything derived from its keys.
+type AccountStatus struct {
+	Name     string `cbor:"name" json:"name"`
+	Priority int    `cbor:"priority" json:"priority"`
+	// Keys is the number of the account's keys.
+	Keys int `cbor:"keys" json:"keys"`
+	// Limit is nil when the account has no limit.
+	Limit *jacinthtiller.RateLimit `cbor:"limit,omitempty" json:"limit,omitempty"`
+}
+
 // StatusResponse is the leader's status of the group.
 type StatusResponse struct {
 	Leader string `cbor:"leader" json:"leader"`
@@ -126,7 +136,9 @@
 	Hosts     []HostStatus             `cbor:"hosts" json:"hosts"`
 	Databases []jacinthtiller.Database `cbor:"databases" json:"databases"`
 	Sections  map[string]uint64        `cbor:"sections" json:"sections"`
-	Log       quorum.Status            `cbor:"log" json:"log"`
+	// Accounts lists the accounts of the edition in force, by name.
+	Accounts []AccountStatus `cbor:"accounts,omitempty" json:"accounts,omitempty"`
+	Log      quorum.Status   `cbor:"log" json:"log"`
 }
 
 // MembersResponse holds the members of the control group as known to one process.
--- a/control/operations.go
+++ b/control/operations.go
@@ -125,12 +125,25 @@
 	for _, n := range slices.Sorted(maps.Keys(st.View.Databases)) {
 		out.Databases = append(out.Databases, st.View.Databases[n])
 	}
+	if e := st.View.Edition; e != nil {
+		out.Accounts = accountStatuses(*e)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out.Hosts = l.hosts(st, time.Now())
 	return connect.NewResponse(out), nil
 }
 
+// accountStatuses returns the status of each account of an edition, by name.
+func accountStatuses(e jacinthtiller.Edition) []AccountStatus {
+	var out []AccountStatus
+	for _, n := range slices.Sorted(maps.Keys(e.Accounts)) {
+		a := e.Accounts[n]
+		out = append(out, AccountStatus{Name: n, Priority: a.Priority, Keys: len(a.KeyDigests), Limit: a.Limit})
+	}
+	return out
+}
+
 // hosts returns the status of each host.
 func (l *leader) hosts(s *state, now time.Time) []HostStatus {
 	counts := map[string]int{}
--- a/operator/online.go
+++ b/operator/online.go
@@ -289,6 +289,17 @@
 	for _, team := range slices.Sorted(maps.Keys(r.Sections)) {
 		fmt.Fprintf(w, "%s\t%d\n", team, r.Sections[team])
 	}
+	if len(r.Accounts) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nACCOUNT\tPRIORITY\tKEYS\tRATE\tBURST")
+	for _, a := range r.Accounts {
+		rate, burst := "unlimited", "-"
+		if a.Limit != nil {
+			rate, burst = fmt.Sprintf("%g/s", a.Limit.PerSecond), fmt.Sprintf("%g", a.Limit.Burst)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\n", a.Name, a.Priority, a.Keys, rate, burst)
+	}
 }
 
 func targetRole(d jacinthtiller.Database, name string) jacinthtiller.Role {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/control"
 	"github.com/jacinthtiller/jacinthtiller/document"
 	"github.com/jacinthtiller/jacinthtiller/quickstart"
@@ -154,6 +155,25 @@
 	})
 }
 
+// TestStatusOfAccounts guards against a table that shows a limit of 0 as none, and against one for configurations without
+// accounts.
+func TestStatusOfAccounts(t *testing.T) {
+	convey.Convey("The status lists accounts with their limits", t, func() {
+		var b strings.Builder
+		r := control.StatusResponse{}
+		writeStatus(&b, r)
+		convey.So(b.String(), convey.ShouldNotContainSubstring, "ACCOUNT")
+		r.Accounts = []control.AccountStatus{
+			{Name: "mill", Priority: 1, Keys: 2, Limit: &jacinthtiller.RateLimit{PerSecond: 12.5, Burst: 3}},
+			{Name: "none", Limit: &jacinthtiller.RateLimit{}},
+			{Name: "shop", Keys: 1},
+		}
+		writeStatus(&b, r)
+		convey.So(b.String(), convey.ShouldEndWith,
+			"ACCOUNT\tPRIORITY\tKEYS\tRATE\tBURST\nmill\t1\t2\t12.5/s\t3\nnone\t0\t0\t0/s\t0\nshop\t0\t1\tunlimited\t-\n")
+	})
+}
+
 // TestToken guards against a token that includes the trailing newline of its file.
 func TestToken(t *testing.T) {
 	convey.Convey("The token is the file's text without the trailing newline", t, func() {
