jacinthtiller: copy the maps of an edition faster

A host copies the maps of its edition for each delta. Copying into empty maps made them grow step by step: 6.6 to 6.9 ms for one changed key of 10,000 accounts, on a busy machine. Cloned maps take 1.3 to 1.8 ms (BenchmarkEditionChange, three runs each).

--- a/control/edition_change_test.go
+++ b/control/edition_change_test.go
@@ -279,3 +279,20 @@
 		})
 	})
 }
+
+// BenchmarkEditionChange measures what one changed key of 10,000 accounts costs a control process, without the log, and a
+// host.
+func BenchmarkEditionChange(b *testing.B) {
+	old, updated := accountsEdition(10_000, 1), accountsEdition(10_000, 2)
+	b.Run("compare", func(b *testing.B) {
+		for b.Loop() {
+			newEditionChange(&old, updated)
+		}
+	})
+	d, _ := updated.Delta(1, updated.ChangesSince(old))
+	b.Run("apply", func(b *testing.B) {
+		for b.Loop() {
+			old.With(d)
+		}
+	})
+}
--- a/edition.go
+++ b/edition.go
@@ -122,12 +122,19 @@
 		return e, false
 	}
 	out := d.Changed
-	out.Routes, out.Groups, out.Accounts = map[string]Route{}, map[string]Group{}, map[string]Account{}
-	maps.Copy(out.Routes, e.Routes)
+	// With 10,000 accounts, filling empty maps instead took four times as long (BenchmarkEditionChange).
+	out.Routes, out.Groups, out.Accounts = maps.Clone(e.Routes), maps.Clone(e.Groups), maps.Clone(e.Accounts)
+	if out.Routes == nil {
+		out.Routes = map[string]Route{}
+	}
+	if out.Groups == nil {
+		out.Groups = map[string]Group{}
+	}
+	if out.Accounts == nil {
+		out.Accounts = map[string]Account{}
+	}
 	maps.Copy(out.Routes, d.Changed.Routes)
-	maps.Copy(out.Groups, e.Groups)
 	maps.Copy(out.Groups, d.Changed.Groups)
-	maps.Copy(out.Accounts, e.Accounts)
 	maps.Copy(out.Accounts, d.Changed.Accounts)
 	for _, n := range d.RemovedRoutes {
 		delete(out.Routes, n)
