e2e: wait for the log line of a relayed write

relayOf looked for the line of a request right after its answer, but the host writes the line after the answer and through a buffer. When the line came a moment later, the test sent another slow write and looked for that one's line. relayOf now waits up to 5 s for the line of the request that it sent; what is checked has not changed.

--- a/e2e/stop_relay_test.go
+++ b/e2e/stop_relay_test.go
@@ -19,6 +19,10 @@
 // relayConnections is so few connections of a target that three of five hosts are its gateways.
 const relayConnections = 10
 
+// logLineTimeout bounds the wait for the log line of an answered request. The host writes the line after the answer and
+// through a buffer, and the output is read from a pipe.
+const logLineTimeout = 5 * time.Second
+
 // findRelay returns a host that sends its writes through another one, and that one.
 func (n *platformInstallation) findRelay() (sender, relay string) {
 	n.eventually("a host sends its statements through another one", func(context.Context) error {
@@ -48,13 +52,19 @@
 	if _, _, err := g.exchange(id, "WRITE 1 slow"); err != nil {
 		return "", err
 	}
-	for line := range strings.Lines(n.hosts[host].output.String()) {
-		var e struct{ Request, Through string }
-		if json.Unmarshal([]byte(line), &e) == nil && e.Request == id {
-			return e.Through, nil
+	deadline := time.Now().Add(logLineTimeout)
+	for {
+		for line := range strings.Lines(n.hosts[host].output.String()) {
+			var e struct{ Request, Through string }
+			if json.Unmarshal([]byte(line), &e) == nil && e.Request == id {
+				return e.Through, nil
+			}
+		}
+		if time.Now().After(deadline) {
+			return "", fmt.Errorf("the log of %s lacks request %s", host, id)
 		}
+		time.Sleep(5 * time.Millisecond)
 	}
-	return "", fmt.Errorf("the log of %s lacks request %s", host, id)
 }
 
 // codes returns how often each error was answered until now.
