pool: the jobs of an account go to its gateways of a target

Cause: with 5 gateways of 9 connections before a target and 83 accounts, hosts that each choose a gateway of their own make every gateway serve all accounts, and about half of all statements open a connection. Change: rendezvous hashing by target and account orders the gateways; an account with a large share of all rate limits is bound to several. A host adds gateways for an account whose operations it sees so often that one gateway's limit of statements in flight would throttle it; that limit stays as it was. A gateway sends its own guests' jobs to the account's gateway in the same failure domain. Jobs of accounts go only to hosts that understand them. With accounts, there are paths to all gateways. Jobs without an account choose the path as before.

--- a/gateway.go
+++ b/gateway.go
@@ -57,6 +57,9 @@
 	return p
 }
 
+// Size returns the number of live hosts.
+func (p Placement) Size() int { return len(p.hosts) }
+
 // candidates returns the hosts among which the target's gateways are, and how many of them are gateways.
 func (p Placement) candidates(t Target, connections int) ([]hashedHost, int) {
 	share := connections * sharedPercent / 100
@@ -76,7 +79,7 @@
 	mine, n := p.candidates(t, connections)
 	theirs, m := other.candidates(t, connections)
 	return n == m && slices.EqualFunc(mine, theirs, func(a, b hashedHost) bool {
-		return a.host.Name == b.host.Name && a.host.Link == b.host.Link
+		return a.host.Name == b.host.Name && a.host.Link == b.host.Link && a.host.ServesAccounts == b.host.ServesAccounts
 	})
 }
 
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -51,7 +51,7 @@
 
 // Open returns a connection for the job, direct or through another host. An error proves that nothing ran.
 func (t *Target) Open(j jacinthtiller.Job) (*Conn, error) {
-	p := t.pickPath(time.Now())
+	p := t.pickPathFor(j.Account, time.Now())
 	if p == nil {
 		return nil, &NoTargetError{Target: t.name, Cause: errRecentlyUnreachable}
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -61,6 +61,8 @@
 	metrics metrics
 	// routes holds the routes of the current view, an immutable map by name.
 	routes atomic.Value
+	// liveHosts is the number of live hosts in the current view.
+	liveHosts atomic.Int64
 
 	mu sync.Mutex // guards the fields below
 	// targets holds the targets of the view that have been requested, one entry per incarnation.
@@ -68,6 +70,8 @@
 	// view is the current view, and placement that of its hosts.
 	view      jacinthtiller.View
 	placement jacinthtiller.Placement
+	// shares holds the shares of the accounts of the view's edition.
+	shares jacinthtiller.AccountShares
 	// warmupUntil holds when each target of the view that is warming up will have warmed up.
 	warmupUntil map[targetKey]time.Time
 }
@@ -118,9 +122,15 @@
 func (p *Pool) Apply(v jacinthtiller.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	previous, hostsChanged := p.placement, !maps.Equal(p.view.Hosts, v.Hosts)
+	previous, hostsChanged, accountsChanged := p.placement, !maps.Equal(p.view.Hosts, v.Hosts), false
+	if v.Edition != nil && v.Edition != p.view.Edition {
+		shares := v.Edition.AccountShares()
+		accountsChanged = !shares.Empty() || !p.shares.Empty()
+		p.shares = shares
+	}
 	if hostsChanged {
 		p.placement = v.Placement()
+		p.liveHosts.Store(int64(p.placement.Size()))
 	}
 	p.view = v
 	if v.Edition != nil {
@@ -135,8 +145,8 @@
 			continue
 		}
 		connections := p.connections(spec.Database)
-		if !t.upToDate(spec, connections) || hostsChanged && !p.placement.SameGateways(previous, spec, connections) {
-			t.update(spec, connections, p.placement.Gateways(spec, connections))
+		if !t.upToDate(spec, connections) || accountsChanged || hostsChanged && !p.placement.SameGateways(previous, spec, connections) {
+			t.update(spec, connections, p.placement.Gateways(spec, connections), p.shares)
 		}
 		t.setInService(p.inService(spec))
 	}
@@ -192,7 +202,7 @@
 	}
 	t := p.newTarget(spec, p.warmupUntil[k])
 	connections := p.connections(spec.Database)
-	t.update(spec, connections, p.placement.Gateways(spec, connections))
+	t.update(spec, connections, p.placement.Gateways(spec, connections), p.shares)
 	t.setInService(p.inService(spec))
 	p.targets[k] = t
 	return t
--- a/pool/target.go
+++ b/pool/target.go
@@ -33,7 +33,8 @@
 	// latencyDecay is the age at which 37 percent are left of what the smoothed latency exceeds the assumed one by, so that a
 	// target which was slow is tried again.
 	latencyDecay = 2 * time.Second
-	// maxRelayPaths bounds the number of relaying hosts that are tried for a target.
+	// maxRelayPaths bounds the number of relaying hosts that are tried for a target when the edition has no accounts. With
+	// accounts, any gateway may be the preferred one of an account.
 	maxRelayPaths = 4
 )
 
@@ -55,8 +56,9 @@
 	// direct is true when this host is a gateway of the target.
 	direct bool
 	// relayPaths lead through gateways of the target, the preferred one first. A host that is a gateway itself uses them
-	// while it cannot reach the target.
+	// while it cannot reach the target, and for jobs of accounts.
 	relayPaths []*path
+	affinity   affinity
 	// fairShare is how many connections the host may keep idle.
 	fairShare int
 	// openConns counts connections, including those being opened.
@@ -123,8 +125,8 @@
 	}
 }
 
-// update sets the spec, limits and relay paths. Gateways are those of the target.
-func (t *Target) update(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host) {
+// update sets the spec, limits and paths. Gateways are those of the target, and shares those of the accounts.
+func (t *Target) update(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host, shares jacinthtiller.AccountShares) {
 	slots := spec.Slots
 	if slots <= 0 {
 		slots = defaultSlots
@@ -135,16 +137,17 @@
 	t.spec, t.connections, t.direct = spec, connections, direct
 	t.fairShare = jacinthtiller.ConnectionsPerHost(connections, n)
 	maxConnections := max(t.fairShare, connections*maxSharePercent/100)
-	t.relayPaths = t.relayPathsTo(gateways)
+	t.relayPaths = t.relayPathsTo(gateways, !shares.Empty())
 	t.maxInFlight = max(minInFlight, (inFlightFactor*slots+n-1)/n)
+	t.updateAffinity(gateways, shares)
 	maxInFlight := t.maxInFlight
 	t.mu.Unlock()
 	t.gate.SetCapacity(maxInFlight, maxConnections)
 }
 
-// relayPathsTo returns the paths through the gateways and keeps the state of existing ones. Each host starts at another
-// gateway. The caller holds t.mu.
-func (t *Target) relayPathsTo(gateways []jacinthtiller.Host) []*path {
+// relayPathsTo returns the paths through the gateways, at most maxRelayPaths or all, and keeps the state of existing ones. Each
+// host starts at another gateway. The caller holds t.mu.
+func (t *Target) relayPathsTo(gateways []jacinthtiller.Host, all bool) []*path {
 	var out []*path
 	first := 0
 	if len(gateways) > 0 {
@@ -152,7 +155,7 @@
 	}
 	for i := range gateways {
 		h := gateways[(first+i)%len(gateways)]
-		if h.Name == t.p.host || h.Link == "" || len(out) == maxRelayPaths {
+		if h.Name == t.p.host || h.Link == "" || !all && len(out) == maxRelayPaths {
 			continue
 		}
 		p := &path{host: h.Name, address: h.Link, compress: h.RelayCompression && h.Region != t.p.region}
