pool: with accounts, one more gateway fits below the connection limit

Cause: connections of accounts stay idle for seconds, so those of a gateway that lost power, or that another one replaced, count at the target beside those of its successor. Change: with accounts, each of n gateways keeps at most 1/(n+1) of the target's connections.

--- a/pool/idle.go
+++ b/pool/idle.go
@@ -17,6 +17,16 @@
 	lostHostHold = 3 * time.Second
 )
 
+// fairShare returns how many connections each of n gateways may keep idle. With accounts it keeps them for long; then one more
+// gateway with as many connections fits below the target's limit: one that another gateway replaces, or that lost power.
+func fairShare(connections, n int, accounts bool) int {
+	share := jacinthtiller.ConnectionsPerHost(connections, n)
+	if accounts {
+		share = max(1, min(share, connections/(n+1)))
+	}
+	return share
+}
+
 // idleConns holds the unused connections to one target in order of their last use, the most recently used one last. Each
 // belongs to the account with which it was opened. The number of connections per target is small, so lookups scan the list.
 type idleConns []*directConn
--- a/pool/target.go
+++ b/pool/target.go
@@ -135,7 +135,7 @@
 	direct := len(gateways) == 0 || slices.ContainsFunc(gateways, func(h jacinthtiller.Host) bool { return h.Name == t.p.host })
 	t.mu.Lock()
 	t.spec, t.connections, t.direct = spec, connections, direct
-	t.fairShare = jacinthtiller.ConnectionsPerHost(connections, n)
+	t.fairShare = fairShare(connections, n, !shares.Empty())
 	maxConnections := max(t.fairShare, connections*maxSharePercent/100)
 	t.relayPaths = t.relayPathsTo(gateways, !shares.Empty())
 	t.maxInFlight = max(minInFlight, (inFlightFactor*slots+n-1)/n)
