pool: a change of accounts updates no target

Cause: each new edition updated all targets in use, because they held the accounts' shares; only an edition that adds the first accounts or removes the last ones changes their paths and limits. Change: the pool holds the shares, and operations look them up. A benchmark measures the choice of the path, a fuzz test the decoding of jobs.

--- a/pool/affinity.go
+++ b/pool/affinity.go
@@ -13,7 +13,6 @@
 
 // affinity determines through which gateway the jobs of each account reach a target.
 type affinity struct {
-	shares jacinthtiller.AccountShares
 	// ranking orders paths, which lead to those gateways that understand jobs of accounts; the path of this host is its direct
 	// one.
 	ranking jacinthtiller.AccountRanking
@@ -24,9 +23,9 @@
 }
 
 // updateAffinity adapts the affinity to the gateways, to which relayPaths lead. The caller holds t.mu.
-func (t *Target) updateAffinity(gateways []jacinthtiller.Host, shares jacinthtiller.AccountShares) {
+func (t *Target) updateAffinity(gateways []jacinthtiller.Host) {
 	a := &t.affinity
-	a.shares, a.inFlight, a.paths = shares, t.maxInFlight, nil
+	a.inFlight, a.paths = t.maxInFlight, nil
 	var hosts []jacinthtiller.Host
 	for _, h := range gateways {
 		p := t.directPath
@@ -42,11 +41,11 @@
 	a.ranking = jacinthtiller.RankGateways(t.spec, hosts, t.p.host)
 }
 
-// order returns the indexes of the paths in the order in which an operation of the account, which is counted, tries them, on one
-// of that many hosts.
-func (a *affinity) order(account string, hosts int, now time.Time) []int {
+// order returns the indexes of the paths in the order in which an operation of the account, which is counted, tries them. Share
+// is the account's share of all limits, and hosts the number of live hosts.
+func (a *affinity) order(account string, share float64, hosts int, now time.Time) []int {
 	rate := a.demand.record(account, hosts, now)
-	return a.ranking.Order(account, a.shares.Share(account), int(rate)/(operationsPerInFlight*max(1, a.inFlight))+1)
+	return a.ranking.Order(account, share, int(rate)/(operationsPerInFlight*max(1, a.inFlight))+1)
 }
 
 // pickPathFor returns the first usable path in the account's order for an operation, or nil.
@@ -62,7 +61,7 @@
 	if len(t.affinity.paths) == 0 && t.direct && t.directPath.usable(now) {
 		return t.directPath
 	}
-	for _, i := range t.affinity.order(account, int(t.p.liveHosts.Load()), now) {
+	for _, i := range t.affinity.order(account, t.p.accountShares().Share(account), int(t.p.liveHosts.Load()), now) {
 		if p := t.affinity.paths[i]; (p == t.directPath || t.p.relays != nil) && p.usable(now) {
 			return p
 		}
--- a/pool/affinity_test.go
+++ b/pool/affinity_test.go
@@ -183,7 +183,7 @@
 		hosts := make([]*affinity, hostCount)
 		for i := range hosts {
 			name := fmt.Sprintf("h%d", i)
-			hosts[i] = &affinity{shares: shares, inFlight: gateways[0].maxInFlight, ranking: jacinthtiller.RankGateways(spec, list, name)}
+			hosts[i] = &affinity{inFlight: gateways[0].maxInFlight, ranking: jacinthtiller.RankGateways(spec, list, name)}
 		}
 		var mu sync.Mutex
 		var took []time.Duration
@@ -198,7 +198,7 @@
 			}
 			i := o.host % len(gateways)
 			if byAccount {
-				i = hosts[o.host].order(o.account, hostCount, time.Now())[0]
+				i = hosts[o.host].order(o.account, shares.Share(o.account), hostCount, time.Now())[0]
 			}
 			guests.Go(func() {
 				arrived := time.Now()
@@ -329,3 +329,15 @@
 		})
 	}
 }
+
+// BenchmarkPickPathFor measures the choice of the path, which precedes each operation of an account.
+func BenchmarkPickPathFor(b *testing.B) {
+	h := newAccountHosts()
+	p := New(&accountTargets{}, fakeDialect{}, WithHost(h.other), WithRelays(&fakeRelays{}))
+	defer p.Close()
+	p.Apply(h.view)
+	t := p.Find(h.target)
+	for i := 0; b.Loop(); i++ {
+		t.pickPathFor("account-7", time.Now())
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -61,6 +61,8 @@
 	metrics metrics
 	// routes holds the routes of the current view, an immutable map by name.
 	routes atomic.Value
+	// shares holds the jacinthtiller.AccountShares of the current view.
+	shares atomic.Value
 	// liveHosts is the number of live hosts in the current view.
 	liveHosts atomic.Int64
 
@@ -70,8 +72,6 @@
 	// view is the current view, and placement that of its hosts.
 	view      jacinthtiller.View
 	placement jacinthtiller.Placement
-	// shares holds the shares of the accounts of the view's edition.
-	shares jacinthtiller.AccountShares
 	// warmupUntil holds when each target of the view that is warming up will have warmed up.
 	warmupUntil map[targetKey]time.Time
 }
@@ -112,6 +112,7 @@
 		o(p)
 	}
 	p.routes.Store(map[string]jacinthtiller.Route{})
+	p.shares.Store(jacinthtiller.AccountShares{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.group.Go(func() { duty.RunWithRestart(p.ctx, p.events, "close idle connections", p.sweep) })
 	return p
@@ -125,8 +126,8 @@
 	previous, hostsChanged, accountsChanged := p.placement, !maps.Equal(p.view.Hosts, v.Hosts), false
 	if v.Edition != nil && v.Edition != p.view.Edition {
 		shares := v.Edition.AccountShares()
-		accountsChanged = !shares.Empty() || !p.shares.Empty()
-		p.shares = shares
+		accountsChanged = shares.Empty() != p.accountShares().Empty()
+		p.shares.Store(shares)
 	}
 	if hostsChanged {
 		p.placement = v.Placement()
@@ -146,12 +147,18 @@
 		}
 		connections := p.connections(spec.Database)
 		if !t.upToDate(spec, connections) || accountsChanged || hostsChanged && !p.placement.SameGateways(previous, spec, connections) {
-			t.update(spec, connections, p.placement.Gateways(spec, connections), p.shares)
+			t.update(spec, connections, p.placement.Gateways(spec, connections), !p.accountShares().Empty())
 		}
 		t.setInService(p.inService(spec))
 	}
 }
 
+// accountShares returns the shares of the accounts in the current view.
+func (p *Pool) accountShares() jacinthtiller.AccountShares {
+	s, _ := p.shares.Load().(jacinthtiller.AccountShares)
+	return s
+}
+
 // inService reports whether the view lets the target take new work.
 func (p *Pool) inService(spec jacinthtiller.Target) bool {
 	return spec.State != jacinthtiller.StateLeaving || p.view.Databases[spec.Database].Primary == spec.Name
@@ -202,7 +209,7 @@
 	}
 	t := p.newTarget(spec, p.warmupUntil[k])
 	connections := p.connections(spec.Database)
-	t.update(spec, connections, p.placement.Gateways(spec, connections), p.shares)
+	t.update(spec, connections, p.placement.Gateways(spec, connections), !p.accountShares().Empty())
 	t.setInService(p.inService(spec))
 	p.targets[k] = t
 	return t
--- a/pool/target.go
+++ b/pool/target.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// update sets the spec, limits and paths. Gateways are those of the target, and shares those of the accounts.
-func (t *Target) update(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host, shares jacinthtiller.AccountShares) {
+// update sets the spec, limits and paths. Gateways are those of the target, and accounts is whether the edition has accounts.
+func (t *Target) update(spec jacinthtiller.Target, connections int, gateways []jacinthtiller.Host, accounts bool) {
 	slots := spec.Slots
 	if slots <= 0 {
 		slots = defaultSlots
@@ -135,11 +135,11 @@
 	direct := len(gateways) == 0 || slices.ContainsFunc(gateways, func(h jacinthtiller.Host) bool { return h.Name == t.p.host })
 	t.mu.Lock()
 	t.spec, t.connections, t.direct = spec, connections, direct
-	t.fairShare = fairShare(connections, n, !shares.Empty())
+	t.fairShare = fairShare(connections, n, accounts)
 	maxConnections := max(t.fairShare, connections*maxSharePercent/100)
-	t.relayPaths = t.relayPathsTo(gateways, !shares.Empty())
+	t.relayPaths = t.relayPathsTo(gateways, accounts)
 	t.maxInFlight = max(minInFlight, (inFlightFactor*slots+n-1)/n)
-	t.updateAffinity(gateways, shares)
+	t.updateAffinity(gateways)
 	maxInFlight := t.maxInFlight
 	t.mu.Unlock()
 	t.gate.SetCapacity(maxInFlight, maxConnections)
--- a/relay/account_test.go
+++ b/relay/account_test.go
@@ -102,3 +102,16 @@
 		})
 	})
 }
+
+// FuzzReceivedJob guards against panics on malicious jobs.
+func FuzzReceivedJob(f *testing.F) {
+	f.Add(sentFrame(jacinthtiller.Job{Account: "x"}))
+	f.Add(sentFrame(jacinthtiller.Job{}))
+	f.Add([]byte{accountJobHeader, 0xf6, 0xf6})
+	f.Fuzz(func(_ *testing.T, p []byte) {
+		var in receivedJob
+		if cbor.Unmarshal(p, &in) == nil {
+			in.decode(time.Now())
+		}
+	})
+}
