pool: with accounts, relay connections stay idle for two minutes

Cause: with accounts a host uses all gateways of a target, each of them less often, and would open a relay connection, two round trips, for a part of its operations. Result: TestIdleRelayConns passes; without accounts the timeout is as before. The share of openings was not measured.

--- a/pool/accountpath_test.go
+++ b/pool/accountpath_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -118,3 +119,39 @@
 		}
 	})
 }
+
+// TestIdleRelayConns guards against operations that open a relay connection first because the accounts of a host use all gateways.
+func TestIdleRelayConns(t *testing.T) {
+	for name, c := range map[string]struct {
+		accounts bool
+		idle     int
+	}{"with accounts": {true, 1}, "without accounts": {false, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			convey.Convey("Relay connections "+name, t, func() {
+				h := newAccountHosts()
+				if !c.accounts {
+					h.view.Edition.Accounts = nil
+				}
+				p := New(&accountTargets{}, fakeDialect{}, WithHost(h.other), WithRelays(&fakeRelays{count: map[string]int{}}))
+				defer p.Close()
+				p.Apply(h.view)
+				target := p.Find(h.target)
+				idle := func() (n int) {
+					for _, w := range target.relayPaths {
+						w.mu.Lock()
+						n += len(w.idle)
+						w.mu.Unlock()
+					}
+					return n
+				}
+				_, err := run(target, jobOf(""))
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(idle(), convey.ShouldEqual, 1)
+				time.Sleep(lastIdleTimeout + 2*sweepInterval)
+				convey.So(idle(), convey.ShouldEqual, c.idle)
+				time.Sleep(accountRelayTimeout)
+				convey.So(idle(), convey.ShouldEqual, 0)
+			})
+		})
+	}
+}
--- a/pool/affinity.go
+++ b/pool/affinity.go
@@ -11,6 +11,11 @@
 // half of what fits with statements of 20 ms, so that the account does not wait for itself.
 const operationsPerInFlight = 25
 
+// accountRelayTimeout is the idle timeout of relay connections when there are accounts. A host then uses all gateways of a target
+// and each of them less often: at 10 operations a second before 24 targets with 5 gateways, each one every 12 s. An
+// opening costs a host of another region two round trips of 24 ms.
+const accountRelayTimeout = 2 * time.Minute
+
 // affinity determines through which gateway the jobs of each account reach a target.
 type affinity struct {
 	// ranking orders paths, which lead to those gateways that understand jobs of accounts; the path of this host is its direct
--- a/pool/target.go
+++ b/pool/target.go
@@ -59,6 +59,8 @@
 	// while it cannot reach the target, and for jobs of accounts.
 	relayPaths []*path
 	affinity   affinity
+	// accounts is true when the edition has accounts.
+	accounts bool
 	// fairShare is how many connections the host may keep idle.
 	fairShare int
 	// openConns counts connections, including those being opened.
@@ -134,7 +136,7 @@
 	n := max(1, len(gateways))
 	direct := len(gateways) == 0 || slices.ContainsFunc(gateways, func(h jacinthtiller.Host) bool { return h.Name == t.p.host })
 	t.mu.Lock()
-	t.spec, t.connections, t.direct = spec, connections, direct
+	t.spec, t.connections, t.direct, t.accounts = spec, connections, direct, accounts
 	t.fairShare = fairShare(connections, n, accounts)
 	maxConnections := max(t.fairShare, connections*maxSharePercent/100)
 	t.relayPaths = t.relayPathsTo(gateways, accounts)
@@ -204,13 +206,16 @@
 		}
 		return false
 	})
-	paths := t.relayPaths
+	paths, relayTimeout := t.relayPaths, lastIdleTimeout
+	if t.accounts {
+		relayTimeout = accountRelayTimeout
+	}
 	t.mu.Unlock()
 	for _, c := range old {
 		t.close(c, "idle")
 	}
 	for _, p := range paths {
-		p.closeIdle(now.Add(-lastIdleTimeout))
+		p.closeIdle(now.Add(-relayTimeout))
 	}
 }
 
