jacinthtiller: LimitPlacement finds administrators and since when

Cause: a host that skips a view cannot see that another host administered a share in it, and would go on with its tokens. Change: LimitPlacement replaces Placement.LimitAdministrators; SinceIndex follows from the records of the hosts that rank before the administrator. Hosts without ServesAccounts administer nothing.

--- a/account.go
+++ b/account.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // keyDigestBytes is the length of a key digest before encoding. 128 bits rule out collisions among the keys of all accounts.
@@ -88,21 +90,100 @@
 // so that the loss of one administrator leaves the account the rest of its limit.
 const LimitShares = 2
 
-// LimitAdministrators returns the hosts that administer the shares of an account's limit, in order of the shares. Every host
-// with the same view gets the same result. A deployment with fewer hosts than shares has the remaining shares on the same
-// hosts.
-func (p Placement) LimitAdministrators(account string) []Host {
-	if len(p.hosts) == 0 {
-		return nil
+// LimitPlacement assigns the shares of the limits of all accounts to hosts. Every host with the same view gets the same
+// result. It is never modified.
+type LimitPlacement struct {
+	// index is the index of the view.
+	index uint64
+	// hosts holds all hosts of the view, also those whose leases have ended, in no order.
+	hosts []limitHost
+}
+
+// limitHost is a host that administers shares, or that did so earlier.
+type limitHost struct {
+	name, address string
+	hash          uint64
+	changedIndex  uint64
+	// eligible is true when the host is live and understands requests for tokens.
+	eligible bool
+}
+
+// LimitAdministrator is the host that administers a share of an account's limit.
+type LimitAdministrator struct {
+	// Host is the host's name; empty when the view has no host that can administer the share.
+	Host string
+	// Address is that of the host's listener for other hosts.
+	Address string
+	// SinceIndex is the index of a view such that in no view from it up to this one another host administers the share.
+	SinceIndex uint64
+}
+
+// LimitPlacement returns the placement of the limits on the view's hosts.
+func (v View) LimitPlacement() LimitPlacement {
+	p := LimitPlacement{index: v.Index, hosts: make([]limitHost, 0, len(v.Hosts))}
+	for name, h := range v.Hosts {
+		p.hosts = append(p.hosts, limitHost{
+			name: name, address: h.Link, hash: xxhash.Sum64String(name), changedIndex: h.ChangedIndex,
+			eligible: !h.LeaseEnded && h.ServesAccounts,
+		})
+	}
+	return p
+}
+
+// LimitAdministrators returns the hosts that administer the shares of an account's limit, in order of the shares: the first
+// hosts by rendezvous hashing. A deployment with fewer hosts than shares has the remaining shares on the same hosts.
+//
+// A host is the administrator of a share for as long as neither it nor a host that ranks before it has changed, because the
+// rank of each host is fixed. SinceIndex follows from the present records alone, whichever views the caller has skipped.
+func (p LimitPlacement) LimitAdministrators(account string) [LimitShares]LimitAdministrator {
+	var best [LimitShares]limitRank
+	found := 0
+	salt := accountSalt(account)
+	for i := range p.hosts {
+		if !p.hosts[i].eligible {
+			continue
+		}
+		r := limitRank{hash: mixBits(p.hosts[i].hash ^ salt), host: &p.hosts[i]}
+		for k := range best {
+			if k >= found || r.before(best[k]) {
+				r, best[k] = best[k], r
+			}
+		}
+		found = min(found+1, LimitShares)
+	}
+	var out [LimitShares]LimitAdministrator
+	if found == 0 {
+		return out
 	}
-	ranked := rankHosts(p.hosts, accountSalt(account), LimitShares)
-	out := make([]Host, LimitShares)
-	for i := range out {
-		out[i] = ranked[i%len(ranked)]
+	for k := range out {
+		h := best[k%found].host
+		out[k] = LimitAdministrator{Host: h.name, Address: h.address}
+	}
+	for i := range p.hosts {
+		r := limitRank{hash: mixBits(p.hosts[i].hash ^ salt), host: &p.hosts[i]}
+		changed := r.host.changedIndex
+		if changed == 0 {
+			changed = p.index // unknown; no host can have a lease under a view that is later than this one
+		}
+		for k := range out {
+			if k >= found || !best[k].before(r) {
+				out[k].SinceIndex = max(out[k].SinceIndex, changed)
+			}
+		}
 	}
 	return out
 }
 
+// limitRank is the rank of a host for one account.
+type limitRank struct {
+	hash uint64
+	host *limitHost
+}
+
+func (r limitRank) before(other limitRank) bool {
+	return r.hash < other.hash || r.hash == other.hash && r.host.name < other.host.name
+}
+
 // TokenRequest asks the administrator of a share of an account's limit for tokens. One token admits one operation.
 type TokenRequest struct {
 	Account string
@@ -146,8 +227,9 @@
 
 // Limiter enforces the limits of accounts over all hosts.
 type Limiter interface {
-	// Admit takes a token for one operation of the account. It waits for tokens that are on their way until the deadline, and
-	// returns at once when there are none. An account without a limit, or one that the view does not hold, needs no token.
+	// Admit takes a token for one operation of the account. It waits until the deadline for tokens that are on their way or due
+	// within a short time, and returns at once when there are none. An account without a limit, or one that the view does not
+	// hold, needs no token.
 	Admit(account string, deadline time.Time) LimitDecision
 }
 
@@ -158,7 +240,8 @@
 	Exhausted bool
 	// RetryAt is when a refused operation should be tried again; it is spread over the hosts and requests.
 	RetryAt time.Time
-	// Limit is the limit that decided, and KnownAt when the host last heard from an administrator about the account.
+	// Limit is the limit that decided, and KnownAt when the host last heard from an administrator about the account; KnownAt
+	// is zero for an admitted operation, and when the host has not heard from one lately. Times are those of package time.
 	Limit   RateLimit
 	KnownAt time.Time
 }
