relay: requests for tokens of limits

Cause: hosts ask the administrators of limits for tokens. Change: connections of a second kind, which the hello names in place of the database; the pool of idle connections serves both kinds. The encoding of hellos stays.

--- a/relay/frame.go
+++ b/relay/frame.go
@@ -28,7 +28,8 @@
 	bufferBytes = 2 << 10
 )
 
-// hello is the first frame of a connection. If it names no target, freshness queries follow and there is no helloReply.
+// hello is the first frame of a connection. If it names no target, freshness queries follow, or token
+// requests if the database is tokenConnections, and there is no helloReply.
 type hello struct {
 	_        struct{} `cbor:",toarray"`
 	Database string
--- a/relay/freshness.go
+++ b/relay/freshness.go
@@ -1,58 +1,27 @@
 package relay
 
 import (
-	"fmt"
-	"net"
-	"sync"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
-	"github.com/jacinthtiller/jacinthtiller/wire"
-)
-
-const (
-	// maxIdleConns bounds the idle connections to one host.
-	maxIdleConns = 2
-	// idleTimeout is how long a connection is kept without a query.
-	idleTimeout = 10 * time.Second
 )
 
 // FreshnessClient sends freshness queries to other hosts. It implements jacinthtiller.FreshnessClient and is safe for
 // concurrent use.
-type FreshnessClient struct {
-	mu sync.Mutex // guards the fields below
-	// idle holds idle connections by address, the most recently used one last.
-	idle   map[string][]idleConn
-	closed bool
-}
-
-type idleConn struct {
-	conn  *clientConn
-	until time.Time
-}
+type FreshnessClient struct{ conns *queryConns }
 
 var _ jacinthtiller.FreshnessClient = (*FreshnessClient)(nil)
 
 // NewFreshnessClient returns a client without connections.
-func NewFreshnessClient() *FreshnessClient { return &FreshnessClient{idle: map[string][]idleConn{}} }
+func NewFreshnessClient() *FreshnessClient { return &FreshnessClient{conns: newQueryConns(hello{})} }
 
 // QueryFreshness sends the query to the host at the address.
 func (x *FreshnessClient) QueryFreshness(address string, q jacinthtiller.FreshnessQuery, deadline time.Time) (jacinthtiller.FreshnessReply, error) {
-	c, err := x.connect(address, deadline)
-	if err != nil {
-		return jacinthtiller.FreshnessReply{}, fmt.Errorf("connect to host at %s: %w", address, err)
-	}
 	query := freshnessQuery{Database: q.Database, Term: q.Term, AgeMicros: q.AgeMicroseconds, RemainingMillis: remainingMillis(deadline, time.Now())}
 	var reply freshnessReply
-	if err = c.f.write(deadline, query); err == nil {
-		_ = c.nc.SetReadDeadline(deadline)
-		err = c.f.read(&reply)
+	if err := x.conns.ask(address, query, &reply, deadline); err != nil {
+		return jacinthtiller.FreshnessReply{}, err
 	}
-	if err != nil {
-		_ = c.Close()
-		return jacinthtiller.FreshnessReply{}, fmt.Errorf("ask host at %s: %w", address, err)
-	}
-	x.putIdle(address, c)
 	out := jacinthtiller.FreshnessReply{Leased: reply.Leased}
 	for _, k := range reply.Positions {
 		out.Positions = append(out.Positions, jacinthtiller.AgedPosition{
@@ -62,73 +31,5 @@
 	return out, nil
 }
 
-// connect returns an idle connection, or a new one.
-func (x *FreshnessClient) connect(address string, deadline time.Time) (*clientConn, error) {
-	for {
-		c := x.takeIdle(address, time.Now())
-		if c == nil {
-			break
-		}
-		if !c.Unusable() {
-			return c, nil
-		}
-		_ = c.Close()
-	}
-	d := net.Dialer{Deadline: deadline}
-	nc, err := d.Dial("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	wire.SetDeadPeerTimeouts(nc, tcpUserTimeout)
-	c := &clientConn{nc: nc, f: newFramer(nc)}
-	if err := c.f.write(deadline, hello{}); err != nil {
-		_ = nc.Close()
-		return nil, err
-	}
-	return c, nil
-}
-
-// takeIdle returns an idle connection to the address, or nil, and closes all that have exceeded their idle timeout.
-func (x *FreshnessClient) takeIdle(address string, now time.Time) *clientConn {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for a, list := range x.idle {
-		for len(list) > 0 && now.After(list[0].until) {
-			_ = list[0].conn.Close()
-			list = list[1:]
-		}
-		if x.idle[a] = list; len(list) == 0 {
-			delete(x.idle, a)
-		}
-	}
-	list := x.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1].conn
-	x.idle[address] = list[:len(list)-1]
-	return c
-}
-
-func (x *FreshnessClient) putIdle(address string, c *clientConn) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.closed || len(x.idle[address]) >= maxIdleConns {
-		_ = c.Close()
-		return
-	}
-	x.idle[address] = append(x.idle[address], idleConn{conn: c, until: time.Now().Add(idleTimeout)})
-}
-
 // Close closes the idle connections.
-func (x *FreshnessClient) Close() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.closed = true
-	for _, list := range x.idle {
-		for _, i := range list {
-			_ = i.conn.Close()
-		}
-	}
-	clear(x.idle)
-}
+func (x *FreshnessClient) Close() { x.conns.Close() }
--- a/relay/server.go
+++ b/relay/server.go
@@ -42,6 +42,8 @@
 	events   *event.Log
 	// source answers freshness queries; nil when the host does not serve them.
 	source jacinthtiller.FreshnessSource
+	// limits answers token requests; nil when the host does not serve them.
+	limits jacinthtiller.LimitSource
 	group  duty.Group
 
 	mu sync.Mutex // guards the fields below
@@ -206,7 +208,7 @@
 	s.group.Close()
 }
 
-// serve handles the jobs or freshness queries of one connection.
+// serve handles the jobs, freshness queries or token requests of one connection.
 func (s *Server) serve(nc net.Conn) {
 	wire.SetDeadPeerTimeouts(nc, tcpUserTimeout)
 	f := newFramer(nc)
@@ -215,7 +217,12 @@
 	if err := f.read(&h); err != nil {
 		return
 	}
-	if h.Target == "" {
+	switch {
+	case h.Target != "":
+	case h.Database == tokenConnections:
+		s.serveTokens(nc, f)
+		return
+	default:
 		s.serveFreshness(nc, f)
 		return
 	}
