account: limits of accounts over all hosts

Cause: an account's limit holds over all hosts together, also while hosts cannot reach one another or control. Result: go test ./account passes.

--- /dev/null
+++ b/account/limiter_test.go
@@ -0,0 +1,198 @@
+package account
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/clock"
+)
+
+// fakeNetwork passes requests to the limiters of a test, by address.
+type fakeNetwork map[string]*Limiter
+
+var errSilent = errors.New("no reply")
+
+func (n fakeNetwork) RequestTokens(address string, r jacinthtiller.TokenRequest, deadline time.Time) (jacinthtiller.TokenReply, error) {
+	time.Sleep(2 * time.Millisecond)
+	if l := n[address]; l != nil {
+		return l.GrantTokens(r), nil
+	}
+	time.Sleep(time.Until(deadline))
+	return jacinthtiller.TokenReply{}, errSilent
+}
+
+// testView returns a view with hosts h0, h1 and so on and the limits of accounts.
+func testView(index uint64, hosts int, limits map[string]*jacinthtiller.RateLimit) jacinthtiller.View {
+	v := jacinthtiller.View{Index: index, Hosts: map[string]jacinthtiller.Host{}, Edition: &jacinthtiller.Edition{Accounts: map[string]jacinthtiller.Account{}}}
+	for i := range hosts {
+		n := fmt.Sprint("h", i)
+		v.Hosts[n] = jacinthtiller.Host{Name: n, Link: n, ChangedIndex: 1, ServesAccounts: true}
+	}
+	for name, l := range limits {
+		v.Edition.Accounts[name] = jacinthtiller.Account{Name: name, Limit: l}
+	}
+	return v
+}
+
+// startLimiters starts a limiter for each host of the view. Hosts without a lease get none.
+func startLimiters(v jacinthtiller.View, withoutLease ...string) fakeNetwork {
+	n := fakeNetwork{}
+	for name := range v.Hosts {
+		n[name] = New(Config{Self: name, Client: n, Allowance: DefaultAllowance()})
+	}
+	n.apply(v)
+	for name, l := range n {
+		lease := jacinthtiller.Lease{Host: name, Deadline: clock.Now().Add(time.Hour), SettledIndex: v.Index}
+		for _, without := range withoutLease {
+			if name == without {
+				lease = jacinthtiller.Lease{}
+			}
+		}
+		l.SetLease(lease)
+	}
+	return n
+}
+
+func (n fakeNetwork) apply(v jacinthtiller.View) {
+	for _, l := range n {
+		l.Apply(v)
+	}
+}
+
+func (n fakeNetwork) close() {
+	for _, l := range n {
+		l.Close()
+	}
+}
+
+// admitted returns how many of the operations are admitted that begin at once on the host.
+func (n fakeNetwork) admitted(host, account string, operations int) int {
+	count := 0
+	for range operations {
+		if n[host].Admit(account, time.Now().Add(simDeadline)).Admitted {
+			count++
+		}
+	}
+	return count
+}
+
+// TestLimiter guards against operations that are refused below the limit or admitted above it, against waits without hope,
+// and against changes of a limit that come late.
+func TestLimiter(t *testing.T) {
+	limits := map[string]*jacinthtiller.RateLimit{
+		"large": {PerSecond: 1000, Burst: 100}, "small": {PerSecond: 2, Burst: 2}, "zero": {}, "unlimited": nil,
+	}
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("With three hosts that have full shares", t, func() {
+			v := testView(5, 3, limits)
+			n := startLimiters(v)
+			defer n.close()
+			time.Sleep(10 * time.Second)
+			convey.Convey("an account without a limit, or that no view holds, needs no token", func() {
+				convey.So(n.admitted("h0", "unlimited", 1000), convey.ShouldEqual, 1000)
+				convey.So(n.admitted("h0", "unknown", 1000), convey.ShouldEqual, 1000)
+				convey.So(n["h0"].holders, convey.ShouldBeEmpty)
+			})
+			convey.Convey("an account without any operations allowed gets none, at once", func() {
+				began := time.Now()
+				d := n["h0"].Admit("zero", began.Add(time.Second))
+				convey.So(d.Admitted || !d.Exhausted || !d.RetryAt.After(began), convey.ShouldBeFalse)
+				convey.So(time.Since(began), convey.ShouldEqual, 0)
+			})
+			convey.Convey("a small account gets its burst and half of the slack, and is then refused", func() {
+				convey.So(n.admitted("h0", "small", 12), convey.ShouldEqual, 12)
+				d := n["h1"].Admit("small", time.Now().Add(simDeadline))
+				convey.So(d.Admitted, convey.ShouldBeFalse)
+				convey.So(d.Exhausted, convey.ShouldBeTrue)
+				convey.So(d.Limit, convey.ShouldResemble, *limits["small"])
+				convey.So(d.RetryAt.After(time.Now()), convey.ShouldBeTrue)
+				began := time.Now()
+				convey.So(n["h1"].Admit("small", time.Now().Add(simDeadline)).Admitted, convey.ShouldBeFalse)
+				convey.So(time.Since(began), convey.ShouldEqual, 0) // the told time has not come
+				convey.Convey("and is raised at once", func() {
+					raised := testView(6, 3, map[string]*jacinthtiller.RateLimit{"small": {PerSecond: 1000, Burst: 2}})
+					n.apply(raised)
+					convey.So(n.admitted("h1", "small", 50), convey.ShouldEqual, 50)
+				})
+				convey.Convey("and is admitted once the limit is removed", func() {
+					n.apply(testView(6, 3, map[string]*jacinthtiller.RateLimit{"small": nil}))
+					convey.So(n.admitted("h1", "small", 50), convey.ShouldEqual, 50)
+				})
+			})
+			convey.Convey("a lowered limit ends the use of tokens in hand", func() {
+				convey.So(n.admitted("h0", "large", 100), convey.ShouldEqual, 100)
+				n.apply(testView(6, 3, map[string]*jacinthtiller.RateLimit{"large": {}}))
+				convey.So(n.admitted("h0", "large", 100), convey.ShouldEqual, 0)
+			})
+			convey.Convey("the state of an idle account is dropped", func() {
+				n.admitted("h0", "small", 12)
+				time.Sleep(time.Minute)
+				for _, l := range n {
+					l.mu.Lock()
+					convey.So(l.holders, convey.ShouldBeEmpty)
+					l.mu.Unlock()
+					l.adminMu.Lock()
+					convey.So(l.admin.buckets, convey.ShouldBeEmpty)
+					l.adminMu.Unlock()
+				}
+			})
+			convey.Convey("a silent administrator leaves the other share, and two leave none", func() {
+				admins := v.LimitPlacement().LimitAdministrators("small")
+				asker := "h0"
+				for asker == admins[0].Host || asker == admins[1].Host {
+					asker = fmt.Sprint("h", int(asker[1]-'0')+1)
+				}
+				silent := n[admins[0].Host]
+				delete(n, admins[0].Host)
+				convey.So(n.admitted(asker, "small", 6), convey.ShouldEqual, 6)
+				other := n[admins[1].Host]
+				delete(n, admins[1].Host)
+				time.Sleep(20 * time.Second)
+				d := n[asker].Admit("small", time.Now().Add(simDeadline))
+				convey.So(d.Admitted || d.Exhausted, convey.ShouldBeFalse)
+				n["a"], n["b"] = silent, other // for close
+			})
+		})
+		convey.Convey("A host without a lease grants nothing", t, func() {
+			v := testView(5, 2, limits)
+			n := startLimiters(v, "h0")
+			defer n.close()
+			time.Sleep(10 * time.Second)
+			convey.So(n["h0"].GrantTokens(jacinthtiller.TokenRequest{Account: "large", Share: shareOf(v, "large", "h0"), Tokens: 1}).Refusal,
+				convey.ShouldEqual, jacinthtiller.TokensNoLease)
+			convey.So(n.admitted("h0", "large", 55), convey.ShouldEqual, 55)
+		})
+	})
+}
+
+// shareOf returns the share that a host administers.
+func shareOf(v jacinthtiller.View, account, host string) int {
+	for k, a := range v.LimitPlacement().LimitAdministrators(account) {
+		if a.Host == host {
+			return k
+		}
+	}
+	return -1
+}
+
+// BenchmarkAdmit measures an operation for which a token is in hand.
+func BenchmarkAdmit(b *testing.B) {
+	l := New(Config{Self: "h0", Client: fakeNetwork{}, Allowance: DefaultAllowance()})
+	defer l.Close()
+	l.Apply(testView(5, 2, map[string]*jacinthtiller.RateLimit{"a": {PerSecond: 1e6}}))
+	h := l.holder("a")
+	h.shares[0] = heldShare{tokens: 1 << 60, tokensUntil: clock.Now().Add(time.Hour)}
+	deadline := time.Now().Add(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		if !l.Admit("a", deadline).Admitted {
+			b.Fatal("refused")
+		}
+	}
+}
