daemon: limiter of accounts

Cause: hosts of direct groups enforce the limits of accounts. Change: the limiter gets views before the statement server, answers token requests on the listener for other hosts, and the host registers as one that serves accounts. Result: go test ./daemon passes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/account"
 	"github.com/jacinthtiller/jacinthtiller/control"
 	"github.com/jacinthtiller/jacinthtiller/credential"
 	"github.com/jacinthtiller/jacinthtiller/entry"
@@ -57,10 +58,13 @@
 	adapter jacinthtiller.Adapter
 	// extraServers serve readiness and metrics on addresses of their own.
 	extraServers []*http.Server
-	// controlClient, pool, freshnessClient, relayServer and statementServer are nil unless an adapter serves guests.
+	// controlClient, pool, freshnessClient, limitClient, limiter, relayServer and statementServer are nil unless an adapter
+	// serves guests.
 	controlClient   *control.Client
 	pool            *pool.Pool
 	freshnessClient *relay.FreshnessClient
+	limitClient     *relay.LimitClient
+	limiter         *account.Limiter
 	relayServer     *relay.Server
 	statementServer *statement.Server
 
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
+	"github.com/jacinthtiller/jacinthtiller/account"
 	"github.com/jacinthtiller/jacinthtiller/clock"
 	"github.com/jacinthtiller/jacinthtiller/control"
 	"github.com/jacinthtiller/jacinthtiller/duty"
@@ -62,7 +63,7 @@
 	self := jacinthtiller.Host{
 		Name: p.settings.Name, Domain: p.settings.Domain, Region: p.settings.Region,
 		RPC: p.RPCURL(), Link: p.linkListener.Addr().String(), Guests: p.guestListener.Addr().String(), Incarnation: newIncarnation(), Exclusive: true,
-		RelayCompression: true,
+		RelayCompression: true, ServesAccounts: true,
 	}
 	p.controlClient = control.NewClient(slices.Sorted(maps.Values(p.settings.Control)), client,
 		control.WithClientLocation(p.settings.Domain, p.settings.Region), control.WithClientEvents(p.events))
@@ -70,13 +71,20 @@
 	p.pool = pool.New(p.adapter, dialect, pool.WithHost(self.Name), pool.WithRelays(relay.Dialer{}),
 		pool.WithLocation(p.settings.Domain, p.settings.Regions), pool.WithEvents(p.events))
 	p.freshnessClient = relay.NewFreshnessClient()
+	p.limitClient = relay.NewLimitClient()
+	p.limiter = account.New(account.Config{
+		Self: self.Name, Client: p.limitClient, Allowance: p.settings.Allowance, Events: p.events,
+	})
+	// The statement server enforces the limits with statement.WithLimiter(p.limiter) among the options here.
 	p.statementServer = statement.New(p.pool, dialect, p.adapter.Guest,
 		statement.WithHost(self.Name), statement.WithControl(p.controlClient), statement.WithEvents(p.events),
 		statement.WithFreshnessKeepers(p.settings.Domain, p.freshnessClient))
-	p.relayServer = relay.NewServer(p.pool, dialect.Rollback(), p.events, relay.WithFreshness(p.statementServer))
+	p.relayServer = relay.NewServer(p.pool, dialect.Rollback(), p.events, relay.WithFreshness(p.statementServer),
+		relay.WithLimits(p.limiter))
 	p.host = entry.Start(entry.Config{
 		Self: self, Control: p.controlClient, Views: entry.NewViewStore(), Events: p.events,
-		Subscribers: []jacinthtiller.ViewSubscriber{p.statementServer},
+		// The limiter is first, so that no operation begins under a limit of an earlier view.
+		Subscribers: []jacinthtiller.ViewSubscriber{p.limiter, p.statementServer},
 	})
 	p.goroutines.Go(func() {
 		duty.RunWithRestart(context.Background(), p.events, "serve other hosts", func() { p.relayServer.Serve(p.linkListener) })
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jacinthtiller/jacinthtiller/account"
 	"github.com/jacinthtiller/jacinthtiller/control"
 )
 
@@ -86,7 +87,9 @@
 	// PlatformAddress is the ip:port of the platform's service that promotes targets.
 	PlatformAddress string
 	// Regions maps failure domains to their regions.
-	Regions              map[string]string
+	Regions map[string]string
+	// Allowance is by how much the operations of an account may exceed its limit.
+	Allowance            account.Allowance
 	Check, PrintSettings bool
 	flagValues           [][2]string
 }
@@ -165,6 +168,10 @@
 	fs.StringVar(&s.MetricsListen, "metrics-listen", "", "`ip:port` of metrics and dump besides the rpc address")
 	fs.StringVar(&s.PlatformAddress, "platform-address", "", "`ip:port` of the platform's service that promotes targets")
 	fs.Var(&v.regions, "regions", "regions of the failure domains as `domain=region`; repeatable or separated by commas")
+	s.Allowance = account.DefaultAllowance()
+	fs.Float64Var(&s.Allowance.WindowSeconds, "limit-window-seconds", s.Allowance.WindowSeconds, "window in seconds over which the operations of an account are compared with its limit, 0.5 to 3600 (interface platform)")
+	fs.Float64Var(&s.Allowance.Overage, "limit-overage", s.Allowance.Overage, "fraction by which the operations of a window may exceed the limit, 0.001 to 10; with the window it decides how long tokens live")
+	fs.Float64Var(&s.Allowance.Slack, "limit-slack", s.Allowance.Slack, "operations by which those of a window may exceed the limit besides, 2 to 1000000")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.PrintSettings, "print-settings", false, "print the settings in force and exit")
 	return fs
@@ -255,6 +262,11 @@
 			addFault("--%s=%d is not between %d and %d", name, v[0], v[1], v[2])
 		}
 	}
+	if err := s.Allowance.Validate(); err != nil {
+		for line := range strings.SplitSeq(err.Error(), "\n") {
+			addFault("--limit-%s", line)
+		}
+	}
 	l, err := logrus.ParseLevel(level)
 	if err != nil || l < logrus.ErrorLevel {
 		addFault("--log-level=%q is not trace, debug, info, warn or error", level)
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -32,6 +32,17 @@
 		"address by name": {args: []string{"--guest-listen", "localhost:1"}, faults: []string{`--guest-listen="localhost:1"`}},
 		"level":           {args: []string{"--log-level", "loud"}, faults: []string{`--log-level="loud"`}},
 		"argument":        {args: []string{"entry"}, faults: []string{`"entry" is not a flag`}},
+		"limit":           {args: []string{"--limit-window-seconds", "2.5", "--limit-overage", "0.25", "--limit-slack", "7"}},
+		"limit out of range": {
+			args: []string{"--limit-window-seconds", "0", "--limit-overage", "NaN", "--limit-slack", "1"},
+			faults: []string{
+				"--limit-window-seconds=0 is not between 0.5 and 3600", "--limit-overage=NaN is not between 0.001 and 10",
+				"--limit-slack=1 is not between 2 and 1e+06",
+			},
+		},
+		"limit without time for tokens": {
+			args: []string{"--limit-overage", "0.01"}, faults: []string{"--limit-overage=0.01 with window-seconds=5 leaves tokens 30ms"},
+		},
 		"key without certificate": {
 			args: []string{"--guest-key-file", "settings_test.go"}, faults: []string{"--guest-cert-file and --guest-key-file"},
 		},
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -163,6 +163,8 @@
 	if p.relayServer != nil {
 		p.relayServer.Close()
 		p.freshnessClient.Close()
+		p.limiter.Close()
+		p.limitClient.Close()
 	}
 	if p.sessionServer != nil {
 		p.sessionServer.Close()
