daemon: enforce the limits of accounts

Cause: the limiter and the sessions were built side by side. Change: the statement server asks the limiter before each operation.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -75,10 +75,9 @@
 	p.limiter = account.New(account.Config{
 		Self: self.Name, Client: p.limitClient, Allowance: p.settings.Allowance, Events: p.events,
 	})
-	// The statement server enforces the limits with statement.WithLimiter(p.limiter) among the options here.
 	p.statementServer = statement.New(p.pool, dialect, p.adapter.Guest,
 		statement.WithHost(self.Name), statement.WithControl(p.controlClient), statement.WithEvents(p.events),
-		statement.WithFreshnessKeepers(p.settings.Domain, p.freshnessClient))
+		statement.WithFreshnessKeepers(p.settings.Domain, p.freshnessClient), statement.WithLimiter(p.limiter))
 	p.relayServer = relay.NewServer(p.pool, dialect.Rollback(), p.events, relay.WithFreshness(p.statementServer),
 		relay.WithLimits(p.limiter))
 	p.host = entry.Start(entry.Config{
