jacinthtiller: compare accounts field by field

Each control process compares a new edition with the former one while it applies the log entry, and holds the lock of its state meanwhile. With reflect.DeepEqual, two editions of 10,000 accounts took 20.7 to 22.7 ms on a busy machine; field by field they take 10.8 to 13.0 ms (BenchmarkEditionChange, three runs each). A test sets each field of an account, also those that are added later, and expects a difference.

--- a/account.go
+++ b/account.go
@@ -34,6 +34,13 @@
 	Limit *RateLimit `cbor:"limit,omitempty" json:"limit,omitempty"`
 }
 
+// Equal reports whether all fields of the accounts are equal. With reflect.DeepEqual the comparison of two editions of 10,000
+// accounts took twice as long.
+func (a Account) Equal(other Account) bool {
+	sameLimit := a.Limit == other.Limit || a.Limit != nil && other.Limit != nil && *a.Limit == *other.Limit
+	return a.Name == other.Name && a.Priority == other.Priority && sameLimit && slices.Equal(a.KeyDigests, other.KeyDigests)
+}
+
 // MarshalJSON returns the account as operators see it: with the number of its keys in place of their digests.
 func (a Account) MarshalJSON() ([]byte, error) {
 	type fields Account // without this method
--- a/edition.go
+++ b/edition.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"reflect"
 	"slices"
 )
 
@@ -71,8 +70,7 @@
 		}
 	}
 	for n, a := range e.Accounts {
-		// DeepEqual also compares fields that are added to Account later.
-		if former, ok := old.Accounts[n]; !ok || !reflect.DeepEqual(former, a) {
+		if former, ok := old.Accounts[n]; !ok || !former.Equal(a) {
 			out.Accounts = append(out.Accounts, n)
 		}
 	}
--- a/edition_test.go
+++ b/edition_test.go
@@ -1,6 +1,7 @@
 package jacinthtiller_test
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -8,6 +9,31 @@
 	"github.com/jacinthtiller/jacinthtiller"
 )
 
+// TestAccountEqual guards against a change of an account that no host learns of, because a field is not compared.
+func TestAccountEqual(t *testing.T) {
+	convey.Convey("An account differs from one with another value in any field", t, func() {
+		base := func() jacinthtiller.Account {
+			return jacinthtiller.Account{
+				Name: "a", KeyDigests: []jacinthtiller.KeyDigest{"d"}, Priority: 1, Limit: &jacinthtiller.RateLimit{PerSecond: 1},
+			}
+		}
+		convey.So(base().Equal(base()), convey.ShouldBeTrue)
+		for i := range reflect.TypeFor[jacinthtiller.Account]().NumField() {
+			a := base()
+			field := reflect.ValueOf(&a).Elem().Field(i)
+			convey.So(field.IsZero(), convey.ShouldBeFalse) // a field that is added to Account is set in base
+			field.SetZero()
+			convey.So(a.Equal(base()), convey.ShouldBeFalse)
+			convey.So(base().Equal(a), convey.ShouldBeFalse)
+		}
+		for i := range reflect.TypeFor[jacinthtiller.RateLimit]().NumField() {
+			a := base()
+			reflect.ValueOf(a.Limit).Elem().Field(i).SetFloat(7)
+			convey.So(a.Equal(base()), convey.ShouldBeFalse)
+		}
+	})
+}
+
 // TestEditionWith guards against a delta that is applied to another edition than the one it was made for, which would leave
 // a host with routes or accounts that no edition has, and against a host that goes on with an edition from a peer whose
 // version does not know accounts.
