pool: connections through former gateways are closed

Cause: when a gateway was replaced, its path was dropped with its idle connections, which nothing closed before the end of the process; with accounts there are more paths. Change: the path is retired: it closes its idle connections, and those in use once they are returned. Result: TestRetiredPath passes and fails without the change; tests of the root package, pool, relay and statement pass.

--- a/pool/accountpath_test.go
+++ b/pool/accountpath_test.go
@@ -155,3 +155,32 @@
 		})
 	}
 }
+
+// TestRetiredPath guards against connections through former gateways that stay open as long as the process.
+func TestRetiredPath(t *testing.T) {
+	convey.Convey("When a gateway is replaced", t, func() {
+		h := newAccountHosts()
+		p := New(&accountTargets{}, fakeDialect{}, WithHost(h.other), WithRelays(&fakeRelays{count: map[string]int{}}))
+		defer p.Close()
+		p.Apply(h.view)
+		target := p.Find(h.target)
+		const account = "account-80"
+		inUse, err := target.Open(jobOf(account))
+		convey.So(err, convey.ShouldBeNil)
+		_, err = run(target, jobOf(account))
+		convey.So(err, convey.ShouldBeNil)
+		former := inUse.path
+		convey.So(former.idle, convey.ShouldHaveLength, 1)
+		v := h.view
+		v.Hosts = maps.Clone(v.Hosts)
+		lost := v.Hosts[former.host]
+		lost.LeaseEnded = true
+		v.Hosts[lost.Name] = lost
+		p.Apply(v)
+		convey.Convey("its idle connections are closed, and others once they are returned", func() {
+			convey.So(former.idle, convey.ShouldBeEmpty)
+			inUse.Put()
+			convey.So(former.idle, convey.ShouldBeEmpty)
+		})
+	})
+}
--- a/pool/path.go
+++ b/pool/path.go
@@ -39,6 +39,8 @@
 	failingSince time.Time
 	// probing is true while a probe of the path runs.
 	probing bool
+	// retired is true when the target no longer uses the path, which then keeps no connections.
+	retired bool
 	// idle holds unused connections through the relaying host, with the time of their last use.
 	idle []idleRelayConn
 }
@@ -117,10 +119,10 @@
 	}
 }
 
-// putIdle makes a connection idle, or closes it when there are enough.
+// putIdle makes a connection idle, or closes it when there are enough or the path is retired.
 func (p *path) putIdle(c jacinthtiller.RelayConn) {
 	p.mu.Lock()
-	keep := len(p.idle) < maxIdleRelayConns
+	keep := !p.retired && len(p.idle) < maxIdleRelayConns
 	if keep {
 		p.idle = append(p.idle, idleRelayConn{conn: c, since: time.Now()})
 	}
@@ -148,6 +150,14 @@
 	}
 }
 
+// retire closes the idle connections, and those in use once they are returned.
+func (p *path) retire() {
+	p.mu.Lock()
+	p.retired = true
+	p.mu.Unlock()
+	p.closeIdle(time.Time{})
+}
+
 func (t *Target) recordReachable(p *path) {
 	if p.recordSuccess() {
 		t.p.events.Emit(event.TargetRegained, event.Fields{"database": t.database, "target": t.name, "through": p.host})
--- a/pool/target.go
+++ b/pool/target.go
@@ -139,12 +139,19 @@
 	t.spec, t.connections, t.direct, t.accounts = spec, connections, direct, accounts
 	t.fairShare = fairShare(connections, n, accounts)
 	maxConnections := max(t.fairShare, connections*maxSharePercent/100)
+	formerPaths := t.relayPaths
 	t.relayPaths = t.relayPathsTo(gateways, accounts)
+	paths := t.relayPaths
 	t.maxInFlight = max(minInFlight, (inFlightFactor*slots+n-1)/n)
 	t.updateAffinity(gateways)
 	maxInFlight := t.maxInFlight
 	t.mu.Unlock()
 	t.gate.SetCapacity(maxInFlight, maxConnections)
+	for _, p := range formerPaths {
+		if !slices.Contains(paths, p) {
+			p.retire()
+		}
+	}
 }
 
 // relayPathsTo returns the paths through the gateways, at most maxRelayPaths or all, and keeps the state of existing ones. Each
@@ -190,7 +197,7 @@
 		t.close(c, "target left the view")
 	}
 	for _, p := range paths {
-		p.closeIdle(time.Time{})
+		p.retire()
 	}
 	t.gate.Drain()
 }
