--- a/account/sim_test.go
+++ b/account/sim_test.go
@@ -352,12 +352,12 @@
 func (x *simHost) arrive(account string) {
 	rate := x.demand[account]
 	if rate == 0 {
-		x.sim.after(20*time.Millisecond, x, func() { x.arrive(account) })
+		x.sim.after(100*time.Millisecond, x, func() { x.arrive(account) })
 		return
 	}
 	pause := time.Duration(x.sim.rand.ExpFloat64() / rate * float64(time.Second))
-	if pause > 50*time.Millisecond { // the demand may change; arrivals have no memory
-		x.sim.after(50*time.Millisecond, x, func() { x.arrive(account) })
+	if pause > 200*time.Millisecond { // the demand may change; arrivals have no memory
+		x.sim.after(200*time.Millisecond, x, func() { x.arrive(account) })
 		return
 	}
 	x.sim.after(pause, x, func() {
