account, relay, control: benchmarks of token requests, their state and the settled index

Cause: docs/CAPACITY.md needs the costs at 580 hosts and 10,000 accounts. Change: BenchmarkMemory, BenchmarkGrantTokens, BenchmarkTokenRequests, BenchmarkSettledIndex.

--- a/account/limiter_test.go
+++ b/account/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,3 +197,48 @@
 		}
 	}
 }
+
+// BenchmarkMemory measures the state of an account at a host that uses it, and at the administrator of a share.
+func BenchmarkMemory(b *testing.B) {
+	const accounts = 10000
+	limits := map[string]*jacinthtiller.RateLimit{}
+	for i := range accounts {
+		limits[fmt.Sprint("account", i)] = &jacinthtiller.RateLimit{PerSecond: 100}
+	}
+	l := New(Config{Self: "h0", Client: fakeNetwork{}, Allowance: DefaultAllowance()})
+	defer l.Close()
+	l.Apply(testView(5, 1, limits))
+	l.SetLease(jacinthtiller.Lease{Deadline: clock.Now().Add(time.Hour), SettledIndex: 5})
+	var before, held, granted runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for name := range limits {
+			l.holder(name)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&held)
+		for name := range limits {
+			l.GrantTokens(jacinthtiller.TokenRequest{Account: name, Tokens: 1})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&granted)
+		b.ReportMetric(float64(held.HeapAlloc-before.HeapAlloc)/accounts, "B/holder")
+		b.ReportMetric(float64(granted.HeapAlloc-held.HeapAlloc)/accounts, "B/bucket")
+		clear(l.holders)
+		clear(l.admin.buckets)
+	}
+}
+
+// BenchmarkGrantTokens measures the answer to a request.
+func BenchmarkGrantTokens(b *testing.B) {
+	l := New(Config{Self: "h0", Client: fakeNetwork{}, Allowance: DefaultAllowance()})
+	defer l.Close()
+	l.Apply(testView(5, 580, map[string]*jacinthtiller.RateLimit{"a": {PerSecond: 1e6}}))
+	admin := l.placement.LimitAdministrators("a")[0].Host
+	l.admin.self = admin
+	l.SetLease(jacinthtiller.Lease{Deadline: clock.Now().Add(time.Hour), SettledIndex: 5})
+	for b.Loop() {
+		l.GrantTokens(jacinthtiller.TokenRequest{Account: "a", Tokens: 1})
+	}
+}
--- a/control/settled_test.go
+++ b/control/settled_test.go
@@ -80,3 +80,13 @@
 		convey.So(back.View.Hosts["h1"].ChangedIndex, convey.ShouldEqual, 6)
 	})
 }
+
+// BenchmarkSettledIndex measures one computation with 580 hosts, of which there are at most 50 a second.
+func BenchmarkSettledIndex(b *testing.B) {
+	w := largeHarness(580, 0)
+	now := w.now
+	for b.Loop() {
+		now = now.Add(settledInterval)
+		w.leader.settledIndex(w.state, now)
+	}
+}
--- a/relay/tokens_test.go
+++ b/relay/tokens_test.go
@@ -91,3 +91,32 @@
 		}
 	})
 }
+
+// BenchmarkTokenRequests measures a request and its reply over a connection that is kept, and their bytes without those of TCP.
+func BenchmarkTokenRequests(b *testing.B) {
+	p := pool.New(&fakeTargets{}, dialect{}, pool.WithHost("gateway"))
+	s := NewServer(p, "rollback", nil, WithLimits(&fakeLimits{}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() { s.Serve(l) })
+	x := NewLimitClient()
+	defer func() {
+		x.Close()
+		_ = l.Close()
+		s.Close()
+		group.Wait()
+		p.Close()
+	}()
+	for b.Loop() {
+		if _, err := x.RequestTokens(l.Addr().String(), jacinthtiller.TokenRequest{Account: "account-1", Tokens: 1}, time.Now().Add(5*time.Second)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	request, _ := cbor.Marshal(tokenRequest{Account: "account-1", Tokens: 10})
+	reply, _ := cbor.Marshal(tokenReply{Granted: 10, LifetimeMicros: 300000, RetryMicros: 100000})
+	b.ReportMetric(float64(len(request)+headerBytes), "B/request")
+	b.ReportMetric(float64(len(reply)+headerBytes), "B/reply")
+}
