relay: idle connections of all addresses are checked once a second

Cause: each query looked through the connections to all hosts; an administrator of limits has up to 580 peers. Change: a query checks those to its own host, and all once a second. Result: go test ./relay passes.

--- a/relay/query.go
+++ b/relay/query.go
@@ -14,6 +14,9 @@
 	maxIdleConns = 2
 	// idleTimeout is how long a connection is kept without a query.
 	idleTimeout = 10 * time.Second
+	// sweepInterval is the time between two checks of all addresses; a host may keep connections to 580 others and send 1,900
+	// queries a second.
+	sweepInterval = time.Second
 )
 
 // queryConns sends queries of one kind to other hosts over connections that it keeps. It is safe for concurrent use.
@@ -25,6 +28,8 @@
 	// idle holds idle connections by address, the most recently used one last.
 	idle   map[string][]idleConn
 	closed bool
+	// nextSweep is when connections to all addresses are checked for their idle timeouts.
+	nextSweep time.Time
 }
 
 type idleConn struct {
@@ -82,14 +87,13 @@
 func (x *queryConns) takeIdle(address string, now time.Time) *clientConn {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for a, list := range x.idle {
-		for len(list) > 0 && now.After(list[0].until) {
-			_ = list[0].conn.Close()
-			list = list[1:]
-		}
-		if x.idle[a] = list; len(list) == 0 {
-			delete(x.idle, a)
+	if !now.Before(x.nextSweep) {
+		x.nextSweep = now.Add(sweepInterval)
+		for a := range x.idle {
+			x.closeOld(a, now)
 		}
+	} else {
+		x.closeOld(address, now)
 	}
 	list := x.idle[address]
 	if len(list) == 0 {
@@ -100,6 +104,18 @@
 	return c
 }
 
+// closeOld closes the connections to the address that have exceeded their idle timeout. The caller holds x.mu.
+func (x *queryConns) closeOld(address string, now time.Time) {
+	list := x.idle[address]
+	for len(list) > 0 && now.After(list[0].until) {
+		_ = list[0].conn.Close()
+		list = list[1:]
+	}
+	if x.idle[address] = list; len(list) == 0 {
+		delete(x.idle, address)
+	}
+}
+
 func (x *queryConns) putIdle(address string, c *clientConn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
