account: hosts ask the share in their own region first

Cause: a request between regions takes 25 ms, and operations of most accounts wait for one. Change: a host asks the share that is administered in its region, and the other while that one is empty; with none or both it alternates as before.

--- a/account.go
+++ b/account.go
@@ -101,9 +101,9 @@
 
 // limitHost is a host that administers shares, or that did so earlier.
 type limitHost struct {
-	name, address string
-	hash          uint64
-	changedIndex  uint64
+	name, address, region string
+	hash                  uint64
+	changedIndex          uint64
 	// eligible is true when the host is live and understands requests for tokens.
 	eligible bool
 }
@@ -114,6 +114,7 @@
 	Host string
 	// Address is that of the host's listener for other hosts.
 	Address string
+	Region  string
 	// SinceIndex is the index of a view such that in no view from it up to this one another host administers the share.
 	SinceIndex uint64
 }
@@ -123,7 +124,7 @@
 	p := LimitPlacement{index: v.Index, hosts: make([]limitHost, 0, len(v.Hosts))}
 	for name, h := range v.Hosts {
 		p.hosts = append(p.hosts, limitHost{
-			name: name, address: h.Link, hash: xxhash.Sum64String(name), changedIndex: h.ChangedIndex,
+			name: name, address: h.Link, region: h.Region, hash: xxhash.Sum64String(name), changedIndex: h.ChangedIndex,
 			eligible: !h.LeaseEnded && h.ServesAccounts,
 		})
 	}
@@ -157,7 +158,7 @@
 	}
 	for k := range out {
 		h := best[k%found].host
-		out[k] = LimitAdministrator{Host: h.name, Address: h.address}
+		out[k] = LimitAdministrator{Host: h.name, Address: h.address, Region: h.region}
 	}
 	for i := range p.hosts {
 		r := limitRank{hash: mixBits(p.hosts[i].hash ^ salt), host: &p.hosts[i]}
--- a/account/holder.go
+++ b/account/holder.go
@@ -36,9 +36,12 @@
 	// admins holds the administrators of the shares.
 	admins [jacinthtiller.LimitShares]jacinthtiller.LimitAdministrator
 	shares [jacinthtiller.LimitShares]heldShare
-	// next is the share to ask first, so that both get about as many requests.
-	next   int
-	demand demand
+	// next is the share to ask first, unless one share alone is administered in the host's region. It alternates, so that both
+	// get about as many requests.
+	next int
+	// nearest is the only share that is administered in the host's region; -1 when it is none or all.
+	nearest int
+	demand  demand
 	// waiters holds the operations that wait for a token, the oldest first.
 	waiters []*waiter
 	// usedAt is the time of the last operation, and knownAt that of the last reply.
@@ -156,8 +159,12 @@
 	if wanted <= 0 || len(h.waiters) == 0 && covered > batch/2 {
 		return request{}, false
 	}
+	first := h.next
+	if h.nearest >= 0 {
+		first = h.nearest // the other share is asked while this one is empty
+	}
 	for i := range h.shares {
-		k := (h.next + i) % len(h.shares)
+		k := (first + i) % len(h.shares)
 		s := &h.shares[k]
 		if s.asked > 0 || now.Before(s.retryAt) || h.admins[k].Host == "" {
 			continue
@@ -290,8 +297,29 @@
 	}
 }
 
+// newHolder returns the state of an account at a host of the region.
+func newHolder(l jacinthtiller.RateLimit, admins [jacinthtiller.LimitShares]jacinthtiller.LimitAdministrator, region string) *holder {
+	return &holder{limit: l, admins: admins, nearest: nearestShare(admins, region)}
+}
+
+// nearestShare returns the only share that is administered in the region; -1 when it is none or all.
+func nearestShare(admins [jacinthtiller.LimitShares]jacinthtiller.LimitAdministrator, region string) int {
+	nearest, count := -1, 0
+	for i := range admins {
+		if admins[i].Region == region {
+			nearest = i
+			count++
+		}
+	}
+	if count != 1 {
+		return -1
+	}
+	return nearest
+}
+
 // apply puts the limit and the administrators of a new view in force.
-func (h *holder) apply(l jacinthtiller.RateLimit, admins [jacinthtiller.LimitShares]jacinthtiller.LimitAdministrator) {
+func (h *holder) apply(l jacinthtiller.RateLimit, admins [jacinthtiller.LimitShares]jacinthtiller.LimitAdministrator, region string) {
+	h.nearest = nearestShare(admins, region)
 	lowered := l.PerSecond < h.limit.PerSecond || l.Burst < h.limit.Burst
 	raised := l.PerSecond > h.limit.PerSecond || l.Burst > h.limit.Burst
 	for i := range h.shares {
--- a/account/limiter.go
+++ b/account/limiter.go
@@ -17,8 +17,9 @@
 
 // Config configures a Limiter.
 type Config struct {
-	// Self is the name of the host.
-	Self      string
+	// Self is the name of the host, and Region its region.
+	Self, Region string
+
 	Client    jacinthtiller.LimitClient
 	Allowance Allowance
 	Events    *event.Log
@@ -95,7 +96,7 @@
 			delete(l.holders, name)
 			continue
 		}
-		h.apply(*limit, p.LimitAdministrators(name))
+		h.apply(*limit, p.LimitAdministrators(name), l.config.Region)
 	}
 }
 
@@ -148,7 +149,7 @@
 	if limit == nil {
 		return nil
 	}
-	h := &holder{limit: *limit, admins: l.placement.LimitAdministrators(account)}
+	h := newHolder(*limit, l.placement.LimitAdministrators(account), l.config.Region)
 	l.holders[account] = h
 	return h
 }
--- a/account/sim_test.go
+++ b/account/sim_test.go
@@ -284,7 +284,7 @@
 		p := v.LimitPlacement()
 		x.admin.apply(v, p, x.now())
 		for name, h := range x.holders {
-			h.apply(*v.Edition.Accounts[name].Limit, p.LimitAdministrators(name))
+			h.apply(*v.Edition.Accounts[name].Limit, p.LimitAdministrators(name), fmt.Sprint(x.region))
 		}
 		x.wake()
 	})
@@ -297,7 +297,7 @@
 		if incarnation != fmt.Sprint(x.incarnation) {
 			return false, 0 // a late message of a process that has ended
 		}
-		c.change(jacinthtiller.Host{Name: x.name, Link: x.name, Incarnation: incarnation, ServesAccounts: true})
+		c.change(jacinthtiller.Host{Name: x.name, Link: x.name, Region: fmt.Sprint(x.region), Incarnation: incarnation, ServesAccounts: true})
 		c.leases[x.name] = &simLeaseRecord{registered: c.view().Index, deadline: s.clock.Add(simLease + simLeaseMargin)}
 		return false, 0
 	}
@@ -375,7 +375,7 @@
 	s.operations++
 	h := x.holders[account]
 	if h == nil {
-		h = &holder{limit: *x.view.Edition.Accounts[account].Limit, admins: x.view.LimitPlacement().LimitAdministrators(account)}
+		h = newHolder(*x.view.Edition.Accounts[account].Limit, x.view.LimitPlacement().LimitAdministrators(account), fmt.Sprint(x.region))
 		x.holders[account] = h
 	}
 	now := x.now()
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -73,7 +73,7 @@
 	p.freshnessClient = relay.NewFreshnessClient()
 	p.limitClient = relay.NewLimitClient()
 	p.limiter = account.New(account.Config{
-		Self: self.Name, Client: p.limitClient, Allowance: p.settings.Allowance, Events: p.events,
+		Self: self.Name, Region: self.Region, Client: p.limitClient, Allowance: p.settings.Allowance, Events: p.events,
 	})
 	// The statement server enforces the limits with statement.WithLimiter(p.limiter) among the options here.
 	p.statementServer = statement.New(p.pool, dialect, p.adapter.Guest,
