event: target-capacity-learned

Cause: operators have to see which limit of a target has changed and why. Result: go test ./event passes.

--- a/event/owner.go
+++ b/event/owner.go
@@ -46,4 +46,6 @@
 		"This host could not reach a target of a direct group, or got no answer; it is passed over for a growing pause.")
 	TargetRegained = register(4041, "target-regained", logrus.InfoLevel,
 		"This host reaches a target of a direct group again.")
+	TargetCapacityLearned = register(4042, "target-capacity-learned", logrus.InfoLevel,
+		"This gateway keeps more or fewer statements in flight at a target than before; the fields give the limits and what decided the change.")
 )
