pool: learned capacity in place of twice the slots

Cause: the limit of statements in flight has to follow what a target takes well. Change: with WithLearnedCapacity, a gateway feeds the statements that end on its own connections to package capacity; the learned limit applies at the gate and in the cost of a read. Without the option nothing changes.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -102,7 +102,7 @@
 	defer t.mu.Unlock()
 	latency := t.expectedLatency(now)
 	// A statement queues behind those that exceed the concurrency limit.
-	cost = latency + latency*int64(t.load)/int64(max(1, t.maxInFlight))
+	cost = latency + t.queueCost(latency)
 	if now.Before(t.warmupUntil) {
 		cost = cost * warmupCostPercent / 100
 	}
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -108,7 +108,13 @@
 		c.t.startProbe(c.path)
 		return jacinthtiller.Reply{}, &jacinthtiller.NotSentError{Cause: err}
 	}
-	return c.awaitReply(j)
+	if c.direct == nil {
+		return c.awaitReply(j)
+	}
+	ended := c.t.learned.begin(j)
+	r, err := c.awaitReply(j)
+	ended(r, err)
+	return r, err
 }
 
 // awaitReply waits for the answer, and probes the path when it is late.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -59,6 +59,9 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	metrics metrics
+	// learnsCapacity is true with WithLearnedCapacity, and stopObserving ends its metric then.
+	learnsCapacity bool
+	stopObserving  func()
 	// routes holds the routes of the current view, an immutable map by name.
 	routes atomic.Value
 
@@ -109,6 +112,9 @@
 	}
 	p.routes.Store(map[string]jacinthtiller.Route{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
+	if p.learnsCapacity {
+		p.stopObserving = p.observeLimits()
+	}
 	p.group.Go(func() { duty.RunWithRestart(p.ctx, p.events, "close idle connections", p.sweep) })
 	return p
 }
@@ -298,6 +304,9 @@
 // the end of the process.
 func (p *Pool) Close() {
 	p.stop()
+	if p.stopObserving != nil {
+		p.stopObserving()
+	}
 	p.mu.Lock()
 	for k, t := range p.targets {
 		delete(p.targets, k)
--- a/pool/target.go
+++ b/pool/target.go
@@ -44,6 +44,8 @@
 	database, name string
 	gate           *admission.Gate
 	directPath     *path
+	// learned is nil unless the pool learns capacities.
+	learned *learnedLimit
 
 	mu   sync.Mutex // guards the fields below
 	spec jacinthtiller.Target
@@ -92,6 +94,7 @@
 		),
 	}
 	t.gate.SetWeights(priorityWeights())
+	t.learned = t.newLearnedLimit()
 	return t
 }
 
@@ -134,6 +137,10 @@
 	t.maxInFlight = max(minInFlight, (inFlightFactor*slots+n-1)/n)
 	maxInFlight := t.maxInFlight
 	t.mu.Unlock()
+	if t.learned != nil {
+		t.learned.update(maxInFlight, slots, n, maxConnections)
+		return
+	}
 	t.gate.SetCapacity(maxInFlight, maxConnections)
 }
 
@@ -183,6 +190,7 @@
 		p.closeIdle(time.Time{})
 	}
 	t.gate.Drain()
+	t.learned.stop()
 }
 
 // sweep closes connections that have exceeded their idle timeout.
