--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -67,8 +67,13 @@
 	p.controlClient = control.NewClient(slices.Sorted(maps.Values(p.settings.Control)), client,
 		control.WithClientLocation(p.settings.Domain, p.settings.Region), control.WithClientEvents(p.events))
 	dialect := p.adapter.Dialect()
-	p.pool = pool.New(p.adapter, dialect, pool.WithHost(self.Name), pool.WithRelays(relay.Dialer{}),
-		pool.WithLocation(p.settings.Domain, p.settings.Regions), pool.WithEvents(p.events))
+	poolOptions := []pool.Option{
+		pool.WithHost(self.Name), pool.WithRelays(relay.Dialer{}), pool.WithLocation(p.settings.Domain, p.settings.Regions), pool.WithEvents(p.events),
+	}
+	if p.settings.LearnCapacity {
+		poolOptions = append(poolOptions, pool.WithLearnedCapacity())
+	}
+	p.pool = pool.New(p.adapter, dialect, poolOptions...)
 	p.freshnessClient = relay.NewFreshnessClient()
 	p.statementServer = statement.New(p.pool, dialect, p.adapter.Guest,
 		statement.WithHost(self.Name), statement.WithControl(p.controlClient), statement.WithEvents(p.events),
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -86,7 +86,9 @@
 	// PlatformAddress is the ip:port of the platform's service that promotes targets.
 	PlatformAddress string
 	// Regions maps failure domains to their regions.
-	Regions              map[string]string
+	Regions map[string]string
+	// LearnCapacity lets gateways learn how many statements each target of a direct group takes well.
+	LearnCapacity        bool
 	Check, PrintSettings bool
 	flagValues           [][2]string
 }
@@ -165,6 +167,8 @@
 	fs.StringVar(&s.MetricsListen, "metrics-listen", "", "`ip:port` of metrics and dump besides the rpc address")
 	fs.StringVar(&s.PlatformAddress, "platform-address", "", "`ip:port` of the platform's service that promotes targets")
 	fs.Var(&v.regions, "regions", "regions of the failure domains as `domain=region`; repeatable or separated by commas")
+	fs.BoolVar(&s.LearnCapacity, "learn-capacity", false,
+		"let gateways learn how many statements each target takes well, instead of twice its slots (interface platform)")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.PrintSettings, "print-settings", false, "print the settings in force and exit")
 	return fs
