pool: learned limit in the dump

Cause: an operator who sees a long queue has to see the limit in force. Change: learned-limit in the state of a target, absent without learned capacity.

--- a/pool/dump.go
+++ b/pool/dump.go
@@ -19,7 +19,9 @@
 	LatencyMicroseconds int64                  `json:"latency-microseconds"`
 	Seen                jacinthtiller.Position `json:"seen"`
 	Direct              bool                   `json:"direct"`
-	FailingSince        time.Time              `json:"failing-since"`
+	// LearnedLimit is the learned limit of this gateway's statements in flight; 0 when none is learned.
+	LearnedLimit float64   `json:"learned-limit,omitempty"`
+	FailingSince time.Time `json:"failing-since"`
 }
 
 // Dump returns the state of all targets, ordered by database and name.
@@ -31,6 +33,7 @@
 		out = append(out, TargetState{
 			Target: t.spec, Open: t.openConns, Idle: len(t.idle), FairShare: t.fairShare, Load: t.load, Waiting: waiting,
 			LatencyMicroseconds: t.latencyMicroseconds, Seen: t.newestPosition, Direct: t.direct, FailingSince: t.directPath.failureStart(),
+			LearnedLimit: t.learned.value(),
 		})
 		t.mu.Unlock()
 	}
--- a/pool/learned.go
+++ b/pool/learned.go
@@ -143,6 +143,14 @@
 	l.report(now)
 }
 
+// value returns the learned limit, or 0 when there is none.
+func (l *learnedLimit) value() float64 {
+	if l == nil {
+		return 0
+	}
+	return float64(l.microLimit.Load()) / 1e6
+}
+
 // tick puts the number of places in force that has changed with the time.
 func (l *learnedLimit) tick() {
 	l.mu.Lock()
@@ -208,8 +216,8 @@
 	}
 	r, err := m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for _, t := range p.Targets() {
-			if limit := t.learned.microLimit.Load(); limit > 0 && t.Direct() {
-				o.ObserveFloat64(gauge, float64(limit)/1e6,
+			if limit := t.learned.value(); limit > 0 && t.Direct() {
+				o.ObserveFloat64(gauge, limit,
 					metric.WithAttributes(attribute.String("database", t.database), attribute.String("target", t.name)))
 			}
 		}
