--- a/pool/target.go
+++ b/pool/target.go
@@ -46,6 +46,8 @@
 	gate           *admission.Gate
 	directPath     *path
 	metrics        targetMetrics
+	// learned is nil unless the pool learns capacities.
+	learned *learnedLimit
 
 	mu   sync.Mutex // guards the fields below
 	spec jacinthtiller.Target
@@ -101,6 +103,7 @@
 		),
 	}
 	t.gate.SetWeights(priorityWeights())
+	t.learned = t.newLearnedLimit()
 	return t
 }
 
@@ -146,7 +149,11 @@
 	t.updateAffinity(gateways)
 	maxInFlight := t.maxInFlight
 	t.mu.Unlock()
-	t.gate.SetCapacity(maxInFlight, maxConnections)
+	if t.learned != nil {
+		t.learned.update(maxInFlight, slots, n, maxConnections)
+	} else {
+		t.gate.SetCapacity(maxInFlight, maxConnections)
+	}
 	for _, p := range formerPaths {
 		if !slices.Contains(paths, p) {
 			p.retire()
@@ -200,6 +207,7 @@
 		p.retire()
 	}
 	t.gate.Drain()
+	t.learned.stop()
 }
 
 // sweep closes connections that have exceeded their idle timeout.
