--- a/control/keys_test.go
+++ b/control/keys_test.go
@@ -27,12 +27,13 @@
 	}
 	accepted := body(1, `[{"name":"mill","api_keys":["`+key+`"],"rate_per_s":12.5,"burst":3,"priority":1},{"name":"shop","api_keys":[]}]`)
 	refused := map[string]string{
-		"a key of two tenants": `[{"name":"mill","api_keys":["` + key + `"]},{"name":"shop","api_keys":["` + key + `"]}]`,
-		"a negative rate":      `[{"name":"mill","api_keys":["` + key + `"],"rate_per_s":-1}]`,
-		"a key in a rate":      `[{"name":"mill","api_keys":[],"rate_per_s":"` + key + `"}]`,
-		"a key as a tenant":    `["` + key + `"]`,
-		"a key in a name":      `[{"name":["` + key + `"]}]`,
-		"a text cut short":     `[{"name":"mill","api_keys":["` + key,
+		"a key of two tenants":   `[{"name":"mill","api_keys":["` + key + `"]},{"name":"shop","api_keys":["` + key + `"]}]`,
+		"a negative rate":        `[{"name":"mill","api_keys":["` + key + `"],"rate_per_s":-1}]`,
+		"a key in a rate":        `[{"name":"mill","api_keys":[],"rate_per_s":"` + key + `"}]`,
+		"a key and an empty one": `[{"name":"mill","api_keys":["` + key + `",""]}]`,
+		"a key as a tenant":      `["` + key + `"]`,
+		"a key in a name":        `[{"name":["` + key + `"]}]`,
+		"a text cut short":       `[{"name":"mill","api_keys":["` + key,
 	}
 	convey.Convey("After editions with keys, some of them refused", t, func() {
 		var output bytes.Buffer
