jacinthtiller: the loss of a host moves one share of a limit

Change: the hosts are divided between the shares of an account; each part has its own first host. The schedules of TestBound have later views, so that they still show the need for the settled index.

--- a/account.go
+++ b/account.go
@@ -131,33 +131,37 @@
 	return p
 }
 
-// LimitAdministrators returns the hosts that administer the shares of an account's limit, in order of the shares: the first
-// hosts by rendezvous hashing. A deployment with fewer hosts than shares has the remaining shares on the same hosts.
+// LimitAdministrators returns the hosts that administer the shares of an account's limit, in order of the shares. The hosts
+// are divided among the shares of the account, and the first of its part by rendezvous hashing administers a share, so that
+// the loss of one host moves one share only. A share whose part has no host is on the last of all hosts.
 //
-// A host is the administrator of a share for as long as neither it nor a host that ranks before it has changed, because the
-// rank of each host is fixed. SinceIndex follows from the present records alone, whichever views the caller has skipped.
+// A host is the administrator of a share for as long as neither it nor a host of the part that ranks before it has changed,
+// because parts and ranks are fixed. SinceIndex follows from the present records alone, whichever views the caller has skipped.
 func (p LimitPlacement) LimitAdministrators(account string) [LimitShares]LimitAdministrator {
-	var best [LimitShares]limitRank
-	found := 0
+	var first [LimitShares]limitRank
+	var last limitRank
 	salt := accountSalt(account)
 	for i := range p.hosts {
 		if !p.hosts[i].eligible {
 			continue
 		}
 		r := limitRank{hash: mixBits(p.hosts[i].hash ^ salt), host: &p.hosts[i]}
-		for k := range best {
-			if k >= found || r.before(best[k]) {
-				r, best[k] = best[k], r
-			}
+		if f := &first[r.share()]; f.host == nil || r.before(*f) {
+			*f = r
+		}
+		if last.host == nil || last.before(r) {
+			last = r
 		}
-		found = min(found+1, LimitShares)
 	}
 	var out [LimitShares]LimitAdministrator
-	if found == 0 {
+	if last.host == nil {
 		return out
 	}
 	for k := range out {
-		h := best[k%found].host
+		h := first[k].host
+		if h == nil {
+			h = last.host
+		}
 		out[k] = LimitAdministrator{Host: h.name, Address: h.address, Region: h.region}
 	}
 	for i := range p.hosts {
@@ -167,7 +171,7 @@
 			changed = p.index // unknown; no host can have a lease under a view that is later than this one
 		}
 		for k := range out {
-			if k >= found || !best[k].before(r) {
+			if first[k].host == nil || r.share() == k && !first[k].before(r) {
 				out[k].SinceIndex = max(out[k].SinceIndex, changed)
 			}
 		}
@@ -181,6 +185,9 @@
 	host *limitHost
 }
 
+// share returns the share that the host may administer.
+func (r limitRank) share() int { return int(r.hash % LimitShares) }
+
 func (r limitRank) before(other limitRank) bool {
 	return r.hash < other.hash || r.hash == other.hash && r.host.name < other.host.name
 }
--- a/account/schedule_test.go
+++ b/account/schedule_test.go
@@ -91,7 +91,12 @@
 				}
 			})
 		}
-	case 7:
+	case 7: // a host joins while some of the others get views late
+		for _, y := range s.hosts {
+			if s.rand.IntN(2) == 0 {
+				y.slowViewsUntil = until
+			}
+		}
 		if len(s.hosts) < 12 {
 			y := s.addHost(s.rand.IntN(3))
 			y.demand[simAccount] = x.demand[simAccount]
--- a/account/sim_test.go
+++ b/account/sim_test.go
@@ -274,7 +274,7 @@
 		return
 	}
 	if x.sim.clock.Before(x.slowViewsUntil) {
-		d += time.Duration(500+x.sim.rand.IntN(1000)) * time.Millisecond
+		d += time.Duration(500+x.sim.rand.IntN(2500)) * time.Millisecond
 	}
 	x.sim.after(d, x, func() {
 		if v.Index <= x.view.Index {
--- a/account_test.go
+++ b/account_test.go
@@ -10,7 +10,8 @@
 	"github.com/jacinthtiller/jacinthtiller"
 )
 
-// TestLimitAdministrators guards against shares on hosts that cannot answer, and against both shares on one host.
+// TestLimitAdministrators guards against shares on hosts that cannot answer, against both shares on one host, and against
+// the loss of one host that moves both shares of an account.
 func TestLimitAdministrators(t *testing.T) {
 	convey.Convey("Shares of limits", t, func() {
 		v := jacinthtiller.View{Index: 50, Hosts: map[string]jacinthtiller.Host{}}
@@ -42,6 +43,19 @@
 				counts[a[1].Host]++
 			}
 			convey.So(len(counts), convey.ShouldEqual, 81)
+			convey.Convey("and the loss of a host moves its own shares only", func() {
+				lost := v.Hosts["h7"]
+				lost.LeaseEnded = true
+				v.Hosts["h7"] = lost
+				after := v.LimitPlacement()
+				for i := range 1000 {
+					account := fmt.Sprint("account", i)
+					before := p.LimitAdministrators(account)
+					for k, a := range after.LimitAdministrators(account) {
+						convey.So(a.Host != before[k].Host, convey.ShouldEqual, before[k].Host == "h7")
+					}
+				}
+			})
 			for _, n := range counts {
 				convey.So(n, convey.ShouldBeBetween, 130, 280) // 200 on average
 			}
