account: a refused host gets its turn in half of the time

Cause: a host that is refused by one share mostly gets its token from the other, so that its turn goes unused, and the turns of an account near its limit were later than the tokens.

--- a/account/administrator.go
+++ b/account/administrator.go
@@ -166,10 +166,10 @@
 }
 
 // retryDelay gives a host that lacks tokens its turn: after the turns of the hosts that were refused before it, in the time
-// in which the share gets what they lacked.
+// in which the shares together get what they lacked, because a refused host asks the other share meanwhile.
 func (a *administrator) retryDelay(b *bucket, rate float64, missing int, now time.Time) time.Duration {
 	first := now.Add(seconds((1 - b.tokens) / rate)) // when the share has a token again
-	step := max(minTurnInterval, min(maxTurnDelay, seconds(float64(missing)/rate)))
+	step := max(minTurnInterval, min(maxTurnDelay, seconds(float64(missing)/rate/jacinthtiller.LimitShares)))
 	turn := b.turn.Add(step)
 	if turn.Before(first) {
 		turn = first
