account, entry: shares come back sooner after a change of hosts, and operations wait for tokens that come in time

Change: where limits depend on it, a host reports a change of hosts with a renewal within 100 ms; an administrator that is asked before it is settled renews its lease early; hosts ask again after 100 to 150 ms instead of 200 to 300. An operation waits until its admission ends for a token that is due by then, instead of 200 ms at most.

--- a/account/administrator.go
+++ b/account/administrator.go
@@ -16,8 +16,8 @@
 	// maxTurnDelay / minTurnInterval = 1,000 hosts the requests of refused hosts grow with the number of hosts.
 	maxTurnDelay = 2 * time.Second
 	// transientRetryDelay and its half more are when a host asks again that was refused because of a change of the
-	// administrator or its lease, which takes about a second.
-	transientRetryDelay = 200 * time.Millisecond
+	// administrator or its lease, which takes some tenths of a second.
+	transientRetryDelay = 100 * time.Millisecond
 	// bucketRetention is how long the bucket of an account without a limit is kept. Later the limit may start with a full one,
 	// because the last operations under it are outside of every window.
 	bucketRetention = time.Hour
--- a/account/holder.go
+++ b/account/holder.go
@@ -9,9 +9,6 @@
 const (
 	// replyTimeout bounds the wait for the reply to a request. A reply between regions takes 25 ms on an idle host.
 	replyTimeout = 150 * time.Millisecond
-	// maxHold is how long an operation waits for tokens of a share that is empty. It evens out arrivals in clusters, and is
-	// half of the shortest latency objective of a known deployment.
-	maxHold = 200 * time.Millisecond
 	// batchDivisor makes a host ask for the tokens of a quarter of their lifetime, so that few expire unused: of 2 tokens, at
 	// 8 operations in a lifetime, 0.3% of the batches.
 	batchDivisor = 4
@@ -67,8 +64,8 @@
 
 // waiter is an operation that waits for a token.
 type waiter struct {
-	// deadline is the operation's own, and holdUntil how long it waits for an empty share.
-	deadline, holdUntil time.Time
+	// deadline is until when the operation may wait. One whose share has no token by then is refused at once.
+	deadline time.Time
 	// granted is true when the operation has a token, which expires at until.
 	granted bool
 	until   time.Time
@@ -76,8 +73,8 @@
 	ready chan struct{}
 }
 
-func newWaiter(deadline, now time.Time) *waiter {
-	return &waiter{deadline: deadline, holdUntil: now.Add(maxHold), ready: make(chan struct{}, 1)}
+func newWaiter(deadline time.Time) *waiter {
+	return &waiter{deadline: deadline, ready: make(chan struct{}, 1)}
 }
 
 func (w *waiter) wake() {
@@ -247,11 +244,11 @@
 		h.remove(w)
 		return pollRefused, time.Time{}
 	}
-	retryAt, exhausted := h.retryAt(now)
+	retryAt, _ := h.retryAt(now)
 	switch {
 	case h.inFlight():
 		return pollWait, w.deadline
-	case exhausted && retryAt.After(w.holdUntil) || retryAt.After(w.deadline):
+	case retryAt.After(w.deadline):
 		h.remove(w)
 		return pollRefused, time.Time{}
 	}
--- a/account/limiter.go
+++ b/account/limiter.go
@@ -15,6 +15,9 @@
 // sweepInterval is the time between two removals of idle state, and between two log lines about shares.
 const sweepInterval = 5 * time.Second
 
+// renewInterval is the least time between two early renewals of the lease. Hosts report a new view to control within 100 ms.
+const renewInterval = 100 * time.Millisecond
+
 // Config configures a Limiter.
 type Config struct {
 	// Self is the name of the host, and Region its region.
@@ -22,7 +25,9 @@
 
 	Client    jacinthtiller.LimitClient
 	Allowance Allowance
-	Events    *event.Log
+	// RenewLease asks for an early renewal of the host's lease, which brings a newer settled index; nil does nothing.
+	RenewLease func()
+	Events     *event.Log
 }
 
 // Limiter enforces the limits of accounts for the operations of one host, and administers shares for all hosts. It
@@ -44,8 +49,10 @@
 	// silent counts the requests without a reply since the last sweep, by administrator.
 	silent map[string]int
 
-	adminMu sync.Mutex // guards admin; it is never held together with mu
+	adminMu sync.Mutex // guards the fields below; it is never held together with mu
 	admin   *administrator
+	// renewDue is when the next early renewal of the lease may be requested.
+	renewDue time.Time
 }
 
 var (
@@ -111,9 +118,17 @@
 // GrantTokens answers the request of another host.
 func (l *Limiter) GrantTokens(r jacinthtiller.TokenRequest) jacinthtiller.TokenReply {
 	l.adminMu.Lock()
-	reply := l.admin.grant(r, clock.Now())
+	now := clock.Now()
+	reply := l.admin.grant(r, now)
+	renew := reply.Refusal == jacinthtiller.TokensHandover && !now.Before(l.renewDue)
+	if renew {
+		l.renewDue = now.Add(renewInterval)
+	}
 	l.adminMu.Unlock()
 	l.metrics.countReply(reply)
+	if renew && l.config.RenewLease != nil {
+		l.config.RenewLease()
+	}
 	return reply
 }
 
@@ -135,7 +150,7 @@
 		}
 		return jacinthtiller.LimitDecision{Admitted: true, Limit: limit}
 	}
-	w := newWaiter(now.Add(time.Until(deadline)), now)
+	w := newWaiter(now.Add(time.Until(deadline)))
 	h.add(w)
 	return l.await(account, h, w, now)
 }
--- a/account/limiter_test.go
+++ b/account/limiter_test.go
@@ -116,6 +116,9 @@
 				began := time.Now()
 				convey.So(n["h1"].Admit("small", time.Now().Add(simDeadline)).Admitted, convey.ShouldBeFalse)
 				convey.So(time.Since(began), convey.ShouldEqual, 0) // the told time has not come
+				convey.Convey("but an operation that may wait until the next token gets it", func() {
+					convey.So(n["h1"].Admit("small", time.Now().Add(3*time.Second)).Admitted, convey.ShouldBeTrue)
+				})
 				convey.Convey("and is raised at once", func() {
 					raised := testView(6, 3, map[string]*jacinthtiller.RateLimit{"small": {PerSecond: 1000, Burst: 2}})
 					n.apply(raised)
@@ -160,6 +163,20 @@
 				n["a"], n["b"] = silent, other // for close
 			})
 		})
+		convey.Convey("An administrator that waits for the settled index renews its lease early, at most every 100 ms", t, func() {
+			v := testView(5, 1, limits)
+			renewals := 0
+			l := New(Config{Self: "h0", Allowance: DefaultAllowance(), RenewLease: func() { renewals++ }})
+			defer l.Close()
+			l.Apply(v)
+			l.SetLease(jacinthtiller.Lease{Host: "h0", Deadline: clock.Now().Add(time.Hour)})
+			for range 11 {
+				r := l.GrantTokens(jacinthtiller.TokenRequest{Account: "large", Tokens: 1})
+				convey.So(r.Refusal, convey.ShouldEqual, jacinthtiller.TokensHandover)
+				time.Sleep(20 * time.Millisecond)
+			}
+			convey.So(renewals, convey.ShouldEqual, 3)
+		})
 		convey.Convey("A host without a lease grants nothing", t, func() {
 			v := testView(5, 2, limits)
 			n := startLimiters(v, "h0")
--- a/account/sim_test.go
+++ b/account/sim_test.go
@@ -384,7 +384,7 @@
 		x.sendDue(account, h)
 		return
 	}
-	w := newWaiter(now.Add(simDeadline), now)
+	w := newWaiter(now.Add(simDeadline))
 	h.add(w)
 	x.order = append(x.order, w)
 	x.waiting[w] = func() { x.step(account, h, w) }
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -79,6 +79,7 @@
 	p.limitClient = relay.NewLimitClient()
 	p.limiter = account.New(account.Config{
 		Self: self.Name, Region: self.Region, Client: p.limitClient, Allowance: p.settings.Allowance, Events: p.events,
+		RenewLease: func() { p.host.RenewNow() },
 	})
 	p.statementServer = statement.New(p.pool, dialect, p.adapter.Guest,
 		statement.WithHost(self.Name), statement.WithControl(p.controlClient), statement.WithEvents(p.events),
--- a/entry/host.go
+++ b/entry/host.go
@@ -34,6 +34,9 @@
 	// doubles until a watch keeps up. An overloaded control process is late for all hosts, and new watches would add load.
 	minWatchStopInterval = time.Second
 	maxWatchStopInterval = 8 * time.Second
+	// hostChangeDelay bounds the delay of the renewal that reports a change of hosts. When hundreds of hosts register at once,
+	// each host makes ten such renewals a second at most.
+	hostChangeDelay = 100 * time.Millisecond
 	// laggingRenewInterval is the pause before the next renewal while the current view is behind; that renewal shows whether
 	// it still is.
 	laggingRenewInterval = 120 * time.Millisecond
@@ -87,6 +90,8 @@
 	lease jacinthtiller.Lease
 	// leaseEnd is the newest deadline that was granted, also after the lease has ended.
 	leaseEnd time.Time
+	// hostChangeDue is when the renewal that reports the last change of hosts is made.
+	hostChangeDue time.Time
 	// settledIndex is the highest index that control has sent as Lease.SettledIndex.
 	settledIndex uint64
 	// applied is the index of the newest view that the subscribers have applied. Control assigns a target to another
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -196,6 +196,36 @@
 				c.locked(func() { c.settledIndex = 0 }) // a new leader has not heard from all hosts
 				convey.So(settled(), convey.ShouldEqual, 7)
 			})
+			convey.Convey("A change of hosts is reported early where limits of accounts depend on it", func() {
+				afterChange := func(e *jacinthtiller.Edition) time.Duration {
+					c.mu.Lock()
+					last := c.answeredAt
+					c.mu.Unlock()
+					renewed := func() time.Time {
+						for {
+							time.Sleep(time.Millisecond)
+							c.mu.Lock()
+							at := c.answeredAt
+							c.mu.Unlock()
+							if at.After(last) {
+								last = at
+								return at
+							}
+						}
+					}
+					renewed()
+					sent := time.Now()
+					c.deltas <- jacinthtiller.Delta{From: 1, Index: 2, Edition: e, Hosts: map[string]jacinthtiller.Host{"h2": {Name: "h2"}}}
+					return renewed().Sub(sent)
+				}
+				reply := 100 * time.Millisecond
+				convey.Convey("with accounts", func() {
+					convey.So(afterChange(&jacinthtiller.Edition{RequiresKeys: true}), convey.ShouldBeLessThanOrEqualTo, hostChangeDelay+reply)
+				})
+				convey.Convey("but not without", func() {
+					convey.So(afterChange(&jacinthtiller.Edition{}), convey.ShouldBeGreaterThan, hostChangeDelay+reply)
+				})
+			})
 			convey.Convey("After a release the lease is not renewed", func() {
 				convey.So(h.Release(context.Background()), convey.ShouldBeNil)
 				time.Sleep(2 * time.Second)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -164,6 +165,7 @@
 func (h *Host) applyViews() {
 	var lastDocument uint64
 	var owned, suspended map[string]uint64
+	var hosts map[string]jacinthtiller.Host
 	for {
 		changed := h.config.Views.Changed()
 		view := h.config.Views.View()
@@ -181,6 +183,10 @@
 				owned, suspended = newOwned, newSuspended
 				h.requestRenewal()
 			}
+			if !maps.Equal(hosts, view.Hosts) {
+				hosts = view.Hosts
+				h.reportHostChange(view)
+			}
 			h.config.Events.Emit(event.ViewApplied, event.Fields{"index": view.Index, "document": view.Document})
 		}
 		select {
@@ -191,6 +197,21 @@
 	}
 }
 
+// reportHostChange makes the host renew its lease within hostChangeDelay if limits of accounts depend on it: their new
+// administrators grant nothing until control knows that all hosts have the view in force. Changes in that time share a renewal.
+func (h *Host) reportHostChange(view jacinthtiller.View) {
+	if view.Edition == nil || !view.Edition.RequiresKeys {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now := time.Now(); !now.Before(h.hostChangeDue) {
+		delay := hostChangeDelay/2 + rand.N(hostChangeDelay/2)
+		h.hostChangeDue = now.Add(delay)
+		time.AfterFunc(delay, h.requestRenewal)
+	}
+}
+
 func (h *Host) setAppliedIndex(index uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
