e2e: keys of accounts with real processes

Cause: no test with separate processes showed that only keys of accounts are served and that keys stay secret. The stand-in of the platform records the names in STARTUP, the account of each operation, and lines that hold a key.

--- a/e2e/platform_standin_test.go
+++ b/e2e/platform_standin_test.go
@@ -54,6 +54,8 @@
 	work func(text string) time.Duration
 	// ran holds the ids of the requests that a database has begun to run.
 	ran map[string]bool
+	// record is nil unless the test looks at accounts.
+	record *accountRecord
 }
 
 // standinDatabase simulates one database.
@@ -283,12 +285,13 @@
 	defer c.Close()
 	r := bufio.NewReader(c)
 	first, err := r.ReadString('\n')
+	account := d.parent.recordStartup(first)
 	if err != nil || !strings.HasPrefix(first, "STARTUP "+d.parent.service+" ") || !strings.HasSuffix(strings.TrimSpace(first), " "+d.id) {
 		fmt.Fprintf(c, "ERROR WRONGNODE %s\r\n", d.id)
 		return
 	}
 	fmt.Fprintf(c, "READY I -\r\n")
-	s := &standinSession{database: d, state: 'I', prepared: map[string]string{}}
+	s := &standinSession{database: d, account: account, state: 'I', prepared: map[string]string{}}
 	for {
 		line, err := r.ReadString('\n')
 		if err != nil {
@@ -299,6 +302,7 @@
 		id, text, _ := strings.Cut(rest, " ")
 		d.parent.mu.Lock()
 		d.parent.ran[id] = true
+		s.recordRequest(id, text)
 		d.busy++
 		work := d.parent.work
 		d.parent.mu.Unlock()
@@ -320,6 +324,10 @@
 // standinSession is one connection's state. Its methods are called with the group's mu held.
 type standinSession struct {
 	database *standinDatabase
+	// account is what STARTUP names.
+	account string
+	// begun is true between BEGIN and the first statement of the transaction.
+	begun    bool
 	state    byte
 	readOnly bool
 	writes   []standinCommit
@@ -421,12 +429,16 @@
 var errGuestRefused = errors.New("entry host refused the guest")
 
 func dialGuest(address, database string) (*lineGuest, error) {
+	return dialGuestAs(address, database, "guest")
+}
+
+func dialGuestAs(address, database, key string) (*lineGuest, error) {
 	c, err := net.DialTimeout("tcp", address, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
 	g := &lineGuest{conn: c, reader: bufio.NewReader(c)}
-	fmt.Fprintf(c, "STARTUP %s guest\r\n", database)
+	fmt.Fprintf(c, "STARTUP %s %s\r\n", database, key)
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	line, err := g.reader.ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "READY I") {
