--- a/pool/pool.go
+++ b/pool/pool.go
@@ -61,6 +61,10 @@
 	metrics metrics
 	// routes holds the routes of the current view, an immutable map by name.
 	routes atomic.Value
+	// shares holds the jacinthtiller.AccountShares of the current view.
+	shares atomic.Value
+	// liveHosts is the number of live hosts in the current view.
+	liveHosts atomic.Int64
 
 	mu sync.Mutex // guards the fields below
 	// targets holds the targets of the view that have been requested, one entry per incarnation.
@@ -108,6 +112,7 @@
 		o(p)
 	}
 	p.routes.Store(map[string]jacinthtiller.Route{})
+	p.shares.Store(jacinthtiller.AccountShares{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.group.Go(func() { duty.RunWithRestart(p.ctx, p.events, "close idle connections", p.sweep) })
 	return p
@@ -118,9 +123,15 @@
 func (p *Pool) Apply(v jacinthtiller.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	previous, hostsChanged := p.placement, !maps.Equal(p.view.Hosts, v.Hosts)
+	previous, hostsChanged, accountsChanged := p.placement, !maps.Equal(p.view.Hosts, v.Hosts), false
+	if v.Edition != nil && v.Edition != p.view.Edition {
+		shares := v.Edition.AccountShares()
+		accountsChanged = shares.Empty() != p.accountShares().Empty()
+		p.shares.Store(shares)
+	}
 	if hostsChanged {
 		p.placement = v.Placement()
+		p.liveHosts.Store(int64(p.placement.Size()))
 	}
 	p.view = v
 	if v.Edition != nil {
@@ -135,13 +146,19 @@
 			continue
 		}
 		connections := p.connections(spec.Database)
-		if !t.upToDate(spec, connections) || hostsChanged && !p.placement.SameGateways(previous, spec, connections) {
-			t.update(spec, connections, p.placement.Gateways(spec, connections))
+		if !t.upToDate(spec, connections) || accountsChanged || hostsChanged && !p.placement.SameGateways(previous, spec, connections) {
+			t.update(spec, connections, p.placement.Gateways(spec, connections), !p.accountShares().Empty())
 		}
 		t.setInService(p.inService(spec))
 	}
 }
 
+// accountShares returns the shares of the accounts in the current view.
+func (p *Pool) accountShares() jacinthtiller.AccountShares {
+	s, _ := p.shares.Load().(jacinthtiller.AccountShares)
+	return s
+}
+
 // inService reports whether the view lets the target take new work.
 func (p *Pool) inService(spec jacinthtiller.Target) bool {
 	return spec.State != jacinthtiller.StateLeaving || p.view.Databases[spec.Database].Primary == spec.Name
@@ -192,7 +209,7 @@
 	}
 	t := p.newTarget(spec, p.warmupUntil[k])
 	connections := p.connections(spec.Database)
-	t.update(spec, connections, p.placement.Gateways(spec, connections))
+	t.update(spec, connections, p.placement.Gateways(spec, connections), !p.accountShares().Empty())
 	t.setInService(p.inService(spec))
 	p.targets[k] = t
 	return t
