--- a/e2e/accounts_standin_test.go
+++ b/e2e/accounts_standin_test.go
@@ -106,6 +106,20 @@
 	return g.record.operations[id].account
 }
 
+// operationTimes returns when the operations of an account arrived, in order of time.
+func (g *standinGroup) operationTimes(account string) []time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []time.Time
+	for _, x := range g.record.operations {
+		if x.account == account {
+			out = append(out, x.at)
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
 // tenantConfig is an account in the platform's configuration.
 type tenantConfig struct {
 	Name    string   `json:"name"`
