--- a/account/refusal_test.go
+++ b/account/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,3 +124,30 @@
 		})
 	}
 }
+
+// TestGoodput guards against a limit that is not used up while an account asks for a little more than it: a host that was
+// told to come back later refuses operations although the share has tokens again.
+func TestGoodput(t *testing.T) {
+	for name, limit := range map[string]jacinthtiller.RateLimit{
+		"small":  {PerSecond: 5, Burst: 5},
+		"middle": {PerSecond: 41, Burst: 41},
+		"large":  {PerSecond: 400, Burst: 400},
+	} {
+		for _, load := range []float64{1.25, 1.75, 3, 6} {
+			t.Run(fmt.Sprintf("%s account at %.0f %%", name, 100*load), func(t *testing.T) {
+				t.Parallel()
+				s := startRegions(1, 81, limit)
+				s.setDemand(load*limit.PerSecond, -1)
+				s.run(5 * time.Second) // the burst is used up
+				s.uses = nil
+				const seconds = 40
+				s.run(seconds * time.Second)
+				used := float64(len(s.uses)) / (limit.PerSecond * seconds)
+				t.Logf("%.1f%% of the rate used", 100*used)
+				if used < 0.95 {
+					t.Errorf("only %.1f%% of the rate was used", 100*used)
+				}
+			})
+		}
+	}
+}
