--- a/e2e/limits_test.go
+++ b/e2e/limits_test.go
@@ -29,10 +29,11 @@
 	// resumeWindow is how long the rate after resumeDeadline is measured.
 	resumeWindow = 4 * time.Second
 	// pressPause is the time between the requests of a guest.
-	pressPause = 20 * time.Millisecond
+	pressPause = 40 * time.Millisecond
 )
 
-// limitedAccount is an account with a limit, and the number of its guests at each host, who ask for several times the limit.
+// limitedAccount is an account with a limit, and the number of its guests at each host. There are more guests than operations
+// that may wait for tokens until the route's timeout, so that the others are refused and ask for several times the limit.
 type limitedAccount struct {
 	limit  jacinthtiller.RateLimit
 	guests int
@@ -42,8 +43,8 @@
 // of a half of the limit of the medium account, in the same window, would exceed its bound.
 var limitedAccounts = map[string]limitedAccount{
 	"small":  {jacinthtiller.RateLimit{PerSecond: 4}, 3},
-	"medium": {jacinthtiller.RateLimit{PerSecond: 30, Burst: 150}, 6},
-	"large":  {jacinthtiller.RateLimit{PerSecond: 80, Burst: 40}, 12},
+	"medium": {jacinthtiller.RateLimit{PerSecond: 30, Burst: 150}, 12},
+	"large":  {jacinthtiller.RateLimit{PerSecond: 80, Burst: 40}, 30},
 }
 
 // pressure counts what the guests of one account are answered.
@@ -51,16 +52,18 @@
 	// paused makes the guests wait before their next operation.
 	paused   *atomic.Bool
 	mu       sync.Mutex // guards the fields below
-	answered int
+	answered int        // operations
 	// refused counts the errors by their code and reason.
 	refused map[string]int
 }
 
-// record counts an answer and reports whether it is an error.
-func (p *pressure) record(line string) bool {
+// record counts an answer and reports whether it is an error. Only the last answer of a transaction counts as an operation.
+func (p *pressure) record(line, state string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answered++
+	if state == "I" {
+		p.answered++
+	}
 	if !strings.HasPrefix(line, "ERROR ") {
 		return false
 	}
@@ -97,7 +100,7 @@
 		if err != nil {
 			return
 		}
-		if p.record(lines[0]) {
+		if p.record(lines[0], state) {
 			if state != "I" {
 				return
 			}
@@ -167,7 +170,7 @@
 		l := limitedAccounts[name].limit
 		tenants = append(tenants, tenantConfig{Name: name, APIKeys: []string{"key-" + name}, RatePerS: &l.PerSecond, Burst: l.Burst})
 	}
-	n.putConfig(accountsConfig(2, tenants...))
+	n.putConfig(strings.ReplaceAll(accountsConfig(2, tenants...), `"timeout_ms":2000`, `"timeout_ms":800`))
 	for host := range n.hosts {
 		for name := range limitedAccounts {
 			n.eventually(host+" accepts the key of "+name, func(context.Context) error {
