--- a/control/client.go
+++ b/control/client.go
@@ -214,6 +214,9 @@
 				return err
 			case <-time.After(retryDelay):
 			}
+			if ctx.Err() != nil {
+				return err // select picks either case when both are ready; another attempt would hide the cause
+			}
 		}
 	}
 }
