--- a/account.go
+++ b/account.go
@@ -8,7 +8,10 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -65,8 +68,14 @@
 
 // validate returns an error for the first invalid field of an account that is stored under the name. Errors contain no key.
 func (a Account) validate(name string) error {
-	if a.Name == "" || a.Name != name {
+	switch {
+	case a.Name == "" || a.Name != name:
 		return fmt.Errorf("account %q has no name", a.Name)
+	case len(name) > maxNameBytes:
+		return fmt.Errorf("account %q has a name of more than %d bytes", name[:maxNameBytes], maxNameBytes)
+	case strings.ContainsFunc(name, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) || r == utf8.RuneError }):
+		// The name is a field of a line that targets read.
+		return fmt.Errorf("account %q has a space, a control character or invalid UTF-8 in its name", name)
 	}
 	if l := a.Limit; l != nil {
 		for field, value := range map[string]float64{"rate": l.PerSecond, "burst": l.Burst} {
--- a/pool/idle.go
+++ b/pool/idle.go
@@ -160,7 +160,8 @@
 		t.forgetConn(account)
 		refusal := refusalOf(err)
 		busy := isTimeout(err) && time.Now().Before(t.answeredAt.Add(recentAnswerAge))
-		if refusal != nil || busy {
+		// A refusal of one account's login says nothing about the others.
+		if busy || refusal != nil && (account == "" || refusal.Code == jacinthtiller.ErrorCodeConnections || refusal.Code == jacinthtiller.ErrorCodeBusy) {
 			t.noConnectionUntil = time.Now().Add(noConnectionPause)
 		}
 		if refusal != nil && refusal.Code == jacinthtiller.ErrorCodeConnections {
--- a/pool/idle_test.go
+++ b/pool/idle_test.go
@@ -24,6 +24,8 @@
 	// limit refuses connections above it; 0 means no limit.
 	limit  int
 	silent bool
+	// unknown is an account whose logins are refused; empty for none.
+	unknown string
 }
 
 func (f *accountTargets) Dial(_ context.Context, _ jacinthtiller.Target, account string) (jacinthtiller.TargetConn, error) {
@@ -32,6 +34,8 @@
 	switch {
 	case f.silent:
 		return nil, os.ErrDeadlineExceeded
+	case f.unknown != "" && account == f.unknown:
+		return nil, &jacinthtiller.TargetError{Code: jacinthtiller.ErrorCodeOther}
 	case f.limit > 0 && len(f.open) >= f.limit:
 		return nil, &jacinthtiller.TargetError{Code: jacinthtiller.ErrorCodeConnections}
 	}
@@ -191,6 +195,13 @@
 			convey.So(err, convey.ShouldBeNil)
 			convey.So(f.accounts(), convey.ShouldResemble, []string{"y", "z"})
 		},
+		"are opened although another account's login was refused": func(f *accountTargets, a *Target) {
+			f.unknown = "x"
+			_, err := run(a, jobOf("x"))
+			convey.So(err, convey.ShouldNotBeNil)
+			_, err = run(a, jobOf("y"))
+			convey.So(err, convey.ShouldBeNil)
+		},
 		"prove nothing about a target that has become silent": func(f *accountTargets, a *Target) {
 			_, err := run(a, jobOf("x"))
 			convey.So(err, convey.ShouldBeNil)
