account, entry, statement, pool: what the review of the parts found

Cause: a review by readers who had not written the parts. (1) Hosts that got records of a previous version of control could place shares differently from others, and more than one granted (3,132 tokens for 1,736). (2) A limit lowered and raised within a window gave its burst twice (2,020 tokens for 1,670). (3) A renewal in flight could publish a lease after a release. (4) After an edition without accounts had replaced one with them, guests' keys came into logs and jobs; a key sent as a route could too. (5) Each collection of metrics held the administrator's lock for accounts x hosts (126 ms at 10,000 x 580). (6) Settings whose overage leaves no room for clocks were accepted. (7) Saturated ignored the learned limit. Change: no grants while a live host's record is incomplete, and a full view is asked for then; buckets stay for a window after a grant; leases are published in the order of their changes; names that may be keys are not logged once keys were required; counting outside of the lock; the check of settings; the learned limit. Result: new cases of TestLimiter, TestViewMismatch, TestJobsOfAccounts, and TestReleaseDuringRenewal; those of 1 to 4 fail without their changes, except TestViewMismatch's and TestJobsOfAccounts's, which were not run without. 5 to 7 have no test of their own.

--- a/account.go
+++ b/account.go
@@ -127,6 +127,8 @@
 	index uint64
 	// hosts holds all hosts of the view, also those whose leases have ended, in no order.
 	hosts []limitHost
+	// complete is false if the record of a live host lacks what control of this version records.
+	complete bool
 }
 
 // limitHost is a host that administers shares, or that did so earlier.
@@ -149,9 +151,23 @@
 	SinceIndex uint64
 }
 
+// HostsComplete reports whether all live hosts of the view have a ChangedIndex. A control process of a previous version drops it
+// and ServesAccounts from the records that it passes on, so that hosts with the same index may have different placements.
+func (v View) HostsComplete() bool {
+	for _, h := range v.Hosts {
+		if !h.LeaseEnded && h.ChangedIndex == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Complete reports whether every host with this view has the same placement.
+func (p LimitPlacement) Complete() bool { return p.complete }
+
 // LimitPlacement returns the placement of the limits on the view's hosts.
 func (v View) LimitPlacement() LimitPlacement {
-	p := LimitPlacement{index: v.Index, hosts: make([]limitHost, 0, len(v.Hosts))}
+	p := LimitPlacement{index: v.Index, hosts: make([]limitHost, 0, len(v.Hosts)), complete: v.HostsComplete()}
 	for name, h := range v.Hosts {
 		p.hosts = append(p.hosts, limitHost{
 			name: name, address: h.Link, region: h.Region, hash: xxhash.Sum64String(name), changedIndex: h.ChangedIndex,
--- a/account/administrator.go
+++ b/account/administrator.go
@@ -66,6 +66,8 @@
 	since uint64
 	// turn is the last turn that was given to a refused host.
 	turn time.Time
+	// grantedAt is when tokens were last granted; zero before.
+	grantedAt time.Time
 }
 
 func newAdministrator(self string, a Allowance, spread func(time.Duration) time.Duration) *administrator {
@@ -138,7 +140,7 @@
 		return a.refuse(jacinthtiller.TokensNoLease)
 	}
 	settledAt, ok := a.settledAt(admin.SinceIndex)
-	if !ok {
+	if !ok || !a.placement.Complete() {
 		return a.refuse(jacinthtiller.TokensHandover)
 	}
 	rate, capacity := shareRate(*l), a.allowance.shareCapacity(*l)
@@ -157,7 +159,10 @@
 		reply.RetryAfterMicroseconds = (maxTurnDelay/2 + a.spread(maxTurnDelay/2)).Microseconds()
 		return reply
 	}
-	reply.Granted = min(int(b.tokens), wanted)
+	reply.Granted = int(min(b.tokens, float64(wanted)))
+	if reply.Granted > 0 {
+		b.grantedAt = now
+	}
 	b.tokens -= float64(reply.Granted)
 	if missing := wanted - reply.Granted; missing > 0 {
 		reply.RetryAfterMicroseconds = max(1, a.retryDelay(b, rate, missing, now).Microseconds())
@@ -212,21 +217,23 @@
 		}
 		capacity := a.allowance.shareCapacity(*l)
 		b.fill(shareRate(*l), capacity, now)
-		if b.tokens >= capacity && !now.Before(b.turn) {
+		// A bucket that is full because its limit was lowered would get the tokens of a raised one when created again.
+		inWindow := now.Before(b.grantedAt.Add(seconds(a.allowance.WindowSeconds) + a.allowance.lifetime()))
+		if b.tokens >= capacity && !now.Before(b.turn) && !inWindow {
 			delete(a.buckets, k)
 		}
 	}
 }
 
-// administered returns how many shares of limits the host administers by its view.
-func (a *administrator) administered() int {
+// administered returns how many shares of limits the host administers. It takes time in proportion to the accounts and hosts.
+func administered(self string, p jacinthtiller.LimitPlacement, accounts map[string]jacinthtiller.Account) int {
 	n := 0
-	for name, acc := range a.accounts {
+	for name, acc := range accounts {
 		if acc.Limit == nil {
 			continue
 		}
-		for _, admin := range a.placement.LimitAdministrators(name) {
-			if admin.Host == a.self {
+		for _, admin := range p.LimitAdministrators(name) {
+			if admin.Host == self {
 				n++
 			}
 		}
--- a/account/allowance.go
+++ b/account/allowance.go
@@ -18,6 +18,8 @@
 	// lifetimePercent is the part of the overage, in percent, that the lifetime of tokens uses. The rest allows for clocks
 	// that differ in their rates by 2%.
 	lifetimePercent = 60
+	// clockRateBound is by how much the rates of the clocks of two hosts may differ; see control.ClockRateBound.
+	clockRateBound = 0.02
 	// burstPercent is the part of the slack, in percent, by which the buckets of an account together exceed its burst.
 	burstPercent = 50
 	// minCapacity lets an account without a burst get single tokens where the slack is very small.
@@ -48,6 +50,10 @@
 			errs = append(errs, fmt.Errorf("%s=%v is not between %v and %v", name, v[0], v[1], v[2]))
 		}
 	}
+	if clocks := seconds((a.WindowSeconds + a.lifetime().Seconds()) * clockRateBound); len(errs) == 0 &&
+		a.lifetime()+clocks > seconds(a.WindowSeconds*a.Overage) {
+		errs = append(errs, fmt.Errorf("overage=%v with window-seconds=%v leaves no room for clocks that differ by 2%%", a.Overage, a.WindowSeconds))
+	}
 	if len(errs) == 0 && a.lifetime() < minLifetime {
 		errs = append(errs, fmt.Errorf("overage=%v with window-seconds=%v leaves tokens %v, and they need at least %v",
 			a.Overage, a.WindowSeconds, a.lifetime(), minLifetime))
--- a/account/holder.go
+++ b/account/holder.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthtiller/jacinthtiller"
@@ -220,7 +221,7 @@
 			break
 		}
 		w := h.waiters[0]
-		h.remove(w)
+		h.waiters[0], h.waiters = nil, h.waiters[1:]
 		w.granted, w.until = true, until
 		w.wake()
 	}
@@ -298,7 +299,7 @@
 func (h *holder) remove(w *waiter) {
 	for i, x := range h.waiters {
 		if x == w {
-			h.waiters = append(h.waiters[:i:i], h.waiters[i+1:]...)
+			h.waiters = slices.Delete(h.waiters, i, i+1)
 			return
 		}
 	}
--- a/account/limiter_test.go
+++ b/account/limiter_test.go
@@ -171,6 +171,36 @@
 				n["a"], n["b"] = silent, other // for close
 			})
 		})
+		convey.Convey("A host whose view lacks what hosts of this version record grants nothing", t, func() {
+			v := testView(5, 2, limits)
+			h := v.Hosts["h1"]
+			h.ChangedIndex = 0
+			v.Hosts["h1"] = h
+			n := startLimiters(v)
+			defer n.close()
+			for share := range jacinthtiller.LimitShares {
+				host := v.LimitPlacement().LimitAdministrators("large")[share].Host
+				r := n[host].GrantTokens(jacinthtiller.TokenRequest{Account: "large", Share: share, Tokens: 1})
+				convey.So(r.Refusal, convey.ShouldEqual, jacinthtiller.TokensHandover)
+			}
+		})
+		convey.Convey("A limit that is lowered and raised again within a window starts with no new burst", t, func() {
+			with := func(burst float64) map[string]*jacinthtiller.RateLimit {
+				return map[string]*jacinthtiller.RateLimit{"a": {PerSecond: 100, Burst: burst}}
+			}
+			n := startLimiters(testView(5, 1, with(1000)))
+			defer n.close()
+			time.Sleep(20 * time.Second)
+			admitted := n.admitted("h0", "a", 1005)
+			n.apply(testView(6, 1, with(0)))
+			time.Sleep(time.Second)
+			n["h0"].sweep(clock.Now())
+			n.apply(testView(7, 1, with(1000)))
+			for d := (jacinthtiller.LimitDecision{Admitted: true}); d.Admitted; admitted++ {
+				d = n["h0"].Admit("a", time.Now())
+			}
+			convey.So(admitted, convey.ShouldBeLessThan, (100*5+1000)*1.1+20)
+		})
 		convey.Convey("An administrator that waits for the settled index renews its lease early, at most every 100 ms", t, func() {
 			v := testView(5, 1, limits)
 			renewals := 0
--- a/account/metrics.go
+++ b/account/metrics.go
@@ -87,8 +87,9 @@
 	}
 	if out.registration, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		l.adminMu.Lock()
-		defer l.adminMu.Unlock()
-		o.ObserveInt64(shares, int64(l.admin.administered()))
+		placement, accounts := l.admin.placement, l.admin.accounts // neither is modified
+		l.adminMu.Unlock()
+		o.ObserveInt64(shares, int64(administered(l.config.Self, placement, accounts)))
 		return nil
 	}, shares); err != nil {
 		otel.Handle(err)
--- a/entry/host.go
+++ b/entry/host.go
@@ -85,6 +85,8 @@
 	// observations queues reports of announcements for sendObservations.
 	observations chan jacinthtiller.ObserveRequest
 
+	publishMu sync.Mutex // held while lease changes and is published, so that both happen in the same order
+
 	mu sync.Mutex // guards the fields below
 	// lease is the newest lease granted; its deadline never moves back.
 	lease jacinthtiller.Lease
@@ -140,11 +142,13 @@
 
 // Release returns the lease and the ownership of targets to control. It is called after the owner has drained.
 func (h *Host) Release(ctx context.Context) error {
+	h.publishMu.Lock()
 	h.mu.Lock()
 	h.released = true
 	h.lease = jacinthtiller.Lease{}
 	h.mu.Unlock()
 	h.publishLease(jacinthtiller.Lease{})
+	h.publishMu.Unlock()
 	r := jacinthtiller.ReleaseRequest{Host: h.config.Self.Name, Incarnation: h.config.Self.Incarnation}
 	if err := h.config.Control.Release(ctx, r); err != nil {
 		return fmt.Errorf("release the host's lease: %w", err)
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthtiller/jacinthtiller"
 	"github.com/jacinthtiller/jacinthtiller/clock"
@@ -105,6 +106,43 @@
 	}
 }
 
+// blockingSubscriber receives a lease that is not empty only once proceed is closed.
+type blockingSubscriber struct {
+	lease            jacinthtiller.Lease
+	started, proceed chan struct{}
+}
+
+func (*blockingSubscriber) Apply(jacinthtiller.View) {}
+
+func (s *blockingSubscriber) SetLease(l jacinthtiller.Lease) {
+	if !l.Deadline.IsZero() {
+		close(s.started)
+		<-s.proceed
+	}
+	s.lease = l
+}
+
+// TestReleaseDuringRenewal guards against a renewal that publishes its lease after a release: nothing would end that lease, and
+// the host would go on granting tokens beside the next administrator.
+func TestReleaseDuringRenewal(t *testing.T) {
+	convey.Convey("The subscribers of a released host have no lease", t, func() {
+		b := &blockingSubscriber{started: make(chan struct{}), proceed: make(chan struct{})}
+		h := &Host{config: Config{Control: &fakeControl{}, Subscribers: []jacinthtiller.ViewSubscriber{b}}}
+		var group conc.WaitGroup
+		group.Go(func() { h.extendLease(clock.Now().Add(time.Hour), 0) })
+		<-b.started
+		released := make(chan struct{})
+		group.Go(func() { _ = h.Release(context.Background()); close(released) })
+		select {
+		case <-released:
+		case <-time.After(100 * time.Millisecond): // the release waits for the renewal
+		}
+		close(b.proceed)
+		group.Wait()
+		convey.So(b.lease.Deadline.IsZero(), convey.ShouldBeTrue)
+	})
+}
+
 // unimplementedPeer provides the methods of jacinthtiller.Peer that no test calls.
 type unimplementedPeer = jacinthtiller.Peer
 
@@ -269,6 +307,12 @@
 			interrupt(jacinthtiller.Delta{From: 21, Index: 22})
 			convey.So(h.config.Views.View().Edition.Number, convey.ShouldEqual, 4)
 			convey.So(c.watchStart(), convey.ShouldEqual, 22)
+			// A control process of an earlier version passes on hosts without ChangedIndex, on which limits depend.
+			interrupt(jacinthtiller.Delta{
+				From: 22, Index: 23, Edition: &jacinthtiller.Edition{Number: 5, RequiresKeys: true},
+				Hosts: map[string]jacinthtiller.Host{"h2": {Name: "h2"}},
+			})
+			convey.So(c.watchStart(), convey.ShouldEqual, 0)
 		})
 	})
 }
--- a/entry/renewal.go
+++ b/entry/renewal.go
@@ -103,6 +103,8 @@
 // extendLease moves the end of the lease to the deadline. The settled index stays when control sends a lower one, as a new
 // leader does until it has heard from all hosts, because what an earlier leader has found holds under all later ones.
 func (h *Host) extendLease(deadline time.Time, settledIndex uint64) {
+	h.publishMu.Lock() // or a release in between would be followed by a lease that nothing ends
+	defer h.publishMu.Unlock()
 	h.mu.Lock()
 	if h.released || deadline.Before(h.lease.Deadline) {
 		h.mu.Unlock()
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -16,7 +16,11 @@
 func (h *Host) watchViews() {
 	lost, mismatch := false, false
 	for h.ctx.Err() == nil {
-		from := h.config.Views.View().Index
+		view := h.config.Views.View()
+		from := view.Index
+		if view.Edition != nil && view.Edition.RequiresKeys && !view.HostsComplete() {
+			from = 0 // the process that sent the view was of a previous version
+		}
 		if mismatch {
 			from = 0 // the next delta from the same view would not apply either, so ask for a full view
 		}
--- a/pool/target.go
+++ b/pool/target.go
@@ -281,6 +281,9 @@
 func (t *Target) Saturated() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if limit := t.learned.value(); limit > 0 && t.direct {
+		return float64(t.load) >= limit
+	}
 	return t.load >= t.maxInFlight
 }
 
--- a/statement/account.go
+++ b/statement/account.go
@@ -18,6 +18,9 @@
 	edition *jacinthtiller.Edition
 	// byKey is nil unless the edition requires keys.
 	byKey map[jacinthtiller.KeyDigest]jacinthtiller.Account
+	// secretNames is true once an edition that requires keys has been in force: what guests send may be a key from then on,
+	// also under an edition without accounts.
+	secretNames bool
 }
 
 // withEdition returns the index of an edition. A change of other parts of the view keeps the edition and its index.
@@ -25,8 +28,9 @@
 	if x.edition == e {
 		return x
 	}
-	out := &accountIndex{edition: e}
+	out := &accountIndex{edition: e, secretNames: x.secretNames}
 	if out.requiresKeys() {
+		out.secretNames = true
 		out.byKey = e.AccountsByKey()
 	}
 	return out
@@ -63,9 +67,12 @@
 	return a
 }
 
-// loggedRoute returns the name of a route for logs, without a key that a guest sent in its place.
+// loggedRoute returns the name of a route for logs. A name that no route has may be a key that a guest sent in its place.
 func (x *accountIndex) loggedRoute(name string) string {
-	if _, ok := x.byKey[jacinthtiller.DigestKey(name)]; ok {
+	if x.edition == nil {
+		return ""
+	}
+	if _, ok := x.edition.Routes[name]; !ok && x.secretNames {
 		return ""
 	}
 	return name
@@ -105,13 +112,13 @@
 	}
 }
 
-// guestName returns the guest's name for logs and queues: the name of its account where guests have keys, else the name that
-// it gave at startup. A guest of a host without an edition has none, because the name may be a key.
+// guestName returns the guest's name for logs and queues: the name of its account where guests have or had keys, else the name
+// that it gave at startup. A guest of a host without an edition has none, because the name may be a key.
 func (n *session) guestName() string {
 	switch x := n.s.accounts.Load(); {
 	case x.edition == nil:
 		return ""
-	case x.requiresKeys():
+	case x.requiresKeys(), x.secretNames && !n.guestIsAccount:
 		return n.account
 	}
 	return n.guest
@@ -121,7 +128,7 @@
 func (n *session) setAccount(a access) {
 	n.account = a.account
 	if a.keyed {
-		n.guest = a.account
+		n.guest, n.guestIsAccount = a.account, true
 	}
 }
 
--- a/statement/account_test.go
+++ b/statement/account_test.go
@@ -195,6 +195,19 @@
 				convey.So(ts.job().Guest, convey.ShouldEqual, "acme")
 			})
 		})
+		convey.Convey("carry no name that may be a key after an edition without accounts has replaced one with them", func() {
+			ts.setKeys(map[string][]string{"acme": {"k-acme"}})
+			e := *ts.view.Edition
+			e.Number, e.RequiresKeys, e.Accounts = e.Number+1, false, nil
+			ts.setEdition(e)
+			g := ts.accountGuest(primaryRoute, "k-acme")
+			defer g.leave()
+			convey.So(<-g.answers, convey.ShouldEqual, "welcome I")
+			convey.So(g.ask("READ 1"), convey.ShouldEqual, "passed I")
+			convey.So(ts.job().Guest, convey.ShouldBeEmpty)
+			convey.So(ts.server.accounts.Load().loggedRoute("k-acme"), convey.ShouldBeEmpty)
+			convey.So(ts.server.accounts.Load().loggedRoute(string(primaryRoute)), convey.ShouldEqual, string(primaryRoute))
+		})
 		convey.Convey("carry the account's name and no key where keys are required", func() {
 			ts.setKeys(map[string][]string{"acme": {"k-acme"}})
 			g := ts.accountGuest(primaryRoute, "k-acme")
--- a/statement/session.go
+++ b/statement/session.go
@@ -35,6 +35,8 @@
 	routeName string
 	// guest is the name that the guest gave at startup, which is not kept where guests have keys: there it is account.
 	guest string
+	// guestIsAccount is true once guest has been replaced by an account's name.
+	guestIsAccount bool
 	// key is the digest of what the guest gave at startup.
 	key jacinthtiller.KeyDigest
 	// account is the account of the current operation; empty for a guest without one. It does not change in a transaction.
