account: settings of limits report each fault

Cause: TestParse failed in: the new check of clocks hid the fault of short lifetimes. Change: both are reported once the values are in their ranges; a case for each way. Result: go test ./daemon passes.

--- a/account/allowance.go
+++ b/account/allowance.go
@@ -50,14 +50,17 @@
 			errs = append(errs, fmt.Errorf("%s=%v is not between %v and %v", name, v[0], v[1], v[2]))
 		}
 	}
-	if clocks := seconds((a.WindowSeconds + a.lifetime().Seconds()) * clockRateBound); len(errs) == 0 &&
-		a.lifetime()+clocks > seconds(a.WindowSeconds*a.Overage) {
-		errs = append(errs, fmt.Errorf("overage=%v with window-seconds=%v leaves no room for clocks that differ by 2%%", a.Overage, a.WindowSeconds))
+	if len(errs) > 0 {
+		return errors.Join(errs...)
 	}
-	if len(errs) == 0 && a.lifetime() < minLifetime {
+	if a.lifetime() < minLifetime {
 		errs = append(errs, fmt.Errorf("overage=%v with window-seconds=%v leaves tokens %v, and they need at least %v",
 			a.Overage, a.WindowSeconds, a.lifetime(), minLifetime))
 	}
+	clocks := seconds((a.WindowSeconds + a.lifetime().Seconds()) * clockRateBound)
+	if a.lifetime()+clocks > seconds(a.WindowSeconds*a.Overage) {
+		errs = append(errs, fmt.Errorf("overage=%v with window-seconds=%v leaves no room for clocks that differ by 2%%", a.Overage, a.WindowSeconds))
+	}
 	return errors.Join(errs...)
 }
 
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -43,6 +43,12 @@
 		"limit without time for tokens": {
 			args: []string{"--limit-overage", "0.01"}, faults: []string{"--limit-overage=0.01 with window-seconds=5 leaves tokens 30ms"},
 		},
+		"limit over a long window": {
+			args: []string{"--limit-window-seconds", "3600"}, // the default overage of 360 s is enough
+		},
+		"limit without room for clocks that differ": {
+			args: []string{"--limit-window-seconds", "100", "--limit-overage", "0.02"}, faults: []string{"--limit-overage=0.02 with window-seconds=100 leaves no room for clocks"},
+		},
 		"key without certificate": {
 			args: []string{"--guest-key-file", "settings_test.go"}, faults: []string{"--guest-cert-file and --guest-key-file"},
 		},
