entry: early renewals are bounded over all hosts

Each host reported changes of hosts up to ten times a second, and control sends a renewal that tells of a new view to the leader at once. That this is the cause is not shown yet. Change: at most 800 early renewals a second of all hosts; from 160 hosts on there are none.

--- a/entry/host.go
+++ b/entry/host.go
@@ -34,9 +34,10 @@
 	// doubles until a watch keeps up. An overloaded control process is late for all hosts, and new watches would add load.
 	minWatchStopInterval = time.Second
 	maxWatchStopInterval = 8 * time.Second
-	// hostChangeDelay bounds the delay of the renewal that reports a change of hosts. When hundreds of hosts register at once,
-	// each host makes ten such renewals a second at most.
-	hostChangeDelay = 100 * time.Millisecond
+	// maxEarlyRenewals bounds the renewals a second, of all hosts together, that report a change of hosts. Control sends each of
+	// them to the leader at once, because it tells of a new view in force; with 300 hosts at 10 a second each, the leader did
+	// not keep up with a mass registration.
+	maxEarlyRenewals = 800
 	// laggingRenewInterval is the pause before the next renewal while the current view is behind; that renewal shows whether
 	// it still is.
 	laggingRenewInterval = 120 * time.Millisecond
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -201,16 +201,21 @@
 	}
 }
 
-// reportHostChange makes the host renew its lease within hostChangeDelay if limits of accounts depend on it: their new
-// administrators grant nothing until control knows that all hosts have the view in force. Changes in that time share a renewal.
+// reportHostChange makes the host renew its lease early if limits of accounts depend on it: their new administrators grant
+// nothing until control knows that all hosts have the view in force. Changes in the meantime share a renewal. In a large
+// deployment the regular renewals are as early as maxEarlyRenewals allows.
 func (h *Host) reportHostChange(view jacinthtiller.View) {
 	if view.Edition == nil || !view.Edition.RequiresKeys {
 		return
 	}
+	delay := time.Duration(len(view.Hosts)) * time.Second / maxEarlyRenewals
+	if delay >= renewInterval/2 {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if now := time.Now(); !now.Before(h.hostChangeDue) {
-		delay := hostChangeDelay/2 + rand.N(hostChangeDelay/2)
+		delay = delay/2 + rand.N(delay/2+1)
 		h.hostChangeDue = now.Add(delay)
 		time.AfterFunc(delay, h.requestRenewal)
 	}
