--- a/account.go
+++ b/account.go
@@ -162,6 +162,9 @@
 	return true
 }
 
+// Size returns the number of hosts of the view, also those whose leases have ended.
+func (p LimitPlacement) Size() int { return len(p.hosts) }
+
 // Complete reports whether every host with this view has the same placement.
 func (p LimitPlacement) Complete() bool { return p.complete }
 
--- a/account/limiter.go
+++ b/account/limiter.go
@@ -18,6 +18,10 @@
 // renewInterval is the least time between two early renewals of the lease. Hosts report a new view to control within 100 ms.
 const renewInterval = 100 * time.Millisecond
 
+// maxEarlyRenewals bounds the early renewals a second of all hosts together, as package entry does for those that report a change
+// of hosts: many more keep the leader of control busy in large deployments.
+const maxEarlyRenewals = 800
+
 // Config configures a Limiter.
 type Config struct {
 	// Self is the name of the host, and Region its region.
@@ -127,7 +131,7 @@
 	reply := l.admin.grant(r, now)
 	renew := reply.Refusal == jacinthtiller.TokensHandover && !now.Before(l.renewDue)
 	if renew {
-		l.renewDue = now.Add(renewInterval)
+		l.renewDue = now.Add(max(renewInterval, time.Duration(l.admin.placement.Size())*time.Second/maxEarlyRenewals))
 	}
 	l.adminMu.Unlock()
 	l.metrics.countReply(reply)
