--- a/review/standin-2/foreign.go
+++ b/review/standin-2/blocked.go
@@ -12,47 +12,48 @@
 	recoveryTime = 12 * time.Second
 	// shareTime is how long the share of served requests is measured before the final fault and after the recovery.
 	shareTime = 6 * time.Second
-	// foreignService is a service that no configuration names.
-	foreignService = "zeta40q"
+	// replaceTime is how long after the loss of a server a new one starts at another address.
+	replaceTime = 2 * time.Second
+	// catchUpTime is how long the new server has to receive the log before the final fault, beside shareTime.
+	catchUpTime = 5 * time.Second
 	// minServedPercent is the share of the rule.
 	minServedPercent = 25
 )
 
-// stayDownAfterForeignHeartbeats plays case 8: after all processes were killed and are back, another writer sends one heartbeat
-// for each server, in which only the service is none that is named here.
-func stayDownAfterForeignHeartbeats(w *world, trouble bool) error {
-	s := newService(w, 0)
+// stayWithoutPrimary plays case 8: in a service with a synchronous replica, a replica has been lost for good and replaced; at the
+// final fault the primary is lost for good.
+func stayWithoutPrimary(w *world, trouble bool) error {
+	s := newService(w, 1)
 	if err := w.start(true); err != nil {
 		return err
 	}
-	var servers []*server
-	for i := range 3 {
-		servers = append(servers, s.add(fmt.Sprintf("i-%d", i+1), zoneOf(i), freeAddress(), i == 0, nil))
-	}
-	if err := w.putConfig(0); err != nil {
+	primary := s.add("i-1", "zone-1", freeAddress(), true, nil)
+	replica := s.add("i-2", "zone-2", freeAddress(), false, nil)
+	s.add("i-3", "zone-3", freeAddress(), false, nil)
+	if err := w.putConfig(1); err != nil {
 		return err
 	}
 	if err := w.awaitService(); err != nil {
 		return err
 	}
+	if trouble {
+		s.loseForGood(replica)
+		w.sleep(replaceTime)
+		s.add("i-4", replica.zone, freeAddress(), false, nil)
+	}
+	w.sleep(catchUpTime)
 	before := w.servedPercent()
 	w.note("final fault: all processes are killed")
 	w.killAll()
+	s.loseForGood(primary)
 	w.sleep(downTime)
 	if err := w.start(false); err != nil {
 		return err
 	}
 	back := time.Now()
 	w.note("final fault: all processes are back")
-	if err := w.awaitService(); err != nil {
-		return err
-	}
-	if trouble {
-		for _, v := range servers {
-			body := v.heartbeat(foreignService)
-			w.note("another writer: heartbeat of %s for the service %s: status %d", v.id, foreignService, w.beatOnce(v.id, body))
-		}
-	}
+	w.sleep(replaceTime)
+	s.add("i-5", primary.zone, freeAddress(), false, nil)
 	w.sleep(time.Until(back.Add(recoveryTime)))
 	after := w.servedPercent()
 	w.note("served before the final fault: %d %%, later than %v after all were back: %d %%", before, recoveryTime, after)
@@ -62,6 +63,12 @@
 	return nil
 }
 
+// loseForGood ends a server that never comes back. It sends nothing.
+func (s *service) loseForGood(v *server) {
+	v.stop()
+	s.w.note("server %s: is lost for good", v.id)
+}
+
 // servedPercent makes reads and writes for shareTime and returns how many of a hundred are served.
 func (w *world) servedPercent() int {
 	asked, served := 0, 0
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,7 +13,7 @@
 var scripts = map[string]func(w *world, trouble bool) error{
 	"6": actOnTwoPrimaries,
 	"7": loseAcknowledgedWrites,
-	"8": stayDownAfterForeignHeartbeats,
+	"8": stayWithoutPrimary,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
