--- a/review/standin-2/lost.go
+++ b/review/standin-2/lost.go
@@ -3,9 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"time"
-
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -54,7 +53,7 @@
 			w.note("server %s: receives again", third.id)
 		})
 	}
-	var release conc.WaitGroup
+	var release sync.WaitGroup
 	s.leave(replica)
 	release.Go(func() { s.succeed(replica, "i-replica-2") })
 	s.leave(primary)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -16,8 +16,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -38,7 +36,7 @@
 type world struct {
 	dir     string
 	began   time.Time
-	group   conc.WaitGroup
+	group   sync.WaitGroup
 	stopped chan struct{}
 	client  *http.Client
 
@@ -179,7 +177,7 @@
 
 // killAll kills all processes of the system at once.
 func (w *world) killAll() {
-	var group conc.WaitGroup
+	var group sync.WaitGroup
 	for _, c := range w.controls {
 		group.Go(c.process.kill)
 	}
