--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -31,6 +31,8 @@
 		code = playFounding(r, trouble)
 	case "growth":
 		code = playGrowth(r, trouble)
+	case "bounds":
+		code = playBounds(r, trouble)
 	default:
 		r.write("no case has the name %q", flag.Arg(0))
 	}
