--- a/review/standin-3/process.go
+++ b/review/standin-3/process.go
@@ -7,7 +7,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -66,20 +65,11 @@
 
 func (p *process) isControl() bool { return p.settings[0] == "role control" }
 
-// signal sends a signal to the process, which this program has started.
-func (p *process) signal(s syscall.Signal) {
-	p.record.write("%s gets %s", p.name, s)
-	if err := p.command.Process.Signal(s); err != nil {
-		p.record.write("signal to %s: %v", p.name, err)
-	}
-}
-
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
 	if p.command == nil {
 		return
 	}
-	_ = p.command.Process.Signal(syscall.SIGCONT)
 	_ = p.command.Process.Kill()
 	_ = p.command.Wait()
 	p.command = nil
