--- a/review/standin-3/growth.go
+++ b/review/standin-3/growth.go
@@ -42,8 +42,10 @@
 type guard struct {
 	record *record
 	p      *process
-	ends   int
-	peak   int64
+	// limit is the memory of the machine in bytes.
+	limit int64
+	ends  int
+	peak  int64
 }
 
 // residentBytes returns the memory of a process; 0 if it cannot be read.
@@ -71,11 +73,11 @@
 		}
 		used := residentBytes(g.p.command.Process.Pid)
 		g.peak = max(g.peak, used)
-		if used <= memoryLimit {
+		if used <= g.limit {
 			continue
 		}
 		g.ends++
-		g.record.write("platform: %s uses %d MiB of %d and is killed, for the %d. time", g.p.name, used>>20, memoryLimit>>20, g.ends)
+		g.record.write("platform: %s uses %d MiB of %d and is killed, for the %d. time", g.p.name, used>>20, g.limit>>20, g.ends)
 		g.p.kill()
 		time.Sleep(restartDelay)
 		if err := g.p.start(false); err != nil {
@@ -177,7 +179,7 @@
 	var guards []*guard
 	var watches conc.WaitGroup
 	for _, p := range d.control {
-		g := &guard{record: r, p: p}
+		g := &guard{record: r, p: p, limit: memoryLimit}
 		guards = append(guards, g)
 		watches.Go(func() { g.watch(stop) })
 	}
