--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-in that the scripts of the third review start, after the build of the deploy file.
-set -eu
-cd "$(dirname "$0")/.."
-go build -o target/review-3/ ./review/standin-3
+# Builds the stand-ins that the scripts of the third review start. It needs only the Go toolchain; the module has no dependencies.
+# The programs of the project come from the command of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/standin-3"
+mkdir -p ../../target/review-3
+GOFLAGS="${GOFLAGS:-} -buildvcs=false" go build -o ../../target/review-3/ ./start ./late
--- a/review/standin-3/bounds.go
+++ b/review/standin-3/start/bounds.go
@@ -4,9 +4,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
-
-	"github.com/sourcegraph/conc"
 )
 
 // The figures of the case "bounds".
@@ -126,7 +125,7 @@
 	const patience = 700 * time.Millisecond
 	for range boundsRestarts {
 		ended := make(chan error, 1)
-		var group conc.WaitGroup
+		var group sync.WaitGroup
 		command := p.command
 		group.Go(func() { ended <- command.Wait() })
 		select {
