--- a/review/standin-3/late/main.go
+++ b/review/standin-3/late/main.go
@@ -11,6 +11,7 @@
 
 // scripts are the cases by their names.
 var scripts = map[string]func(w *world, trouble bool) error{
+	"holder":     loseUnknownHolder,
 	"late-order": actOnLateOrder,
 	"foreign":    takeForeignHeartbeats,
 	"step":       drainAfterStep,
--- a/review/standin-3/late/server.go
+++ b/review/standin-3/late/server.go
@@ -50,6 +50,8 @@
 	// committedLate holds the ids of the writes that were committed so, with the server.
 	committedLate map[string]string
 	signatures    int
+	// cutNext is true if the next server that is added is cut off from control from its start on.
+	cutNext bool
 }
 
 // server is one database server.
@@ -64,6 +66,8 @@
 	primary  bool
 	// deaf is true while the server receives nothing from the primary, and busy while all its slots are taken.
 	deaf, busy bool
+	// cut is true while the server is cut off from control.
+	cut bool
 	// replacedAt is when another server began to lead a later term; zero for one that has not been replaced.
 	replacedAt time.Time
 	term       int
@@ -101,7 +105,7 @@
 	if p := s.leading(); p != nil && !primary {
 		v.term = p.term
 	}
-	s.servers[id] = v
+	s.servers[id], v.cut = v, s.cutNext
 	s.mu.Unlock()
 	v.start()
 	s.w.group.Go(v.beat)
@@ -369,6 +373,12 @@
 
 // report sends one heartbeat and reports whether it was acknowledged.
 func (v *server) report() bool {
+	v.s.mu.Lock()
+	cut := v.cut
+	v.s.mu.Unlock()
+	if cut {
+		return false
+	}
 	return v.s.w.beatOnce(v.id, v.heartbeat(serviceName)) == http.StatusOK
 }
 
