--- a/review/standin-3/late/server.go
+++ b/review/standin-3/late/server.go
@@ -74,8 +74,8 @@
 	log        []entry
 	born       int64
 	sequence   int
-	// clockAhead is how far the time of day of the server's machine is ahead of the true one.
-	clockAhead time.Duration
+	// aheadMilliseconds is how far the time of day of the server's machine is ahead of the true one.
+	aheadMilliseconds int64
 	// drainedAt is when its report that it is draining was acknowledged; zero before. lateArrivals counts the requests of clients that
 	// arrived more than drainBound after that.
 	drainedAt    time.Time
@@ -99,7 +99,7 @@
 // addWith is like add, for a machine whose time of day is ahead.
 func (s *service) addWith(id, zone, address string, primary bool, log []entry, ahead time.Duration) *server {
 	v := &server{
-		s: s, id: id, zone: zone, address: address, conns: map[net.Conn]bool{}, primary: primary, term: 1, log: log, beatNow: make(chan struct{}, 1), clockAhead: ahead,
+		s: s, id: id, zone: zone, address: address, conns: map[net.Conn]bool{}, primary: primary, term: 1, log: log, beatNow: make(chan struct{}, 1), aheadMilliseconds: ahead.Milliseconds(),
 	}
 	s.mu.Lock()
 	if p := s.leading(); p != nil && !primary {
@@ -118,7 +118,7 @@
 		panic(fmt.Sprintf("server %s: %v", v.id, err))
 	}
 	v.s.mu.Lock()
-	v.listener, v.running, v.draining, v.born, v.sequence = l, true, false, time.Now().Add(v.clockAhead).UnixMilli(), 0
+	v.listener, v.running, v.draining, v.born, v.sequence = l, true, false, time.Now().UnixMilli()+v.aheadMilliseconds, 0
 	v.s.mu.Unlock()
 	v.s.w.group.Go(func() {
 		for {
--- a/review/standin-3/late/step.go
+++ b/review/standin-3/late/step.go
@@ -55,7 +55,7 @@
 	v.stop()
 	w.sleep(downTime)
 	s.mu.Lock()
-	v.clockAhead = 0
+	v.aheadMilliseconds = 0
 	s.mu.Unlock()
 	w.note("the time of day of the machine of i-2 is true")
 	v.start()
